Serve a request end to end through separate processes

Cause: nothing ran yet. The path is thin but whole: a stand-in platform publishes service documents, an entry host watches them, compiles an immutable routing table, and carries a caller's request to an upstream over nbhttp, with each decision as a numbered event.

Ruled out: nbhttp's own server processor and ClientConn. The server processor holds a connection's executor until the handler returns, so a caller that goes away is noticed only afterwards; ClientConn dials under a lock. Both are replaced by our own nbhttp.Processor, the library's parser and loop stay.

Before: no program.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# Commands for developers. `make test` is what CI runs; measurements are apart.
+BINARIES := spindled spindle-standin spindle-load
+
+.PHONY: build demo test unit lint ldd
+
+build:
+	@mkdir -p bin
+	@for b in $(BINARIES); do CGO_ENABLED=1 go build -o bin/$$b ./cmd/$$b || exit 1; done
+
+demo:
+	@scripts/demo.sh
+
+test: lint build ldd unit
+
+unit:
+	go test ./...
+
+lint:
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
+	go vet ./...
+	go tool staticcheck ./...
+
+# Every binary is linked to the C library, as the platform expects.
+ldd: build
+	@for b in $(BINARIES); do ldd bin/$$b | grep -q libc.so || { echo "$$b is not linked to libc"; exit 1; }; done
--- /dev/null
+++ b/cmd/spindle-load/main.go
@@ -0,0 +1,87 @@
+// Command spindle-load sends bounded load to loopback addresses and prints
+// latency and outcomes.
+package main
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/dapplespindle/dapplespindle/internal/loadgen"
+	"github.com/dapplespindle/dapplespindle/internal/standin"
+)
+
+func main() {
+	root := &cobra.Command{Use: "spindle-load", Short: "Send bounded load to loopback", SilenceUsage: true}
+	root.AddCommand(mixCommand())
+	if err := root.Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+// mixCommand sends the two deployments' mix through entry hosts.
+func mixCommand() *cobra.Command {
+	var (
+		conf  loadgen.Config
+		bases []string
+	)
+	cmd := &cobra.Command{
+		Use:   "mix",
+		Short: "Send the two deployments' mix through entry hosts",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			for _, base := range bases {
+				conf.Targets = append(conf.Targets, mix(base)...)
+			}
+			report, err := loadgen.Run(cmd.Context(), conf)
+			if err != nil {
+				return err
+			}
+			return print(conf, report)
+		},
+	}
+	f := cmd.Flags()
+	f.StringSliceVar(&bases, "entry", []string{"http://127.0.0.1:8080"}, "base URLs of entry hosts")
+	f.Float64Var(&conf.Rate, "rate", 500, "requests per second")
+	f.DurationVar(&conf.Duration, "duration", 5*time.Second, "longest time to send")
+	f.IntVar(&conf.MaxRequests, "max-requests", 100_000, "most requests to send")
+	f.IntVar(&conf.MaxInFlight, "max-in-flight", 512, "most requests at the same time")
+	f.Uint64Var(&conf.Seed, "seed", 1, "seed of the arrivals")
+	return cmd
+}
+
+func mix(base string) []loadgen.Target {
+	var targets []loadgen.Target
+	for _, d := range standin.Deployments {
+		targets = append(targets, loadgen.Target{
+			Name: d.Name + " lookup", Method: "GET", URL: base + "/" + d.Name + "/lookup", Weight: d.Endpoints,
+		})
+		if d.Actions {
+			targets = append(targets, loadgen.Target{
+				Name: d.Name + " action", Method: "POST", URL: base + "/" + d.Name + "/action", Weight: 2, Action: true,
+			})
+		}
+	}
+	return targets
+}
+
+func print(conf loadgen.Config, r *loadgen.Report) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "request\tran\tnot-run\tunknown\terrors\tp50 ms\tp99 ms\tp99.9 ms\t")
+	for i, s := range r.ByTarget {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t\n", conf.Targets[i].Name,
+			s.Outcomes["ran"], s.Outcomes["not-run"], s.Outcomes["unknown"], s.Errors,
+			millis(s, 50), millis(s, 99), millis(s, 99.9))
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	fmt.Printf("sent %d in %s, skipped %d\n", r.Sent, r.Elapsed.Round(time.Millisecond), r.Skipped)
+	return nil
+}
+
+func millis(s *loadgen.Stats, quantile float64) float64 {
+	return float64(s.Latency.ValueAtQuantile(quantile)) / 1000
+}
--- /dev/null
+++ b/cmd/spindled/main.go
@@ -0,0 +1,57 @@
+// Command spindled is the daemon of an entry host.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/dapplespindle/dapplespindle/internal/entry"
+	"github.com/dapplespindle/dapplespindle/internal/settings"
+)
+
+// version is set at link time.
+var version = "dev"
+
+func main() {
+	if err := newCommand().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "spindled:", err)
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cobra.Command {
+	var conf settings.Entry
+	cmd := &cobra.Command{
+		Use:           "spindled",
+		Short:         "Serve callers on an entry host",
+		Version:       version,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := settings.FromProcess(cmd.Flags()); err != nil {
+				return err
+			}
+			if err := conf.Validate(); err != nil {
+				return err
+			}
+			return run(cmd, conf)
+		},
+	}
+	conf.Register(cmd.Flags())
+	return cmd
+}
+
+func run(cmd *cobra.Command, conf settings.Entry) error {
+	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	e, err := entry.New(conf, os.Stdout)
+	if err != nil {
+		return err
+	}
+	return e.Run(ctx)
+}
--- /dev/null
+++ b/internal/standin/upstream.go
@@ -0,0 +1,110 @@
+package standin
+
+import (
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Upstream is a server with a fixed number of slots that records what it ran.
+type Upstream struct {
+	// ID is echoed in answers.
+	ID string
+	// Mean is the mean service time.
+	Mean time.Duration
+
+	slots  chan struct{}
+	active atomic.Int64
+	slowed atomic.Int64
+
+	mu     sync.Mutex
+	ledger map[string]int
+}
+
+// NewUpstream returns an upstream with the given number of slots.
+func NewUpstream(id string, slots int, mean time.Duration) *Upstream {
+	return &Upstream{ID: id, Mean: mean, slots: make(chan struct{}, slots), ledger: make(map[string]int)}
+}
+
+// Headers of the stand-in upstream.
+const (
+	HeaderAction = "X-Action"
+	HeaderLoad   = "X-Load-Active"
+)
+
+// Handler returns the HTTP interface: /_ledger lists what ran, /_slow?factor=N
+// slows the upstream down, and every other path is work.
+func (u *Upstream) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /_ledger", u.getLedger)
+	mux.HandleFunc("POST /_slow", u.slow)
+	mux.HandleFunc("/", u.work)
+	return mux
+}
+
+// Ledger returns how often each action ran.
+func (u *Upstream) Ledger() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	out := make(map[string]int, len(u.ledger))
+	for k, v := range u.ledger {
+		out[k] = v
+	}
+	return out
+}
+
+func (u *Upstream) work(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	u.active.Add(1)
+	defer u.active.Add(-1)
+	select {
+	case u.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-u.slots }()
+	time.Sleep(u.serviceTime())
+	u.record(r.Header.Get(HeaderAction))
+	w.Header().Set(HeaderLoad, strconv.FormatInt(u.active.Load(), 10))
+	w.Header().Set("Content-Type", "text/plain")
+	_, _ = io.WriteString(w, u.ID+" "+r.Method+" "+r.URL.Path+" "+r.Header.Get("X-Request-Id")+" "+strconv.Itoa(len(body))+"\n")
+}
+
+// serviceTime draws from a log-normal distribution, whose tail is heavy.
+func (u *Upstream) serviceTime() time.Duration {
+	if u.Mean == 0 {
+		return 0
+	}
+	const sigma = 0.6
+	factor := math.Exp(rand.NormFloat64()*sigma - sigma*sigma/2)
+	return time.Duration(float64(u.Mean) * factor * float64(max(u.slowed.Load(), 1)))
+}
+
+func (u *Upstream) record(action string) {
+	if action == "" {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.ledger[action]++
+}
+
+func (u *Upstream) getLedger(w http.ResponseWriter, _ *http.Request) { writeJSON(w, u.Ledger()) }
+
+func (u *Upstream) slow(w http.ResponseWriter, r *http.Request) {
+	factor, err := strconv.ParseInt(r.URL.Query().Get("factor"), 10, 64)
+	if err != nil {
+		http.Error(w, "factor: not a number", http.StatusBadRequest)
+		return
+	}
+	u.slowed.Store(factor)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/pkg/config/config.go
@@ -0,0 +1,169 @@
+// Package config is the typed model of what operators publish: one document
+// per service with its groups of upstreams and its rules.
+//
+// A document is decoded and validated once, by Parse. Code that holds a
+// *Service may rely on every field being in range. The platform orders
+// documents by revision; this package knows nothing about order.
+package config
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// MaxDocumentBytes is the largest document the platform holds, in bytes.
+const MaxDocumentBytes = 1 << 20
+
+// Duration is a time.Duration written as text in JSON, such as "250ms".
+type Duration time.Duration
+
+// MarshalJSON writes d in the syntax of time.Duration.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON reads the syntax of time.ParseDuration.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err != nil {
+		return err
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return err
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Repeat states whether a request may be sent to an upstream more than once.
+type Repeat string
+
+const (
+	// Repeatable requests may be retried and hedged.
+	Repeatable Repeat = "repeatable"
+	// NonRepeatable requests run at most once, whatever fails.
+	NonRepeatable Repeat = "non-repeatable"
+)
+
+// Priority orders requests when an upstream group is short of slots.
+type Priority string
+
+const (
+	// PriorityHigh is for requests that a person waits for.
+	PriorityHigh Priority = "high"
+	// PriorityNormal is the default.
+	PriorityNormal Priority = "normal"
+	// PriorityLow is for batch work, shed first.
+	PriorityLow Priority = "low"
+)
+
+// UpstreamState is the operator's wish for an upstream.
+type UpstreamState string
+
+const (
+	// Active upstreams take new requests.
+	Active UpstreamState = "active"
+	// Draining upstreams take no new requests and finish those in flight.
+	Draining UpstreamState = "draining"
+)
+
+// Service is one published document.
+type Service struct {
+	// Name identifies the service; lower-case letters, digits and dashes.
+	Name string `json:"name"`
+	// Match selects the requests of this service.
+	Match Match `json:"match"`
+	// Groups are the sets of upstreams that rules refer to.
+	Groups []Group `json:"groups"`
+	// Rules are tried in order; the first that matches applies.
+	Rules []Rule `json:"rules"`
+}
+
+// Match selects requests by host and path.
+type Match struct {
+	// Host is the exact Host header without port; empty matches any host.
+	Host string `json:"host,omitempty"`
+	// PathPrefix is the path prefix; the longest match over all services wins.
+	PathPrefix string `json:"path_prefix"`
+}
+
+// Group is a set of equivalent upstreams.
+type Group struct {
+	// Name identifies the group within its service.
+	Name string `json:"name"`
+	// Policy names the balancer policy. Default: "spindle".
+	Policy string `json:"policy,omitempty"`
+	// Upstreams are the members.
+	Upstreams []Upstream `json:"upstreams"`
+	// Probe is the measuring budget.
+	Probe ProbeBudget `json:"probe,omitempty"`
+	// SlowStart is the time over which a new upstream's share grows to full. Default: 0, off.
+	SlowStart Duration `json:"slow_start,omitempty"`
+	// Queue bounds the requests that wait on one entry host for a slot.
+	Queue Queue `json:"queue,omitempty"`
+}
+
+// Upstream is one server.
+type Upstream struct {
+	// ID identifies the upstream over its whole life; never reused.
+	ID string `json:"id"`
+	// Address is "IP:port".
+	Address string `json:"address"`
+	// FailureDomain is where the upstream runs.
+	FailureDomain string `json:"failure_domain"`
+	// Slots is the number of requests it serves at the same time. Default: 3.
+	Slots int `json:"slots,omitempty"`
+	// MaxConnections is the bound over all entry hosts. Default: 200.
+	MaxConnections int `json:"max_connections,omitempty"`
+	// State is active or draining. Default: active.
+	State UpstreamState `json:"state,omitempty"`
+}
+
+// ProbeBudget bounds the work of measuring one upstream, over the whole fleet.
+type ProbeBudget struct {
+	// SlotTimePercent is the largest share of an upstream's slot time that probes
+	// may take, in percent. Default: 0, no probes.
+	SlotTimePercent float64 `json:"slot_time_percent,omitempty"`
+	// Cost is the slot time of one probe. Default: 6ms.
+	Cost Duration `json:"cost,omitempty"`
+}
+
+// Queue bounds waiting on one entry host.
+type Queue struct {
+	// MaxWaiting is the number of requests that may wait. Default: 64.
+	MaxWaiting int `json:"max_waiting,omitempty"`
+}
+
+// Rule states how matching requests are treated.
+type Rule struct {
+	// Name identifies the rule within its service.
+	Name string `json:"name"`
+	// Methods are the HTTP methods; empty matches all.
+	Methods []string `json:"methods,omitempty"`
+	// PathPrefix is relative to nothing: the whole path; empty matches all.
+	PathPrefix string `json:"path_prefix,omitempty"`
+	// Group names the upstream group.
+	Group string `json:"group"`
+	// Repeat states whether the request may be sent twice. Required.
+	Repeat Repeat `json:"repeat"`
+	// Deadline bounds the whole request when the caller sends none. Default: 1s.
+	Deadline Duration `json:"deadline,omitempty"`
+	// Priority orders requests under overload. Default: normal.
+	Priority Priority `json:"priority,omitempty"`
+	// Retry applies to repeatable requests.
+	Retry Retry `json:"retry,omitempty"`
+}
+
+// Retry bounds how often a repeatable request is sent.
+type Retry struct {
+	// MaxAttempts counts all sends. Default: 2.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// BudgetPercent bounds extra sends as a share of first sends. Default: 10.
+	BudgetPercent float64 `json:"budget_percent,omitempty"`
+	// HedgeAfter sends a second attempt when no answer came in this time. Default: 0, off.
+	HedgeAfter Duration `json:"hedge_after,omitempty"`
+}
--- /dev/null
+++ b/pkg/config/parse.go
@@ -0,0 +1,260 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Defaults for optional fields.
+const (
+	DefaultPolicy         = "spindle"
+	DefaultSlots          = 3
+	DefaultMaxConnections = 200
+	DefaultDeadline       = time.Second
+	DefaultProbeCost      = 6 * time.Millisecond
+	DefaultMaxWaiting     = 64
+	DefaultMaxAttempts    = 2
+	DefaultBudgetPercent  = 10
+
+	maxDeadline  = 5 * time.Minute
+	maxSlots     = 10_000
+	maxConns     = 100_000
+	maxAttempts  = 10
+	maxUpstreams = 4096
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// FieldError names the field that is wrong and how to mend it.
+type FieldError struct {
+	// Field is the path of the field, such as "rules[0].repeat".
+	Field string
+	// Problem says what is wrong.
+	Problem string
+	// Fix says what to write instead.
+	Fix string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string {
+	return e.Field + ": " + e.Problem + "; " + e.Fix
+}
+
+// Parse decodes, completes and validates one service document. The error is a
+// *FieldError, or a decoding error that names the offset.
+func Parse(b []byte) (*Service, error) {
+	if len(b) > MaxDocumentBytes {
+		return nil, &FieldError{"(document)", "is " + strconv.Itoa(len(b)) + " bytes", "keep it within 1 MiB"}
+	}
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	s := new(Service)
+	if err := dec.Decode(s); err != nil {
+		return nil, errors.Wrapf(err, "decode at byte %d", dec.InputOffset())
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return nil, &FieldError{"(document)", "has data after the value", "publish one JSON value"}
+	}
+	s.SetDefaults()
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// SetDefaults fills optional fields that are zero.
+func (s *Service) SetDefaults() {
+	for i := range s.Groups {
+		s.Groups[i].setDefaults()
+	}
+	for i := range s.Rules {
+		s.Rules[i].setDefaults()
+	}
+}
+
+func (g *Group) setDefaults() {
+	setDefault(&g.Policy, DefaultPolicy)
+	setDefault(&g.Queue.MaxWaiting, DefaultMaxWaiting)
+	setDefault(&g.Probe.Cost, Duration(DefaultProbeCost))
+	for i := range g.Upstreams {
+		u := &g.Upstreams[i]
+		setDefault(&u.Slots, DefaultSlots)
+		setDefault(&u.MaxConnections, DefaultMaxConnections)
+		setDefault(&u.State, Active)
+	}
+}
+
+func (r *Rule) setDefaults() {
+	setDefault(&r.Deadline, Duration(DefaultDeadline))
+	setDefault(&r.Priority, PriorityNormal)
+	if r.Repeat != Repeatable {
+		return
+	}
+	setDefault(&r.Retry.MaxAttempts, DefaultMaxAttempts)
+	setDefault(&r.Retry.BudgetPercent, DefaultBudgetPercent)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Validate reports the first field that is out of range, as a *FieldError.
+func (s *Service) Validate() error {
+	if err := checkName("name", s.Name); err != nil {
+		return err
+	}
+	if !strings.HasPrefix(s.Match.PathPrefix, "/") {
+		return &FieldError{"match.path_prefix", "does not start with /", "write for example \"/" + s.Name + "/\""}
+	}
+	groups := make(map[string]bool, len(s.Groups))
+	for i := range s.Groups {
+		field := index("groups", i)
+		if err := s.Groups[i].validate(field); err != nil {
+			return err
+		}
+		if groups[s.Groups[i].Name] {
+			return &FieldError{field + ".name", "stands twice", "give each group its own name"}
+		}
+		groups[s.Groups[i].Name] = true
+	}
+	if len(s.Rules) == 0 {
+		return &FieldError{"rules", "is empty", "add at least one rule"}
+	}
+	names := make(map[string]bool, len(s.Rules))
+	for i := range s.Rules {
+		field := index("rules", i)
+		if err := s.Rules[i].validate(field, groups); err != nil {
+			return err
+		}
+		if names[s.Rules[i].Name] {
+			return &FieldError{field + ".name", "stands twice", "give each rule its own name"}
+		}
+		names[s.Rules[i].Name] = true
+	}
+	return nil
+}
+
+func (g *Group) validate(field string) error {
+	if err := checkName(field+".name", g.Name); err != nil {
+		return err
+	}
+	if len(g.Upstreams) > maxUpstreams {
+		return &FieldError{field + ".upstreams", "has over 4096 members", "split the group"}
+	}
+	if g.Probe.SlotTimePercent < 0 || g.Probe.SlotTimePercent > 50 {
+		return &FieldError{field + ".probe.slot_time_percent", "is outside 0 to 50", "write a percentage of slot time"}
+	}
+	if g.Probe.Cost <= 0 {
+		return &FieldError{field + ".probe.cost", "is not positive", "write the slot time of one probe, such as \"6ms\""}
+	}
+	if g.SlowStart < 0 || g.SlowStart.Std() > maxDeadline {
+		return &FieldError{field + ".slow_start", "is outside 0 to 5m", "write for example \"10s\""}
+	}
+	if g.Queue.MaxWaiting < 0 {
+		return &FieldError{field + ".queue.max_waiting", "is negative", "write 0 for the default or a bound"}
+	}
+	ids := make(map[string]bool, len(g.Upstreams))
+	for i := range g.Upstreams {
+		uf := index(field+".upstreams", i)
+		if err := g.Upstreams[i].validate(uf); err != nil {
+			return err
+		}
+		if ids[g.Upstreams[i].ID] {
+			return &FieldError{uf + ".id", "stands twice", "give each upstream its own id"}
+		}
+		ids[g.Upstreams[i].ID] = true
+	}
+	return nil
+}
+
+func (u *Upstream) validate(field string) error {
+	if err := checkName(field+".id", u.ID); err != nil {
+		return err
+	}
+	if ap, err := netip.ParseAddrPort(u.Address); err != nil || ap.Port() == 0 {
+		return &FieldError{field + ".address", "is not IP:port", "write for example \"10.0.0.7:8080\""}
+	}
+	if err := checkName(field+".failure_domain", u.FailureDomain); err != nil {
+		return err
+	}
+	if u.Slots < 1 || u.Slots > maxSlots {
+		return &FieldError{field + ".slots", "is outside 1 to 10000", "write the number of requests served at once"}
+	}
+	if u.MaxConnections < 1 || u.MaxConnections > maxConns {
+		return &FieldError{field + ".max_connections", "is outside 1 to 100000", "write the bound over all entry hosts"}
+	}
+	if u.State != Active && u.State != Draining {
+		return &FieldError{field + ".state", "is " + strconv.Quote(string(u.State)), "write \"active\" or \"draining\""}
+	}
+	return nil
+}
+
+func (r *Rule) validate(field string, groups map[string]bool) error {
+	if err := checkName(field+".name", r.Name); err != nil {
+		return err
+	}
+	if !groups[r.Group] {
+		return &FieldError{field + ".group", "names no group of this service", "add the group or correct the name"}
+	}
+	for i, m := range r.Methods {
+		if m == "" || m != strings.ToUpper(m) {
+			return &FieldError{index(field+".methods", i), "is not an upper-case method", "write for example \"GET\""}
+		}
+	}
+	if r.PathPrefix != "" && !strings.HasPrefix(r.PathPrefix, "/") {
+		return &FieldError{field + ".path_prefix", "does not start with /", "write the whole path prefix"}
+	}
+	if r.Deadline <= 0 || r.Deadline.Std() > maxDeadline {
+		return &FieldError{field + ".deadline", "is outside 0 to 5m", "write for example \"250ms\""}
+	}
+	switch r.Priority {
+	case PriorityHigh, PriorityNormal, PriorityLow:
+	default:
+		return &FieldError{field + ".priority", "is " + strconv.Quote(string(r.Priority)), "write \"high\", \"normal\" or \"low\""}
+	}
+	return r.validateRepeat(field)
+}
+
+func (r *Rule) validateRepeat(field string) error {
+	switch r.Repeat {
+	case Repeatable:
+		if r.Retry.MaxAttempts < 1 || r.Retry.MaxAttempts > maxAttempts {
+			return &FieldError{field + ".retry.max_attempts", "is outside 1 to 10", "count all sends, the first included"}
+		}
+		if r.Retry.BudgetPercent < 0 || r.Retry.BudgetPercent > 100 {
+			return &FieldError{field + ".retry.budget_percent", "is outside 0 to 100", "write the share of extra sends"}
+		}
+		if r.Retry.HedgeAfter < 0 {
+			return &FieldError{field + ".retry.hedge_after", "is negative", "write 0 to turn hedging off"}
+		}
+	case NonRepeatable:
+		if r.Retry != (Retry{}) {
+			return &FieldError{field + ".retry", "is set on a non-repeatable rule", "remove it: such a request is sent once"}
+		}
+	default:
+		return &FieldError{field + ".repeat", "is " + strconv.Quote(string(r.Repeat)), "write \"repeatable\" or \"non-repeatable\""}
+	}
+	return nil
+}
+
+func checkName(field, name string) error {
+	if namePattern.MatchString(name) {
+		return nil
+	}
+	return &FieldError{field, strconv.Quote(name) + " is not a valid name", "use lower-case letters, digits and dashes, 63 at most"}
+}
+
+func index(field string, i int) string {
+	return field + "[" + strconv.Itoa(i) + "]"
+}
--- /dev/null
+++ b/pkg/config/parse_test.go
@@ -0,0 +1,58 @@
+package config
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+const valid = `{
+  "name": "ledger",
+  "match": {"path_prefix": "/ledger/"},
+  "groups": [{"name": "main", "upstreams": [
+    {"id": "ledger-1", "address": "127.0.0.1:9001", "failure_domain": "caruaru"}]}],
+  "rules": [{"name": "sale", "methods": ["POST"], "group": "main", "repeat": "non-repeatable"}]
+}`
+
+func TestParseSetsDefaults(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse([]byte(valid))
+	is.NoErr(err)
+	is.Equal(s.Groups[0].Upstreams[0].Slots, DefaultSlots)
+	is.Equal(s.Groups[0].Upstreams[0].State, Active)
+	is.Equal(s.Rules[0].Deadline.Std(), DefaultDeadline)
+	is.Equal(s.Rules[0].Retry.MaxAttempts, 0)
+}
+
+func TestParseNamesTheField(t *testing.T) {
+	tests := []struct {
+		name, old, new, field string
+	}{
+		{"name", `"name": "ledger"`, `"name": "Ledger"`, "name"},
+		{"path", `"/ledger/"`, `"ledger"`, "match.path_prefix"},
+		{"address", `127.0.0.1:9001`, `localhost:9001`, "groups[0].upstreams[0].address"},
+		{"group", `"group": "main"`, `"group": "other"`, "rules[0].group"},
+		{"repeat", `"non-repeatable"`, `"maybe"`, "rules[0].repeat"},
+		{"retry", `"repeat": "non-repeatable"`, `"repeat": "non-repeatable", "retry": {"max_attempts": 2}`, "rules[0].retry"},
+		{"method", `"POST"`, `"post"`, "rules[0].methods[0]"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse([]byte(strings.Replace(valid, tt.old, tt.new, 1)))
+			var fe *FieldError
+			is.True(errors.As(err, &fe))
+			is.Equal(fe.Field, tt.field)
+		})
+	}
+}
+
+func TestParseRefusesUnknownAndTrailing(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse([]byte(strings.Replace(valid, `"rules"`, `"rulez": [], "rules"`, 1)))
+	is.True(err != nil)
+	_, err = Parse([]byte(valid + "{}"))
+	is.True(err != nil)
+}
--- /dev/null
+++ b/pkg/errkind/errkind.go
@@ -0,0 +1,158 @@
+// Package errkind holds the closed list of error kinds and the one table from
+// a kind to the answer that a caller gets.
+//
+// Every refusal or failure that reaches a caller has exactly one kind. The
+// kind fixes the HTTP status, whether the request certainly did not run, and
+// whether a Retry-After header is sent. docs/ERRORS.md is checked against the
+// table by a test.
+package errkind
+
+import "net/http"
+
+// Kind is one entry of the closed list.
+type Kind uint8
+
+// The closed list of kinds.
+const (
+	// None is the zero value: no error.
+	None Kind = iota
+	// BadRequest is a request whose framing or syntax is refused.
+	BadRequest
+	// HeaderTooLarge is a request head over the configured limit.
+	HeaderTooLarge
+	// BodyTooLarge is a request body over the configured limit.
+	BodyTooLarge
+	// RequestTimeout is a caller that sent its request too slowly.
+	RequestTimeout
+	// NoRoute is a request that matches no service or rule.
+	NoRoute
+	// NotReady is a request to an entry host without a configuration, or one that is stopping.
+	NotReady
+	// NoUpstream is a request for which no upstream is eligible.
+	NoUpstream
+	// Overloaded is a request refused by a limit or a full queue before it was sent.
+	Overloaded
+	// DeadlineBeforeSend is a deadline that passed before any byte was sent upstream.
+	DeadlineBeforeSend
+	// UpstreamRefused is an upstream that declared it did not run the request.
+	UpstreamRefused
+	// ConnectFailed is a connection that could not be made; nothing was sent.
+	ConnectFailed
+	// DeadlineAfterSend is a deadline that passed after bytes were sent upstream.
+	DeadlineAfterSend
+	// UpstreamBroken is an answer that was cut short or malformed.
+	UpstreamBroken
+	// OutcomeUnknown is a non-repeatable request that may or may not have run.
+	OutcomeUnknown
+	// TicketRejected is an execution ticket that is expired, forged or already used.
+	TicketRejected
+	// KeyRequired is a non-repeatable request without a ticket or an idempotency key.
+	KeyRequired
+	// CallerGone is a caller that closed its connection before the answer.
+	CallerGone
+	// Internal is a broken invariant inside the process.
+	Internal
+
+	numKinds
+)
+
+// Outcome states what is known about execution at an upstream.
+type Outcome uint8
+
+// The three outcomes, never blurred.
+const (
+	// Ran means the answer is the upstream's own.
+	Ran Outcome = iota
+	// NotRun means no upstream can have run the request.
+	NotRun
+	// Unknown means an upstream may or may not have run the request.
+	Unknown
+)
+
+var outcomeNames = [...]string{Ran: "ran", NotRun: "not-run", Unknown: "unknown"}
+
+// String returns the name used in the Dapplespindle-Outcome header.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Answer is the reply that a kind maps to.
+type Answer struct {
+	// Name is the stable name in logs and in the Dapplespindle-Error header.
+	Name string
+	// Status is the HTTP status code.
+	Status int
+	// Outcome states whether the request ran.
+	Outcome Outcome
+	// RetryAfter is true when the answer tells the caller when to come back.
+	RetryAfter bool
+}
+
+var answers = [numKinds]Answer{
+	None:               {"none", http.StatusOK, Ran, false},
+	BadRequest:         {"bad-request", http.StatusBadRequest, NotRun, false},
+	HeaderTooLarge:     {"header-too-large", http.StatusRequestHeaderFieldsTooLarge, NotRun, false},
+	BodyTooLarge:       {"body-too-large", http.StatusRequestEntityTooLarge, NotRun, false},
+	RequestTimeout:     {"request-timeout", http.StatusRequestTimeout, NotRun, false},
+	NoRoute:            {"no-route", http.StatusNotFound, NotRun, false},
+	NotReady:           {"not-ready", http.StatusServiceUnavailable, NotRun, true},
+	NoUpstream:         {"no-upstream", http.StatusServiceUnavailable, NotRun, true},
+	Overloaded:         {"overloaded", http.StatusServiceUnavailable, NotRun, true},
+	DeadlineBeforeSend: {"deadline-before-send", http.StatusGatewayTimeout, NotRun, false},
+	UpstreamRefused:    {"upstream-refused", http.StatusServiceUnavailable, NotRun, true},
+	ConnectFailed:      {"connect-failed", http.StatusBadGateway, NotRun, true},
+	DeadlineAfterSend:  {"deadline-after-send", http.StatusGatewayTimeout, Unknown, false},
+	UpstreamBroken:     {"upstream-broken", http.StatusBadGateway, Unknown, false},
+	OutcomeUnknown:     {"outcome-unknown", http.StatusBadGateway, Unknown, false},
+	TicketRejected:     {"ticket-rejected", http.StatusConflict, NotRun, false},
+	KeyRequired:        {"key-required", http.StatusBadRequest, NotRun, false},
+	CallerGone:         {"caller-gone", 499, Unknown, false},
+	Internal:           {"internal", http.StatusInternalServerError, Unknown, false},
+}
+
+// Answer returns the reply for k. An out-of-range kind answers as Internal.
+func (k Kind) Answer() Answer {
+	if k >= numKinds {
+		return answers[Internal]
+	}
+	return answers[k]
+}
+
+// String returns the stable name of k.
+func (k Kind) String() string { return k.Answer().Name }
+
+// All returns every kind in order, without None.
+func All() []Kind {
+	kinds := make([]Kind, 0, numKinds-1)
+	for k := None + 1; k < numKinds; k++ {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
+// Error is an error with a kind and the detail for logs.
+type Error struct {
+	// Kind selects the answer.
+	Kind Kind
+	// Detail is for the log and the event stream.
+	Detail string
+	// Cause is the underlying error, or nil.
+	Cause error
+}
+
+// New returns an error of kind k.
+func New(k Kind, detail string) *Error { return &Error{Kind: k, Detail: detail} }
+
+// Wrap returns an error of kind k with an underlying cause.
+func Wrap(k Kind, cause error, detail string) *Error {
+	return &Error{Kind: k, Detail: detail, Cause: cause}
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Cause == nil {
+		return e.Kind.String() + ": " + e.Detail
+	}
+	return e.Kind.String() + ": " + e.Detail + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the underlying cause.
+func (e *Error) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/pkg/routing/routing.go
@@ -0,0 +1,118 @@
+// Package routing compiles the documents in force into one immutable table
+// that traffic goroutines read without a lock.
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+)
+
+// Table maps requests to rules. It is immutable.
+type Table struct {
+	services []*Service
+	// Revision is the highest platform revision that the table reflects.
+	Revision uint64
+}
+
+// Service is a compiled service.
+type Service struct {
+	// Config is the document that it was compiled from.
+	Config *config.Service
+	rules  []*Rule
+}
+
+// Rule is a compiled rule with its group.
+type Rule struct {
+	// Config is the rule's document.
+	Config *config.Rule
+	// Service is the service that the rule belongs to.
+	Service *config.Service
+	// Group is the group of upstreams.
+	Group *Group
+}
+
+// Group is a compiled group with the policy's current picker.
+type Group struct {
+	// Config is the group's document.
+	Config *config.Group
+	// Picker chooses among the members that take new requests.
+	Picker balancer.Picker
+}
+
+// Groups supplies the compiled group for a service's group document. The
+// caller keeps policies and upstream records over changes of configuration.
+type Groups interface {
+	Group(s *config.Service, g *config.Group) *Group
+}
+
+// Compile builds a table. Where two services claim the same match, the one
+// whose name sorts first wins, so that every entry host decides alike.
+func Compile(revision uint64, services []*config.Service, groups Groups) *Table {
+	t := &Table{Revision: revision}
+	for _, s := range services {
+		t.services = append(t.services, compileService(s, groups))
+	}
+	slices.SortStableFunc(t.services, func(a, b *Service) int {
+		return cmp.Or(
+			cmp.Compare(len(b.Config.Match.PathPrefix), len(a.Config.Match.PathPrefix)),
+			cmp.Compare(len(b.Config.Match.Host), len(a.Config.Match.Host)),
+			cmp.Compare(a.Config.Name, b.Config.Name),
+		)
+	})
+	return t
+}
+
+func compileService(s *config.Service, groups Groups) *Service {
+	compiled := &Service{Config: s}
+	byName := make(map[string]*Group, len(s.Groups))
+	for i := range s.Groups {
+		byName[s.Groups[i].Name] = groups.Group(s, &s.Groups[i])
+	}
+	for i := range s.Rules {
+		r := &s.Rules[i]
+		compiled.rules = append(compiled.rules, &Rule{Config: r, Service: s, Group: byName[r.Group]})
+	}
+	return compiled
+}
+
+// Route returns the rule for a request, or nil if none matches. Host is the
+// Host header; a port in it is ignored.
+func (t *Table) Route(method, host, path string) *Rule {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	for _, s := range t.services {
+		if !s.matches(host, path) {
+			continue
+		}
+		return s.rule(method, path)
+	}
+	return nil
+}
+
+func (s *Service) matches(host, path string) bool {
+	m := s.Config.Match
+	if m.Host != "" && !strings.EqualFold(m.Host, host) {
+		return false
+	}
+	return strings.HasPrefix(path, m.PathPrefix)
+}
+
+func (s *Service) rule(method, path string) *Rule {
+	for _, r := range s.rules {
+		if len(r.Config.Methods) > 0 && !slices.Contains(r.Config.Methods, method) {
+			continue
+		}
+		if strings.HasPrefix(path, r.Config.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Services returns the compiled services in match order.
+func (t *Table) Services() []*Service { return t.services }
