--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,97 @@
+// Package peer carries gRPC between the entry hosts: one server that the
+// parts register their services with, and one connection per peer address.
+package peer
+
+import (
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// MaxMessageBytes bounds one message between peers, in bytes. It leaves room
+// for a document of one megabyte and for a forwarded request with its body.
+const MaxMessageBytes = 32 << 20
+
+// Server listens for peers.
+type Server struct {
+	*grpc.Server
+	address string
+}
+
+// NewServer returns a server for address, "IP:port". With nil credentials it
+// serves without TLS.
+func NewServer(address string, creds credentials.TransportCredentials) *Server {
+	if creds == nil {
+		creds = insecure.NewCredentials()
+	}
+	s := grpc.NewServer(grpc.Creds(creds), grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.MaxSendMsgSize(MaxMessageBytes))
+	return &Server{Server: s, address: address}
+}
+
+// Start begins to serve in the background.
+func (s *Server) Start() error {
+	ln, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return errors.Wrap(err, "peer listener")
+	}
+	go func() { _ = s.Serve(ln) }()
+	return nil
+}
+
+// Pool holds one lazily made connection per peer address.
+type Pool struct {
+	creds credentials.TransportCredentials
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewPool returns an empty pool. With nil credentials it connects without TLS.
+func NewPool(creds credentials.TransportCredentials) *Pool {
+	if creds == nil {
+		creds = insecure.NewCredentials()
+	}
+	return &Pool{creds: creds, conns: make(map[string]*grpc.ClientConn)}
+}
+
+// Conn returns the connection to address, "IP:port". It does not wait for the
+// connection to be made.
+func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.conns[address]; c != nil {
+		return c, nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(p.creds),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)))
+	if err != nil {
+		return nil, errors.Wrap(err, "peer connection")
+	}
+	p.conns[address] = c
+	return c, nil
+}
+
+// Forget closes the connection to a peer that left.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.conns[address]; c != nil {
+		_ = c.Close()
+		delete(p.conns, address)
+	}
+}
+
+// Close closes every connection.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, c := range p.conns {
+		_ = c.Close()
+		delete(p.conns, a)
+	}
+}
