Give each subsystem its own file of event codes

Cause: one map for all codes would be edited by every part at once. Ruled out: registration from init functions, since the catalogue must be whole for the docs test. Before: one file. Conclusion: parts add codes without touching each other.

--- /dev/null
+++ b/pkg/event/request_events.go
@@ -0,0 +1,21 @@
+package event
+
+// Codes 3xxx: requests.
+const (
+	RequestReceived Code = 3001
+	UpstreamChosen  Code = 3002
+	RequestAnswered Code = 3003
+	RequestRefused  Code = 3004
+	AttemptFailed   Code = 3005
+	RequestUnknown  Code = 3006
+)
+
+// requestEvents describes the codes 3xxx: requests.
+var requestEvents = map[Code]Entry{
+	RequestReceived: {"request-received", Debug, "A request arrived and matched a rule.", ""},
+	UpstreamChosen:  {"upstream-chosen", Debug, "An upstream was chosen; the reason names the policy's ground.", "requests outstanding there"},
+	RequestAnswered: {"request-answered", Debug, "The upstream's answer was passed to the caller.", "status"},
+	RequestRefused:  {"request-refused", Info, "The request certainly did not run; the reason is the error kind.", "status"},
+	AttemptFailed:   {"attempt-failed", Info, "One send to an upstream failed.", ""},
+	RequestUnknown:  {"request-unknown", Warn, "The request may or may not have run; the caller was told so.", "status"},
+}
