--- /dev/null
+++ b/pkg/atmostonce/fleet_test.go
@@ -0,0 +1,181 @@
+package atmostonce_test
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// The fleet is an in-memory message queue around the real ledgers (or a naive
+// variant). A schedule of steps decides what happens; nothing else does.
+
+const (
+	fleetHosts = 13
+	stepTime   = 100 * time.Millisecond
+)
+
+type outcome uint8
+
+const (
+	answeredRan outcome = iota
+	answeredNotRun
+	answeredUnknown
+	numOutcomes
+)
+
+type messageKind uint8
+
+const (
+	askMessage     messageKind = iota // caller or forwarder to host
+	forwardMessage                    // host to host
+	replyMessage                      // issuer to forwarder
+	runMessage                        // host to upstream
+	ranMessage                        // upstream to host
+	refusedMessage                    // upstream to host: certainly not run
+)
+
+// message is one message on the queue. Epoch guards against a reply to an
+// earlier process on the same address, as a TCP connection would.
+type message struct {
+	kind     messageKind
+	from, to int
+	epoch    int
+	key      string
+	action   int
+}
+
+// action is one non-repeatable action of a caller, known by its key.
+type action struct {
+	key        string
+	runs       int
+	toldNotRun bool
+}
+
+// member is the protocol that one process runs.
+type member interface {
+	receive(m message)
+	timeout(pick int)
+	send(pick int)
+}
+
+// protocol makes members and the keys that callers use.
+type protocol interface {
+	start(f *fleet, host int) member
+	key(f *fleet, host int) (string, bool)
+}
+
+type process struct {
+	member member
+	epoch  int
+	paused bool
+	part   int
+	offset time.Duration
+	rate   time.Duration
+}
+
+type fleet struct {
+	protocol protocol
+	now      time.Duration
+	hosts    [fleetHosts]process
+	queue    []message
+	actions  []*action
+	random   *rand.Rand
+	breach   string
+	count    *tally
+}
+
+// tally counts what happened over all runs of one protocol.
+type tally struct {
+	runs, steps, breached int
+	faults                [numOps]int
+	answers               [numOutcomes]int
+	executed              int
+}
+
+func newFleet(p protocol, count *tally) *fleet {
+	f := &fleet{protocol: p, count: count, random: rand.New(rand.NewPCG(1, 2))}
+	for i := range f.hosts {
+		f.hosts[i].offset = time.Duration(f.random.IntN(1000)) * time.Hour
+		f.hosts[i].rate = time.Duration(1 + f.random.IntN(3))
+		f.hosts[i].member = p.start(f, i)
+	}
+	return f
+}
+
+func (f *fleet) post(m message) {
+	m.epoch = 0
+	if m.kind == runMessage {
+		m.epoch = f.hosts[m.from].epoch
+	}
+	f.queue = append(f.queue, m)
+}
+
+func (f *fleet) answer(a int, o outcome) {
+	f.count.answers[o]++
+	act := f.actions[a]
+	if o != answeredNotRun {
+		return
+	}
+	act.toldNotRun = true
+	if act.runs > 0 {
+		f.breach = "answered not-run after it ran"
+	}
+}
+
+func (f *fleet) execute(m message) {
+	act := f.actions[m.action]
+	act.runs++
+	f.count.executed++
+	switch {
+	case act.runs > 1:
+		f.breach = "ran twice"
+	case act.toldNotRun:
+		f.breach = "ran after not-run was answered"
+	}
+	f.queue = append(f.queue, message{kind: ranMessage, from: m.to, to: m.from, epoch: m.epoch, key: m.key, action: m.action})
+}
+
+// deliver hands over message i, unless its receiver is paused or cut off; then
+// it stays and arrives late.
+func (f *fleet) deliver(i int, refuse bool) {
+	m := f.queue[i]
+	if m.kind == runMessage {
+		f.remove(i)
+		f.atUpstream(m, refuse)
+		return
+	}
+	to := &f.hosts[m.to]
+	if to.paused || f.cut(m) {
+		return
+	}
+	f.remove(i)
+	if (m.kind == ranMessage || m.kind == refusedMessage) && m.epoch != to.epoch {
+		return
+	}
+	to.member.receive(m)
+}
+
+func (f *fleet) atUpstream(m message, refuse bool) {
+	if refuse {
+		f.queue = append(f.queue, message{kind: refusedMessage, from: m.to, to: m.from, epoch: m.epoch, key: m.key, action: m.action})
+		return
+	}
+	f.execute(m)
+}
+
+func (f *fleet) cut(m message) bool {
+	between := m.kind == forwardMessage || m.kind == replyMessage
+	return between && f.hosts[m.from].part != f.hosts[m.to].part
+}
+
+func (f *fleet) remove(i int) {
+	f.queue[i] = f.queue[len(f.queue)-1]
+	f.queue = f.queue[:len(f.queue)-1]
+}
+
+func (f *fleet) restart(host int) {
+	h := &f.hosts[host]
+	h.epoch++
+	h.paused = false
+	h.offset = time.Duration(f.random.IntN(1000)) * time.Hour
+	h.member = f.protocol.start(f, host)
+}
--- /dev/null
+++ b/pkg/atmostonce/schedule_test.go
@@ -0,0 +1,182 @@
+package atmostonce_test
+
+import (
+	"fmt"
+	"strings"
+
+	"pgregory.net/rapid"
+)
+
+// op is one kind of step.
+type op uint8
+
+const (
+	opAsk op = iota
+	opAskAgain
+	opDeliver
+	opSend
+	opRefuse
+	opAdvance
+	opTimeout
+	opKill
+	opPause
+	opWake
+	opSplit
+	opHeal
+	opLose
+	opDuplicate
+	opLate
+	numOps
+)
+
+var opNames = [numOps]string{
+	"ask", "askAgain", "deliver", "send", "refuse", "advance", "timeout", "kill",
+	"pause", "wake", "split", "heal", "lose", "duplicate", "late",
+}
+
+// String lists the steps and the faults of each kind.
+func (c *tally) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d steps", c.steps)
+	for o, n := range c.faults {
+		fmt.Fprintf(&b, ", %s %d", opNames[o], n)
+	}
+	return b.String()
+}
+
+// weights makes ordinary progress more frequent than faults.
+var weights = [numOps]int{6, 6, 24, 12, 1, 4, 3, 1, 1, 2, 1, 1, 1, 2, 4}
+
+// step is one step; a and b choose among what exists at that moment.
+type step struct {
+	op   op
+	a, b int
+}
+
+const scheduleSteps = 300
+
+func stepGenerator() *rapid.Generator[step] {
+	var ops []op
+	for o, w := range weights {
+		for range w {
+			ops = append(ops, op(o))
+		}
+	}
+	choice := rapid.SampledFrom(ops)
+	number := rapid.IntRange(0, 1<<16)
+	return rapid.Custom(func(t *rapid.T) step {
+		return step{op: choice.Draw(t, "op"), a: number.Draw(t, "a"), b: number.Draw(t, "b")}
+	})
+}
+
+func scheduleGenerator() *rapid.Generator[[]step] {
+	return rapid.SliceOfN(stepGenerator(), scheduleSteps, scheduleSteps)
+}
+
+// run applies a schedule and returns the breach, or "".
+func run(p protocol, schedule []step, count *tally) string {
+	f := newFleet(p, count)
+	count.runs++
+	for _, s := range schedule {
+		f.apply(s)
+		if f.breach != "" {
+			count.breached++
+			break
+		}
+	}
+	return f.breach
+}
+
+func (f *fleet) apply(s step) {
+	f.count.steps++
+	f.count.faults[s.op]++
+	host := s.a % fleetHosts
+	h := &f.hosts[host]
+	switch s.op {
+	case opAsk:
+		f.ask(host, s.b%fleetHosts)
+	case opAskAgain:
+		f.askAgain(s.a, s.b%fleetHosts)
+	case opDeliver, opRefuse, opLate, opLose, opDuplicate:
+		f.onMessage(s)
+	case opSend, opTimeout:
+		f.onMember(s, h)
+	case opAdvance:
+		f.now += stepTime
+	case opKill:
+		f.restart(host)
+	case opPause:
+		h.paused = true
+	case opWake:
+		h.paused = false
+	case opSplit:
+		h.part = 1
+	case opHeal:
+		f.heal()
+	}
+}
+
+func (f *fleet) onMember(s step, h *process) {
+	if h.paused {
+		return
+	}
+	if s.op == opSend {
+		h.member.send(s.b)
+		return
+	}
+	h.member.timeout(s.b)
+}
+
+// onMessage acts on the oldest messages, except that a late step takes any.
+func (f *fleet) onMessage(s step) {
+	if len(f.queue) == 0 {
+		return
+	}
+	i := s.a % min(len(f.queue), 4)
+	if s.op == opLate {
+		i = s.a % len(f.queue)
+	}
+	switch s.op {
+	case opDuplicate:
+		f.duplicate(f.queue[i])
+	case opLose:
+		f.remove(i)
+	default:
+		f.deliver(i, s.op == opRefuse)
+	}
+}
+
+// duplicate copies a message between entry hosts or from a caller. What goes
+// to an upstream rides on one TCP connection, which does not double it.
+func (f *fleet) duplicate(m message) {
+	if m.kind != runMessage {
+		f.queue = append(f.queue, m)
+	}
+}
+
+func (f *fleet) heal() {
+	for i := range f.hosts {
+		f.hosts[i].part = 0
+	}
+}
+
+func (f *fleet) ask(issuer, through int) {
+	if f.hosts[issuer].paused {
+		return
+	}
+	key, ok := f.protocol.key(f, issuer)
+	if !ok {
+		return
+	}
+	f.actions = append(f.actions, &action{key: key})
+	f.post(message{kind: askMessage, to: through, key: key, action: len(f.actions) - 1})
+}
+
+func (f *fleet) askAgain(pick, through int) {
+	if len(f.actions) == 0 {
+		return
+	}
+	recent := max(0, len(f.actions)-8)
+	a := recent + pick%(len(f.actions)-recent)
+	f.post(message{kind: askMessage, to: through, key: f.actions[a].key, action: a})
+}
