Keep actions single by tickets that name their executor

A ticket names the peer address, the incarnation and a sequence number of the one process that may run it. The issuer reserves a slot for a ticket when it issues it, so that a refused ticket can always be burnt. Safety rests on the sequence numbers; clocks only decide when a slot is reused.

Ruled out: service and rule in the digest, as a changed rule between two asks would turn a repeated request into another one. A first-ask marker that lets a forwarder answer not-run: a doubled ask carries it twice.

--- /dev/null
+++ b/pkg/atmostonce/atmostonce_test.go
@@ -0,0 +1,92 @@
+package atmostonce_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// runsVariable sets the number of schedules of a long run.
+const runsVariable = "ATMOSTONCE_RUNS"
+
+const shortRuns = 200
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1") // before Parse, so that a given flag wins
+	_ = flag.Set("rapid.steps", "200")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func runs(t *testing.T) int {
+	text := os.Getenv(runsVariable)
+	if text == "" {
+		return shortRuns
+	}
+	n, err := strconv.Atoi(text)
+	is.New(t).NoErr(err)
+	return n
+}
+
+// TestSchedules runs the real ledgers under the schedules that break the naive ways.
+func TestSchedules(t *testing.T) {
+	schedules := scheduleGenerator(weights)
+	count := &tally{}
+	for seed := range runs(t) {
+		if breach := run(real{testConfig}, schedules.Example(seed+1), count); breach != "" {
+			t.Errorf("seed %d: %s", seed+1, breach)
+		}
+	}
+	t.Logf("%d runs, %d executions; %s", count.runs, count.executed, count)
+	is.New(t).True(count.executed > 0)
+}
+
+// TestStateMachine lets rapid choose and shrink the steps.
+func TestStateMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(real{testConfig}, &tally{})
+		number := rapid.IntRange(0, 1<<16)
+		actions := make(map[string]func(*rapid.T))
+		for o, w := range weights {
+			for i := range w {
+				actions[fmt.Sprintf("%s-%d", opNames[o], i)] = func(t *rapid.T) {
+					f.apply(step{op: op(o), a: number.Draw(t, "a"), b: number.Draw(t, "b")})
+				}
+			}
+		}
+		actions[""] = func(t *rapid.T) {
+			if f.breach != "" {
+				t.Fatal(f.breach)
+			}
+		}
+		t.Repeat(actions)
+	})
+}
+
+// TestUnknownShare prints the share of each answer under one fault at a time.
+func TestUnknownShare(t *testing.T) {
+	for _, fault := range []op{numOps, opKill, opPause, opSplit, opLose, opDuplicate} {
+		name := "none"
+		if fault < numOps {
+			name = opNames[fault]
+		}
+		schedules := scheduleGenerator(without(fault))
+		count := &tally{}
+		for seed := range runs(t) {
+			f := newFleet(real{longConfig}, count)
+			f.patient = true
+			is.New(t).Equal(f.run(schedules.Example(seed+1)), "")
+		}
+		n := count.answers
+		total := n[answeredRan] + n[answeredNotRun] + n[answeredUnknown]
+		t.Logf("fault %-9s %6d answers: ran %4.1f%%, not-run %4.1f%%, unknown %4.1f%%", name, total,
+			percent(n[answeredRan], total), percent(n[answeredNotRun], total), percent(n[answeredUnknown], total))
+	}
+}
+
+func percent(n, of int) float64 { return 100 * float64(n) / float64(of) }
--- /dev/null
+++ b/pkg/atmostonce/ledger_test.go
@@ -0,0 +1,186 @@
+package atmostonce_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/pkg/atmostonce"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	digest = atmostonce.DigestOf("POST", "/sales", []byte("lot 7"))
+)
+
+func ask(l *atmostonce.Ledger, after time.Duration, d atmostonce.Digest) atmostonce.Decision {
+	now := start.Add(after)
+	decision, err := l.Ask(now, atmostonce.Ask{Digest: d, Deadline: now.Add(testDeadline)})
+	if err != nil {
+		panic(err)
+	}
+	return decision
+}
+
+// issued returns a ledger whose only ticket is number 0.
+func issued(conf atmostonce.Config) *atmostonce.Ledger {
+	l := atmostonce.New(conf, start)
+	if _, err := l.Issue(start); err != nil {
+		panic(err)
+	}
+	return l
+}
+
+func TestTicketOverItsTime(t *testing.T) {
+	const past = 4 * time.Second
+	for name, c := range map[string]struct {
+		first, second time.Duration
+		want          errkind.Kind
+	}{
+		"in its lifetime":       {0, time.Second / 2, errkind.UpstreamRefused},
+		"in its retention":      {0, 2 * time.Second, errkind.UpstreamRefused},
+		"after its retention":   {0, past, errkind.TicketForgotten},
+		"expired on first use":  {2 * time.Second, 2 * time.Second, errkind.TicketExpired},
+		"forgotten before used": {past, past, errkind.TicketForgotten},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := issued(testConfig)
+			if ask(l, c.first, digest).Verdict == atmostonce.Execute {
+				_, err := l.Finish(start, 0, atmostonce.Failed(errkind.New(errkind.UpstreamRefused, "")))
+				is.New(t).NoErr(err)
+			}
+			d := ask(l, c.second, digest)
+			is.New(t).Equal(d.Verdict, atmostonce.Final)
+			is.New(t).Equal(d.Result.Kind, c.want)
+		})
+	}
+}
+
+func TestTimeNeverTurnsBack(t *testing.T) {
+	l := issued(testConfig)
+	_, _ = l.Issue(start.Add(time.Second)) // another goroutine saw the lifetime end
+	is.New(t).Equal(ask(l, 0, digest).Result.Kind, errkind.TicketExpired)
+}
+
+func TestAnotherRequestUnderTheTicket(t *testing.T) {
+	l := issued(testConfig)
+	is.New(t).Equal(ask(l, 0, digest).Verdict, atmostonce.Execute)
+	other := ask(l, 0, atmostonce.DigestOf("POST", "/sales", []byte("lot 8")))
+	is.New(t).Equal(other.Result.Kind, errkind.TicketMismatch)
+	is.New(t).Equal(ask(l, 0, digest).Verdict, atmostonce.Join)
+}
+
+func TestWokenSendAfterWithdrawal(t *testing.T) {
+	l := issued(testConfig)
+	ask(l, 0, digest)
+	result, err := l.Withdraw(start, 0)
+	is.New(t).NoErr(err)
+	is.New(t).Equal(result.Outcome(), errkind.NotRun)
+	denied, err := l.Send(start, 0)
+	is.New(t).NoErr(err)
+	is.New(t).True(denied != nil)
+}
+
+func TestBreaches(t *testing.T) {
+	l := issued(testConfig)
+	ask(l, 0, digest)
+	denied, err := l.Send(start, 0)
+	is.New(t).True(denied == nil && err == nil)
+	_, err = l.Send(start, 0)
+	is.New(t).Equal(err.(*atmostonce.Breach).Code, atmostonce.BreachSecondSend)
+	result, err := l.Finish(start, 0, atmostonce.Failed(errkind.New(errkind.NoRoute, "")))
+	is.New(t).Equal(err.(*atmostonce.Breach).Code, atmostonce.BreachFalseNotRun)
+	is.New(t).Equal(result.Outcome(), errkind.Unknown)
+	_, err = l.Ask(start, atmostonce.Ask{Sequence: 9})
+	is.New(t).Equal(err.(*atmostonce.Breach).Code, atmostonce.BreachNeverIssued)
+}
+
+func TestBounds(t *testing.T) {
+	conf := testConfig
+	conf.MaxTickets = 1
+	l := issued(conf)
+	_, err := l.Issue(start)
+	is.New(t).Equal(err, atmostonce.ErrFull)
+	ask(l, 0, digest)
+	_, _ = l.Send(start, 0)
+	_, err = l.Issue(start.Add(time.Hour)) // a running execution keeps its slot
+	is.New(t).Equal(err, atmostonce.ErrFull)
+	long := atmostonce.Ran(&atmostonce.Answer{Body: make([]byte, conf.MaxAnswerBytes+1)})
+	result, err := l.Finish(start, 0, long)
+	is.New(t).NoErr(err)
+	is.New(t).Equal(result, long)
+	is.New(t).Equal(ask(l, 0, digest).Result.Kind, errkind.TicketForgotten)
+	is.New(t).Equal(l.Stats(), atmostonce.Stats{})
+	_, err = l.Issue(start.Add(time.Hour))
+	is.New(t).NoErr(err)
+}
+
+func TestOwner(t *testing.T) {
+	s := atmostonce.NewSealer(address(1), 7, atmostonce.Secret{1})
+	for name, c := range map[string]struct {
+		by   *atmostonce.Sealer
+		want atmostonce.Owner
+	}{
+		"own":     {s, atmostonce.Own},
+		"forged":  {atmostonce.NewSealer(address(1), 7, atmostonce.Secret{2}), atmostonce.Forged},
+		"past":    {atmostonce.NewSealer(address(1), 8, atmostonce.Secret{1}), atmostonce.Past},
+		"foreign": {atmostonce.NewSealer(address(2), 7, atmostonce.Secret{1}), atmostonce.Foreign},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ticket, err := atmostonce.ParseTicket(c.by.Seal(3).String())
+			is.New(t).NoErr(err)
+			is.New(t).Equal(s.Owner(ticket), c.want)
+		})
+	}
+}
+
+func FuzzParseTicket(f *testing.F) {
+	s := atmostonce.NewSealer(address(1), 7, atmostonce.Secret{1})
+	f.Add(s.Seal(3).String())
+	f.Add("")
+	f.Fuzz(func(t *testing.T, text string) {
+		ticket, err := atmostonce.ParseTicket(text)
+		if err != nil {
+			return
+		}
+		is.New(t).Equal(ticket.String(), text)
+		if s.Owner(ticket) == atmostonce.Own {
+			is.New(t).Equal(ticket, s.Seal(ticket.Sequence))
+		}
+	})
+}
+
+// BenchmarkRequest is the core's work for one request on its issuer: issue a
+// ticket, verify it, execute, finish.
+func BenchmarkRequest(b *testing.B) {
+	s := atmostonce.NewSealer(address(1), 7, atmostonce.Secret{1})
+	l := atmostonce.New(atmostonce.DefaultConfig(), start)
+	answer := atmostonce.Ran(&atmostonce.Answer{Status: 200, Body: make([]byte, 64)})
+	b.ReportAllocs()
+	for i := range b.N {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		sequence, _ := l.Issue(now)
+		ticket, _ := atmostonce.ParseTicket(s.Seal(sequence).String())
+		s.Owner(ticket)
+		d := atmostonce.DigestOf("POST", "/sales", answer.Answer.Body)
+		_, _ = l.Ask(now, atmostonce.Ask{Sequence: sequence, Digest: d, Deadline: now.Add(time.Second)})
+		_, _ = l.Send(now, sequence)
+		_, _ = l.Finish(now, sequence, answer)
+	}
+}
+
+// BenchmarkLedger is the part of BenchmarkRequest that holds the lock.
+func BenchmarkLedger(b *testing.B) {
+	l := atmostonce.New(atmostonce.DefaultConfig(), start)
+	answer := atmostonce.Ran(&atmostonce.Answer{Status: 200, Body: make([]byte, 64)})
+	b.ReportAllocs()
+	for i := range b.N {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		sequence, _ := l.Issue(now)
+		_, _ = l.Ask(now, atmostonce.Ask{Sequence: sequence, Deadline: now.Add(time.Second)})
+		_, _ = l.Send(now, sequence)
+		_, _ = l.Finish(now, sequence, answer)
+	}
+}
--- /dev/null
+++ b/pkg/atmostonce/real_test.go
@@ -0,0 +1,263 @@
+package atmostonce_test
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/pkg/atmostonce"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+)
+
+// real runs the product's ledgers.
+type real struct{ conf atmostonce.Config }
+
+var testConfig = atmostonce.Config{
+	Lifetime:       time.Second,
+	Retention:      2 * time.Second,
+	MaxTickets:     24,
+	MaxAnswerBytes: 8,
+	MaxKeptBytes:   16,
+}
+
+// longConfig outlives a schedule, so that no record is forgotten.
+var longConfig = atmostonce.Config{
+	Lifetime:       time.Hour,
+	Retention:      time.Hour,
+	MaxTickets:     scheduleSteps,
+	MaxAnswerBytes: 64,
+	MaxKeptBytes:   1 << 20,
+}
+
+const testDeadline = 2 * time.Second
+
+func address(host int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(host)}), 7400)
+}
+
+func (p real) start(f *fleet, host int) member {
+	var secret atmostonce.Secret
+	for i := range secret {
+		secret[i] = byte(f.random.Uint32())
+	}
+	return &realMember{
+		fleet:    f,
+		host:     host,
+		sealer:   atmostonce.NewSealer(address(host), atmostonce.Incarnation(f.random.Uint64()), secret),
+		ledger:   atmostonce.New(p.conf, f.clock(host)),
+		forwards: make(map[int]forwarded),
+	}
+}
+
+func (real) key(f *fleet, host int) (string, bool) {
+	m := f.hosts[host].member.(*realMember)
+	sequence, err := m.ledger.Issue(f.clock(host))
+	if err != nil {
+		return "", false
+	}
+	return m.sealer.Seal(sequence).String(), true
+}
+
+// waiter is an asker: a caller, or a forwarding host.
+type waiter struct {
+	action int
+	from   *message
+}
+
+type execution struct {
+	sequence uint64
+	action   int
+	since    time.Duration
+	sending  bool
+	waiters  []waiter
+}
+
+// forwarded is a request that waits for its issuer.
+type forwarded struct {
+	action int
+	since  time.Duration
+}
+
+type realMember struct {
+	fleet      *fleet
+	host       int
+	sealer     *atmostonce.Sealer
+	ledger     *atmostonce.Ledger
+	executions []*execution
+	forwards   map[int]forwarded
+	nextID     int
+}
+
+func (r *realMember) receive(m message) {
+	switch m.kind {
+	case askMessage:
+		r.ask(m, waiter{action: m.action})
+	case forwardMessage:
+		r.ask(m, waiter{action: m.action, from: &m})
+	case replyMessage:
+		if fw, ok := r.forwards[m.forward]; ok {
+			delete(r.forwards, m.forward)
+			r.fleet.answer(fw.action, m.answer)
+		}
+	case ranMessage:
+		r.ran(m)
+	case refusedMessage:
+		r.refused(m)
+	}
+}
+
+func (r *realMember) ask(m message, w waiter) {
+	ticket, err := atmostonce.ParseTicket(m.key)
+	if err != nil {
+		r.reply(w, answeredNotRun)
+		return
+	}
+	switch r.sealer.Owner(ticket) {
+	case atmostonce.Foreign:
+		r.forward(m, ticket)
+	case atmostonce.Past:
+		r.reply(w, answeredUnknown)
+	case atmostonce.Forged:
+		r.reply(w, answeredNotRun)
+	case atmostonce.Own:
+		r.own(ticket.Sequence, m, w)
+	}
+}
+
+func (r *realMember) forward(m message, t atmostonce.Ticket) {
+	r.nextID++
+	r.forwards[r.nextID] = forwarded{m.action, r.fleet.now}
+	to := int(t.Issuer.Addr().As4()[3])
+	r.fleet.post(message{kind: forwardMessage, from: r.host, to: to, key: m.key, action: m.action, forward: r.nextID})
+}
+
+func (r *realMember) own(sequence uint64, m message, w waiter) {
+	now := r.fleet.clock(r.host)
+	d, err := r.ledger.Ask(now, atmostonce.Ask{
+		Sequence: sequence,
+		Digest:   atmostonce.DigestOf("POST", m.key, nil),
+		Deadline: now.Add(testDeadline),
+	})
+	r.check(err)
+	switch d.Verdict {
+	case atmostonce.Execute:
+		r.executions = append(r.executions, &execution{sequence: sequence, action: m.action, since: r.fleet.now, waiters: []waiter{w}})
+	case atmostonce.Join:
+		if x := r.find(m.action); x != nil {
+			x.waiters = append(x.waiters, w)
+		}
+	case atmostonce.Final:
+		r.reply(w, outcomeOf(d.Result))
+	}
+}
+
+// send starts the attempt of one admitted execution.
+func (r *realMember) send(pick int) {
+	if len(r.executions) == 0 {
+		return
+	}
+	x := r.executions[pick%len(r.executions)]
+	if x.sending {
+		return
+	}
+	denied, err := r.ledger.Send(r.fleet.clock(r.host), x.sequence)
+	r.check(err)
+	if denied != nil {
+		r.finish(x, atmostonce.Failed(denied))
+		return
+	}
+	x.sending = true
+	r.fleet.post(message{kind: runMessage, from: r.host, key: x.key(r.fleet), action: x.action})
+}
+
+func (r *realMember) ran(m message) {
+	if x := r.find(m.action); x != nil {
+		r.finish(x, atmostonce.Ran(&atmostonce.Answer{Status: 200, Body: make([]byte, m.action%10)}))
+	}
+}
+
+// refused tries again, or gives up where the caller's number is even.
+func (r *realMember) refused(m message) {
+	x := r.find(m.action)
+	if x == nil {
+		return
+	}
+	r.check(r.ledger.NotRun(r.fleet.clock(r.host), x.sequence))
+	x.sending = false
+	if x.action%2 == 0 {
+		r.finish(x, atmostonce.Failed(errkind.New(errkind.UpstreamRefused, "")))
+	}
+}
+
+// timeout ends one wait: for an upstream, or for the issuer.
+func (r *realMember) timeout(pick int) {
+	if n := len(r.executions); pick%2 == 0 && n > 0 {
+		if x := r.executions[pick%n]; r.waited(x.since) {
+			r.timeoutExecution(x)
+		}
+		return
+	}
+	for id := range r.nextID + 1 {
+		if fw, ok := r.forwards[id]; ok && r.waited(fw.since) {
+			delete(r.forwards, id)
+			r.fleet.answer(fw.action, answeredUnknown)
+			return
+		}
+	}
+}
+
+// waited reports whether a wait may end. Where safety is tested it may end at
+// any moment; where shares are measured it ends with the deadline.
+func (r *realMember) waited(since time.Duration) bool {
+	return !r.fleet.patient || r.fleet.now-since >= testDeadline
+}
+
+func (r *realMember) timeoutExecution(x *execution) {
+	if x.sending {
+		r.finish(x, atmostonce.Failed(errkind.New(errkind.DeadlineAfterSend, "")))
+		return
+	}
+	result, err := r.ledger.Withdraw(r.fleet.clock(r.host), x.sequence)
+	r.check(err)
+	r.finish(x, result)
+}
+
+func (r *realMember) finish(x *execution, result atmostonce.Result) {
+	result, err := r.ledger.Finish(r.fleet.clock(r.host), x.sequence, result)
+	r.check(err)
+	for i, e := range r.executions {
+		if e == x {
+			r.executions = append(r.executions[:i], r.executions[i+1:]...)
+			break
+		}
+	}
+	for _, w := range x.waiters {
+		r.reply(w, outcomeOf(result))
+	}
+}
+
+func (r *realMember) reply(w waiter, o outcome) {
+	if w.from == nil {
+		r.fleet.answer(w.action, o)
+		return
+	}
+	r.fleet.post(message{kind: replyMessage, from: r.host, to: w.from.from, epoch: w.from.epoch, forward: w.from.forward, answer: o})
+}
+
+func (r *realMember) find(action int) *execution {
+	for _, x := range r.executions {
+		if x.action == action {
+			return x
+		}
+	}
+	return nil
+}
+
+func (r *realMember) check(err error) {
+	if err != nil {
+		r.fleet.breach = err.Error()
+	}
+}
+
+func (x *execution) key(f *fleet) string { return f.actions[x.action].key }
+
+func outcomeOf(r atmostonce.Result) outcome { return outcome(r.Outcome()) }
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -44,14 +44,26 @@
 	UpstreamBroken
 	// OutcomeUnknown is a non-repeatable request that may or may not have run.
 	OutcomeUnknown
-	// TicketRejected is an execution ticket that is expired, forged or already used.
+	// TicketRejected is an execution ticket that was never issued: malformed or forged.
 	TicketRejected
-	// KeyRequired is a non-repeatable request without a ticket or an idempotency key.
-	KeyRequired
 	// CallerGone is a caller that closed its connection before the answer.
 	CallerGone
 	// Internal is a broken invariant inside the process.
 	Internal
+	// TicketRequired is a non-repeatable request without a ticket.
+	TicketRequired
+	// TicketExpired is a ticket that was not used in its lifetime, and now never is.
+	TicketExpired
+	// TicketForgotten is a ticket whose record's time is over.
+	TicketForgotten
+	// TicketMismatch is a ticket that was used for another request.
+	TicketMismatch
+	// IssuerUnreachable is a ticket whose issuer did not answer.
+	IssuerUnreachable
+	// IssuerGone is a ticket of a process that has ended.
+	IssuerGone
+	// AnswerNotKept is a request that ran and whose answer is no longer held.
+	AnswerNotKept
 
 	numKinds
 )
@@ -103,9 +115,15 @@
 	UpstreamBroken:     {"upstream-broken", http.StatusBadGateway, Unknown, false},
 	OutcomeUnknown:     {"outcome-unknown", http.StatusBadGateway, Unknown, false},
 	TicketRejected:     {"ticket-rejected", http.StatusConflict, NotRun, false},
-	KeyRequired:        {"key-required", http.StatusBadRequest, NotRun, false},
 	CallerGone:         {"caller-gone", 499, Unknown, false},
 	Internal:           {"internal", http.StatusInternalServerError, Unknown, false},
+	TicketRequired:     {"ticket-required", http.StatusPreconditionRequired, NotRun, false},
+	TicketExpired:      {"ticket-expired", http.StatusPreconditionRequired, NotRun, false},
+	TicketForgotten:    {"ticket-forgotten", http.StatusGone, Unknown, false},
+	TicketMismatch:     {"ticket-mismatch", http.StatusUnprocessableEntity, Unknown, false},
+	IssuerUnreachable:  {"issuer-unreachable", http.StatusBadGateway, Unknown, true},
+	IssuerGone:         {"issuer-gone", http.StatusGone, Unknown, false},
+	AnswerNotKept:      {"answer-not-kept", http.StatusGone, Ran, false},
 }
 
 // Answer returns the reply for k. An out-of-range kind answers as Internal.
--- a/pkg/event/execution_events.go
+++ b/pkg/event/execution_events.go
@@ -1,4 +1,33 @@
 package event
 
+// Codes 9xxx: single execution.
+const (
+	TicketIssued      Code = 9001
+	TicketRefused     Code = 9002
+	ExecutionStarted  Code = 9003
+	ExecutionJoined   Code = 9004
+	ExecutionReplayed Code = 9005
+	ExecutionEnded    Code = 9006
+	RequestForwarded  Code = 9007
+	ForwardFailed     Code = 9008
+	SendDenied        Code = 9009
+	TicketsHandedOver Code = 9010
+	TicketsAdopted    Code = 9011
+	HandOverUnknown   Code = 9012
+)
+
 // executionEvents describes the codes 9xxx: single execution of non-repeatable requests.
-var executionEvents = map[Code]Entry{}
+var executionEvents = map[Code]Entry{
+	TicketIssued:      {"ticket-issued", Debug, "A ticket was offered to a caller.", "sequence number"},
+	TicketRefused:     {"ticket-refused", Warn, "No ticket could be issued; the reason names the bound.", ""},
+	ExecutionStarted:  {"execution-started", Debug, "A ticket was used for the first time; this host executes the request.", "sequence number"},
+	ExecutionJoined:   {"execution-joined", Info, "A request was asked for again while it executes; it waits for the same answer.", "sequence number"},
+	ExecutionReplayed: {"execution-replayed", Info, "A request was asked for again and gets the recorded result; the reason is its outcome.", "sequence number"},
+	ExecutionEnded:    {"execution-ended", Debug, "An execution ended; the reason is its outcome.", "sequence number"},
+	RequestForwarded:  {"request-forwarded", Debug, "A request was forwarded to the entry host that issued its ticket, named in the detail.", ""},
+	ForwardFailed:     {"forward-failed", Warn, "The issuer of a ticket gave no answer; nobody else executes the request.", ""},
+	SendDenied:        {"send-denied", Info, "A send was denied because the request was already answered or its deadline passed.", "sequence number"},
+	TicketsHandedOver: {"tickets-handed-over", Info, "A stopping host gave its tickets to the one host named in the detail.", "tickets"},
+	TicketsAdopted:    {"tickets-adopted", Info, "This host executes the tickets of a stopped host from now on.", "tickets"},
+	HandOverUnknown:   {"hand-over-unknown", Warn, "The successor did not confirm the hand-over; no other host is asked.", "tickets"},
+}
