--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Commands for developers. `make test` is what CI runs; measurements are apart.
 BINARIES := spindled spindle-standin spindle-load
 
-.PHONY: build demo test unit lint ldd
+.PHONY: build demo test unit lint ldd spec long-execution
 
 build:
 	@mkdir -p bin
@@ -10,7 +10,7 @@
 demo:
 	@scripts/demo.sh
 
-test: lint build ldd unit
+test: lint build ldd unit spec
 
 unit:
 	go test ./...
@@ -23,3 +23,13 @@
 # Every binary is linked to the C library, as the platform expects.
 ldd: build
 	@for b in $(BINARIES); do ldd bin/$$b | grep -q libc.so || { echo "$$b is not linked to libc"; exit 1; }; done
+
+# Model checks of the core protocols, and of their broken twins.
+spec:
+	spec/check.sh
+
+# A long randomised run of single execution; RUNS schedules of 300 steps.
+RUNS ?= 20000
+long-execution:
+	ATMOSTONCE_RUNS=$(RUNS) go test ./pkg/atmostonce -v -count=1 -run 'TestSchedules|TestUnknownShare|TestNaiveFails'
+	go test ./pkg/atmostonce -v -count=1 -run TestStateMachine -rapid.checks=$(RUNS)
--- a/pkg/atmostonce/naive_test.go
+++ b/pkg/atmostonce/naive_test.go
@@ -115,7 +115,7 @@
 	schedules := scheduleGenerator(weights)
 	for kind, name := range naiveNames {
 		count := &tally{}
-		for seed := range naiveRuns {
+		for seed := range runs(t) {
 			run(&naive{kind: naiveKind(kind)}, schedules.Example(seed+1), count)
 		}
 		t.Logf("%s: %d of %d runs broke single execution; %s", name, count.breached, count.runs, count)
@@ -124,5 +124,3 @@
 		}
 	}
 }
-
-const naiveRuns = 200
--- a/pkg/atmostonce/real_test.go
+++ b/pkg/atmostonce/real_test.go
@@ -169,13 +169,19 @@
 	r.fleet.post(message{kind: runMessage, from: r.host, key: x.key(r.fleet), action: x.action})
 }
 
+// ran ends an execution. On each fifth action the answer is broken.
 func (r *realMember) ran(m message) {
-	if x := r.find(m.action); x != nil {
+	x := r.find(m.action)
+	switch {
+	case x == nil:
+	case m.action%5 == 0 && !r.fleet.patient:
+		r.finish(x, atmostonce.Failed(errkind.New(errkind.UpstreamBroken, "")))
+	default:
 		r.finish(x, atmostonce.Ran(&atmostonce.Answer{Status: 200, Body: make([]byte, m.action%10)}))
 	}
 }
 
-// refused tries again, or gives up where the caller's number is even.
+// refused tries again, or gives up on each third action.
 func (r *realMember) refused(m message) {
 	x := r.find(m.action)
 	if x == nil {
@@ -183,7 +189,7 @@
 	}
 	r.check(r.ledger.NotRun(r.fleet.clock(r.host), x.sequence))
 	x.sending = false
-	if x.action%2 == 0 {
+	if x.action%3 == 0 {
 		r.finish(x, atmostonce.Failed(errkind.New(errkind.UpstreamRefused, "")))
 	}
 }
@@ -211,14 +217,19 @@
 	return !r.fleet.patient || r.fleet.now-since >= testDeadline
 }
 
+// timeoutExecution ends the askers' wait. The attempt goes on, like one that
+// was paused: it may ask to send, and its answer may come late.
 func (r *realMember) timeoutExecution(x *execution) {
-	if x.sending {
-		r.finish(x, atmostonce.Failed(errkind.New(errkind.DeadlineAfterSend, "")))
-		return
-	}
 	result, err := r.ledger.Withdraw(r.fleet.clock(r.host), x.sequence)
 	r.check(err)
-	r.finish(x, result)
+	r.replyAll(x, result)
+}
+
+func (r *realMember) replyAll(x *execution, result atmostonce.Result) {
+	for _, w := range x.waiters {
+		r.reply(w, outcomeOf(result))
+	}
+	x.waiters = nil
 }
 
 func (r *realMember) finish(x *execution, result atmostonce.Result) {
@@ -230,9 +241,7 @@
 			break
 		}
 	}
-	for _, w := range x.waiters {
-		r.reply(w, outcomeOf(result))
-	}
+	r.replyAll(x, result)
 }
 
 func (r *realMember) reply(w waiter, o outcome) {
