Forward requests to the issuer of their ticket, and hand tickets over once

Cause: callers ask again through any entry host, and only the issuer may execute a ticket. The proxy's hook (Execute, BeforeSend, AfterNotRun) is served by the ledger; peers speak gRPC. A planned stop hands its tickets to one incarnation of one peer, as spec/single_execution.pml has it.

Ruled out: an own goroutine for each execution (the proxy's state belongs to the calling goroutine); the rule in the digest; cancelling an execution when its caller goes away, which only makes more unknowns.

Before: tickets had no carrier. After: 20 asks through two hosts run once; an issuer that is gone answers unknown and nothing runs; tickets used and unused keep their meaning over a hand-over (go test ./internal/execution, also -race).

--- /dev/null
+++ b/internal/execution/forward.go
@@ -0,0 +1,50 @@
+package execution
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	executionv1 "github.com/dapplespindle/dapplespindle/api/execution/v1"
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/atmostonce"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+)
+
+// forwardMargin is the part of the deadline that is left for the way back.
+const forwardMargin = 10 * time.Millisecond
+
+// forward asks the host that executes the ticket. Whatever fails on the way,
+// the outcome is unknown: an earlier ask may have run.
+func (s *Service) forward(ctx context.Context, to netip.AddrPort, t atmostonce.Ticket, req *httpwire.Request) atmostonce.Result {
+	id := req.Header.Get(headerRequestID)
+	s.emit(event.Event{Code: event.RequestForwarded, Request: id, Detail: to.String()})
+	resp, err := s.callExecute(ctx, to, t, req)
+	if err != nil {
+		s.emit(event.Event{Code: event.ForwardFailed, Request: id, Detail: err.Error()})
+		return atmostonce.Failed(errkind.New(errkind.IssuerUnreachable, "the issuer gave no answer"))
+	}
+	return resultFrom(resp.GetResult())
+}
+
+func (s *Service) callExecute(ctx context.Context, to netip.AddrPort, t atmostonce.Ticket, req *httpwire.Request) (*executionv1.ExecuteResponse, error) {
+	client, err := s.client(to)
+	if err != nil {
+		return nil, err
+	}
+	return client.Execute(ctx, encodeRequest(t, req, timeLeft(ctx)))
+}
+
+func (s *Service) client(to netip.AddrPort) (executionv1.ExecutionServiceClient, error) {
+	conn, err := s.conf.Pool.Conn(to.String())
+	if err != nil {
+		return nil, err
+	}
+	return executionv1.NewExecutionServiceClient(conn), nil
+}
+
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, _ := ctx.Deadline()
+	return time.Until(deadline) - forwardMargin
+}
--- /dev/null
+++ b/internal/execution/server.go
@@ -0,0 +1,50 @@
+package execution
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	executionv1 "github.com/dapplespindle/dapplespindle/api/execution/v1"
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/atmostonce"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+)
+
+// server answers peers.
+type server struct {
+	executionv1.UnimplementedExecutionServiceServer
+	service *Service
+}
+
+// Execute runs a forwarded request. It is never forwarded a second time,
+// except by a host that handed its tickets over.
+func (v *server) Execute(ctx context.Context, m *executionv1.ExecuteRequest) (*executionv1.ExecuteResponse, error) {
+	ticket, err := atmostonce.ParseTicket(m.GetTicket())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	now := time.Now()
+	req := decodeRequest(m, now)
+	ctx, cancel := context.WithDeadline(ctx, now.Add(time.Duration(m.GetTimeoutUs())*time.Microsecond))
+	defer cancel()
+	return &executionv1.ExecuteResponse{Result: encodeResult(v.service.forwarded(ctx, ticket, req))}, nil
+}
+
+func (s *Service) forwarded(ctx context.Context, t atmostonce.Ticket, req *httpwire.Request) atmostonce.Result {
+	if sp := s.space(t); sp != nil {
+		result, _ := s.owned(ctx, sp, t, req, func(ctx context.Context) *httpwire.Response { return s.conf.Local(ctx, req) })
+		return result
+	}
+	if to, moved := s.location(t); moved && to != s.conf.Address {
+		return s.forward(ctx, to, t, req)
+	}
+	return atmostonce.Failed(errkind.New(errkind.IssuerGone, "the issuing process has ended"))
+}
+
+// Identify returns the incarnation.
+func (v *server) Identify(context.Context, *executionv1.IdentifyRequest) (*executionv1.IdentifyResponse, error) {
+	return &executionv1.IdentifyResponse{Incarnation: uint64(v.service.own.sealer.Incarnation())}, nil
+}
--- /dev/null
+++ b/internal/execution/service_test.go
@@ -0,0 +1,155 @@
+package execution_test
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/internal/execution"
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/internal/peer"
+	"github.com/dapplespindle/dapplespindle/pkg/atmostonce"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+)
+
+// host is an entry host whose upstream counts what ran.
+type host struct {
+	*execution.Service
+	address netip.AddrPort
+	server  *peer.Server
+	runs    *atomic.Int64
+	block   chan struct{}
+}
+
+func freeAddress(t testing.TB) netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer func() { _ = ln.Close() }()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+func newHost(t testing.TB, runs *atomic.Int64) *host {
+	pool := peer.NewPool(nil)
+	t.Cleanup(pool.Close)
+	h := &host{address: freeAddress(t), runs: runs}
+	var err error
+	h.Service, err = execution.New(execution.Config{
+		Address: h.address,
+		Ledger:  atmostonce.DefaultConfig(),
+		Local:   func(ctx context.Context, _ *httpwire.Request) *httpwire.Response { return h.run(ctx) },
+		Pool:    pool,
+		Events:  event.Discard{},
+	}, rand.Reader)
+	is.New(t).NoErr(err)
+	h.server = peer.NewServer(h.address.String(), nil)
+	h.Register(h.server)
+	is.New(t).NoErr(h.server.Start())
+	t.Cleanup(h.server.Stop)
+	return h
+}
+
+func (h *host) run(ctx context.Context) *httpwire.Response {
+	if h.block != nil {
+		<-h.block
+	}
+	if err := execution.BeforeSend(ctx); err != nil {
+		return &httpwire.Response{Status: 500, Header: http.Header{
+			"Dapplespindle-Outcome": {err.Kind.Answer().Outcome.String()}, "Dapplespindle-Error": {err.Kind.String()}}}
+	}
+	h.runs.Add(1)
+	return &httpwire.Response{Status: 201, Header: http.Header{"Dapplespindle-Outcome": {"ran"}}, Body: []byte("sold")}
+}
+
+func (h *host) ask(ticket, body string) *httpwire.Response {
+	req := &httpwire.Request{Method: "POST", Target: "/sales", Path: "/sales", Header: http.Header{}, Body: []byte(body)}
+	if ticket != "" {
+		req.Header[execution.HeaderKey] = []string{ticket}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	return h.Execute(ctx, req, nil, h.run)
+}
+
+func ticketOf(r *httpwire.Response) string { return r.Header.Get(execution.HeaderTicket) }
+
+func kindOf(r *httpwire.Response) string { return r.Header.Get("Dapplespindle-Error") }
+
+func TestAsksThroughManyHostsRunOnce(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	issuer, other := newHost(t, &runs), newHost(t, &runs)
+	required := issuer.ask("", "lot 7")
+	is.Equal(required.Status, http.StatusPreconditionRequired)
+	ticket := ticketOf(required)
+	issuer.block = make(chan struct{})
+	var wait sync.WaitGroup
+	for i := range 20 {
+		wait.Go(func() {
+			h := []*host{issuer, other}[i%2]
+			resp := h.ask(ticket, "lot 7")
+			is.Equal(resp.Status, 201)
+			is.Equal(string(resp.Body), "sold")
+			is.True(ticketOf(resp) != "")
+		})
+	}
+	close(issuer.block)
+	wait.Wait()
+	is.Equal(runs.Load(), int64(1))
+	is.Equal(kindOf(other.ask(ticket, "lot 8")), errkind.TicketMismatch.String())
+	is.Equal(kindOf(other.ask(ticket+"A", "lot 7")), errkind.TicketRequired.String())
+}
+
+func TestIssuerThatIsGone(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	issuer, other := newHost(t, &runs), newHost(t, &runs)
+	ticket := ticketOf(issuer.ask("", ""))
+	issuer.server.Stop()
+	resp := other.ask(ticket, "")
+	is.Equal(kindOf(resp), errkind.IssuerUnreachable.String())
+	is.Equal(resp.Header.Get("Dapplespindle-Outcome"), "unknown")
+	is.Equal(runs.Load(), int64(0))
+}
+
+func TestHandOver(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	old, successor, other := newHost(t, &runs), newHost(t, &runs), newHost(t, &runs)
+	used, fresh := ticketOf(old.ask("", "")), ticketOf(old.ask("", ""))
+	is.Equal(old.ask(used, "lot 7").Status, 201)
+	is.NoErr(old.HandOver(context.Background(), successor.address, []netip.AddrPort{other.address}))
+	is.Equal(old.ask(used, "lot 7").Status, 201)
+	is.Equal(runs.Load(), int64(1))
+	old.server.Stop()
+	for range 2 {
+		is.Equal(other.ask(used, "lot 7").Status, 201)
+		is.Equal(other.ask(fresh, "lot 8").Status, 201)
+		is.Equal(successor.ask(fresh, "lot 8").Status, 201)
+	}
+	is.Equal(runs.Load(), int64(2))
+	is.True(old.HandOver(context.Background(), other.address, nil) != nil)
+}
+
+func BenchmarkExecute(b *testing.B) {
+	var runs atomic.Int64
+	issuer, other := newHost(b, &runs), newHost(b, &runs)
+	for name, h := range map[string]*host{"issuer": issuer, "forwarded": other} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				ticket := ticketOf(issuer.ask("", ""))
+				b.StartTimer()
+				h.ask(ticket, "lot 7")
+			}
+		})
+	}
+}
--- a/pkg/atmostonce/ledger.go
+++ b/pkg/atmostonce/ledger.go
@@ -20,14 +20,15 @@
 	MaxKeptBytes int
 }
 
-// DefaultConfig is sized for a small entry host: 2000 tickets a second.
+// DefaultConfig is sized for a small entry host: 1000 tickets a second. A
+// ledger at its bounds fits one message between peers.
 func DefaultConfig() Config {
 	return Config{
 		Lifetime:       30 * time.Second,
 		Retention:      90 * time.Second,
-		MaxTickets:     240_000,
+		MaxTickets:     120_000,
 		MaxAnswerBytes: 64 << 10,
-		MaxKeptBytes:   64 << 20,
+		MaxKeptBytes:   12 << 20,
 	}
 }
 
--- a/pkg/atmostonce/ledger_test.go
+++ b/pkg/atmostonce/ledger_test.go
@@ -1,6 +1,8 @@
 package atmostonce_test
 
 import (
+	"math"
+	"runtime"
 	"testing"
 	"time"
 
@@ -184,3 +186,35 @@
 		_, _ = l.Finish(now, sequence, answer)
 	}
 }
+
+// BenchmarkMemory reports the memory of tickets and of records with a small answer.
+func BenchmarkMemory(b *testing.B) {
+	const tickets = 100_000
+	for b.Loop() {
+		conf := atmostonce.DefaultConfig()
+		conf.MaxTickets = tickets
+		conf.MaxKeptBytes = math.MaxInt
+		before := heap()
+		l := atmostonce.New(conf, start)
+		empty := heap()
+		for range tickets {
+			sequence, _ := l.Issue(start)
+			_, _ = l.Ask(start, atmostonce.Ask{Sequence: sequence, Digest: digest, Deadline: start.Add(time.Second)})
+			_, _ = l.Send(start, sequence)
+			body := make([]byte, 64)
+			header := map[string][]string{"Content-Type": {"text/plain"}, "Dapplespindle-Outcome": {"ran"}}
+			_, _ = l.Finish(start, sequence, atmostonce.Ran(&atmostonce.Answer{Status: 200, Header: header, Body: body}))
+		}
+		full := heap()
+		b.ReportMetric(float64(empty-before)/tickets*1000, "B/1000tickets")
+		b.ReportMetric(float64(full-empty)/tickets*1000, "B/1000records")
+		runtime.KeepAlive(l)
+	}
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/pkg/atmostonce/ticket.go
+++ b/pkg/atmostonce/ticket.go
@@ -105,6 +105,9 @@
 // Incarnation returns the incarnation that the tickets name.
 func (s *Sealer) Incarnation() Incarnation { return s.incarnation }
 
+// Secret returns the secret, for the one successor of a planned stop.
+func (s *Sealer) Secret() Secret { return s.secret }
+
 // Seal returns the signed ticket with a sequence number.
 func (s *Sealer) Seal(sequence uint64) Ticket {
 	t := Ticket{Issuer: s.issuer, Incarnation: s.incarnation, Sequence: sequence}
--- a/pkg/event/execution_events.go
+++ b/pkg/event/execution_events.go
@@ -14,6 +14,7 @@
 	TicketsHandedOver Code = 9010
 	TicketsAdopted    Code = 9011
 	HandOverUnknown   Code = 9012
+	TicketDenied      Code = 9013
 )
 
 // executionEvents describes the codes 9xxx: single execution of non-repeatable requests.
@@ -30,4 +31,5 @@
 	TicketsHandedOver: {"tickets-handed-over", Info, "A stopping host gave its tickets to the one host named in the detail.", "tickets"},
 	TicketsAdopted:    {"tickets-adopted", Info, "This host executes the tickets of a stopped host from now on.", "tickets"},
 	HandOverUnknown:   {"hand-over-unknown", Warn, "The successor did not confirm the hand-over; no other host is asked.", "tickets"},
+	TicketDenied:      {"ticket-denied", Info, "A ticket was not executed; the reason is the error kind.", "sequence number"},
 }
