Put the hand-over into the randomised runs of single execution

Cause: the hand-over was checked in the specification and in one test over gRPC, not under faults.

Before: no hand-over in the schedules.

Ruled out: handing on adopted tickets; it adds chains for little.

--- a/internal/execution/service_test.go
+++ b/internal/execution/service_test.go
@@ -139,9 +139,21 @@
 	is.True(old.HandOver(context.Background(), other.address, nil) != nil)
 }
 
+// BenchmarkExecute compares a request sent directly with one under a ticket,
+// asked for at its issuer and through another host on loopback.
 func BenchmarkExecute(b *testing.B) {
 	var runs atomic.Int64
 	issuer, other := newHost(b, &runs), newHost(b, &runs)
+	b.Run("direct", func(b *testing.B) {
+		for b.Loop() {
+			issuer.run(b.Context())
+		}
+	})
+	b.Run("ticket-required", func(b *testing.B) {
+		for b.Loop() {
+			issuer.ask("", "lot 7")
+		}
+	})
 	for name, h := range map[string]*host{"issuer": issuer, "forwarded": other} {
 		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
--- a/pkg/atmostonce/atmostonce_test.go
+++ b/pkg/atmostonce/atmostonce_test.go
@@ -70,7 +70,7 @@
 
 // TestUnknownShare prints the share of each answer under one fault at a time.
 func TestUnknownShare(t *testing.T) {
-	for _, fault := range []op{numOps, opKill, opPause, opSplit, opLose, opDuplicate} {
+	for _, fault := range []op{numOps, opKill, opPause, opSplit, opLose, opDuplicate, opHandOver} {
 		name := "none"
 		if fault < numOps {
 			name = opNames[fault]
--- a/pkg/atmostonce/fleet_test.go
+++ b/pkg/atmostonce/fleet_test.go
@@ -31,6 +31,7 @@
 	runMessage                        // host to upstream
 	ranMessage                        // upstream to host
 	refusedMessage                    // upstream to host: certainly not run
+	adoptMessage                      // stopping host to its successor
 )
 
 // message is one message on the queue. Epoch guards against a reply to an
@@ -43,6 +44,7 @@
 	action   int
 	forward  int
 	answer   outcome
+	handOver *handOver
 }
 
 // action is one non-repeatable action of a caller, known by its key.
@@ -57,6 +59,7 @@
 	receive(m message)
 	timeout(pick int)
 	send(pick int)
+	handOver(to int)
 }
 
 // protocol makes members and the keys that callers use.
@@ -172,7 +175,7 @@
 }
 
 func (f *fleet) cut(m message) bool {
-	between := m.kind == forwardMessage || m.kind == replyMessage
+	between := m.kind == forwardMessage || m.kind == replyMessage || m.kind == adoptMessage
 	return between && f.hosts[m.from].part != f.hosts[m.to].part
 }
 
--- a/pkg/atmostonce/naive_test.go
+++ b/pkg/atmostonce/naive_test.go
@@ -94,7 +94,8 @@
 	}
 }
 
-func (n *naiveMember) send(int) {}
+func (n *naiveMember) send(int)     {}
+func (n *naiveMember) handOver(int) {}
 
 // timeout ends one wait for an upstream.
 func (n *naiveMember) timeout(pick int) {
--- a/pkg/atmostonce/real_test.go
+++ b/pkg/atmostonce/real_test.go
@@ -39,22 +39,43 @@
 	for i := range secret {
 		secret[i] = byte(f.random.Uint32())
 	}
+	own := &space{
+		sealer: atmostonce.NewSealer(address(host), atmostonce.Incarnation(f.random.Uint64()), secret),
+		ledger: atmostonce.New(p.conf, f.clock(host)),
+	}
 	return &realMember{
 		fleet:    f,
 		host:     host,
-		sealer:   atmostonce.NewSealer(address(host), atmostonce.Incarnation(f.random.Uint64()), secret),
-		ledger:   atmostonce.New(p.conf, f.clock(host)),
+		conf:     p.conf,
+		own:      own,
+		spaces:   map[atmostonce.Incarnation]*space{own.sealer.Incarnation(): own},
 		forwards: make(map[int]forwarded),
 	}
 }
 
 func (real) key(f *fleet, host int) (string, bool) {
-	m := f.hosts[host].member.(*realMember)
-	sequence, err := m.ledger.Issue(f.clock(host))
+	own := f.hosts[host].member.(*realMember).own
+	sequence, err := own.ledger.Issue(f.clock(host))
 	if err != nil {
 		return "", false
 	}
-	return m.sealer.Seal(sequence).String(), true
+	return own.sealer.Seal(sequence).String(), true
+}
+
+// space holds the tickets of one incarnation; moved is set when they were
+// handed over to another host.
+type space struct {
+	sealer *atmostonce.Sealer
+	ledger *atmostonce.Ledger
+	moved  bool
+	to     int
+}
+
+// handOver is what a stopping host sends to one life of its successor.
+type handOver struct {
+	successor atmostonce.Incarnation
+	sealer    *atmostonce.Sealer
+	snapshot  atmostonce.Snapshot
 }
 
 // waiter is an asker: a caller, or a forwarding host.
@@ -64,6 +85,7 @@
 }
 
 type execution struct {
+	ledger   *atmostonce.Ledger
 	sequence uint64
 	action   int
 	since    time.Duration
@@ -73,15 +95,16 @@
 
 // forwarded is a request that waits for its issuer.
 type forwarded struct {
-	action int
+	waiter waiter
 	since  time.Duration
 }
 
 type realMember struct {
 	fleet      *fleet
 	host       int
-	sealer     *atmostonce.Sealer
-	ledger     *atmostonce.Ledger
+	conf       atmostonce.Config
+	own        *space
+	spaces     map[atmostonce.Incarnation]*space
 	executions []*execution
 	forwards   map[int]forwarded
 	nextID     int
@@ -96,8 +119,10 @@
 	case replyMessage:
 		if fw, ok := r.forwards[m.forward]; ok {
 			delete(r.forwards, m.forward)
-			r.fleet.answer(fw.action, m.answer)
+			r.reply(fw.waiter, m.answer)
 		}
+	case adoptMessage:
+		r.adopt(m.handOver)
 	case ranMessage:
 		r.ran(m)
 	case refusedMessage:
@@ -111,28 +136,52 @@
 		r.reply(w, answeredNotRun)
 		return
 	}
-	switch r.sealer.Owner(ticket) {
-	case atmostonce.Foreign:
-		r.forward(m, ticket)
-	case atmostonce.Past:
-		r.reply(w, answeredUnknown)
-	case atmostonce.Forged:
+	sp := r.spaces[ticket.Incarnation]
+	issuer := int(ticket.Issuer.Addr().As4()[3])
+	switch {
+	case sp != nil && sp.moved:
+		r.forward(m, sp.to, w)
+	case sp != nil && sp.sealer.Owner(ticket) == atmostonce.Own:
+		r.asked(sp.ledger, ticket.Sequence, m, w)
+	case sp != nil:
 		r.reply(w, answeredNotRun)
-	case atmostonce.Own:
-		r.own(ticket.Sequence, m, w)
+	case issuer == r.host || m.kind == forwardMessage:
+		r.reply(w, answeredUnknown)
+	default:
+		r.forward(m, issuer, w)
 	}
 }
 
-func (r *realMember) forward(m message, t atmostonce.Ticket) {
+func (r *realMember) forward(m message, to int, w waiter) {
 	r.nextID++
-	r.forwards[r.nextID] = forwarded{m.action, r.fleet.now}
-	to := int(t.Issuer.Addr().As4()[3])
+	r.forwards[r.nextID] = forwarded{w, r.fleet.now}
 	r.fleet.post(message{kind: forwardMessage, from: r.host, to: to, key: m.key, action: m.action, forward: r.nextID})
 }
 
-func (r *realMember) own(sequence uint64, m message, w waiter) {
+// handOver freezes the ledger and sends it to the present life of a successor.
+func (r *realMember) handOver(to int) {
+	snapshot, err := r.own.ledger.Freeze(r.fleet.clock(r.host))
+	if err != nil || to == r.host {
+		return
+	}
+	r.own.moved, r.own.to = true, to
+	life := r.fleet.hosts[to].member.(*realMember).own.sealer.Incarnation()
+	r.fleet.post(message{kind: adoptMessage, from: r.host, to: to, handOver: &handOver{life, r.own.sealer, snapshot}})
+}
+
+func (r *realMember) adopt(h *handOver) {
+	source := h.sealer.Incarnation()
+	if h.successor != r.own.sealer.Incarnation() || r.spaces[source] != nil {
+		return
+	}
+	ledger, err := atmostonce.Adopt(r.conf, r.fleet.clock(r.host), h.snapshot)
+	r.check(err)
+	r.spaces[source] = &space{sealer: h.sealer, ledger: ledger}
+}
+
+func (r *realMember) asked(l *atmostonce.Ledger, sequence uint64, m message, w waiter) {
 	now := r.fleet.clock(r.host)
-	d, err := r.ledger.Ask(now, atmostonce.Ask{
+	d, err := l.Ask(now, atmostonce.Ask{
 		Sequence: sequence,
 		Digest:   atmostonce.DigestOf("POST", m.key, nil),
 		Deadline: now.Add(testDeadline),
@@ -140,7 +189,7 @@
 	r.check(err)
 	switch d.Verdict {
 	case atmostonce.Execute:
-		r.executions = append(r.executions, &execution{sequence: sequence, action: m.action, since: r.fleet.now, waiters: []waiter{w}})
+		r.executions = append(r.executions, &execution{ledger: l, sequence: sequence, action: m.action, since: r.fleet.now, waiters: []waiter{w}})
 	case atmostonce.Join:
 		if x := r.find(m.action); x != nil {
 			x.waiters = append(x.waiters, w)
@@ -159,7 +208,7 @@
 	if x.sending {
 		return
 	}
-	denied, err := r.ledger.Send(r.fleet.clock(r.host), x.sequence)
+	denied, err := x.ledger.Send(r.fleet.clock(r.host), x.sequence)
 	r.check(err)
 	if denied != nil {
 		r.finish(x, atmostonce.Failed(denied))
@@ -187,7 +236,7 @@
 	if x == nil {
 		return
 	}
-	r.check(r.ledger.NotRun(r.fleet.clock(r.host), x.sequence))
+	r.check(x.ledger.NotRun(r.fleet.clock(r.host), x.sequence))
 	x.sending = false
 	if x.action%3 == 0 {
 		r.finish(x, atmostonce.Failed(errkind.New(errkind.UpstreamRefused, "")))
@@ -205,7 +254,7 @@
 	for id := range r.nextID + 1 {
 		if fw, ok := r.forwards[id]; ok && r.waited(fw.since) {
 			delete(r.forwards, id)
-			r.fleet.answer(fw.action, answeredUnknown)
+			r.reply(fw.waiter, answeredUnknown)
 			return
 		}
 	}
@@ -220,7 +269,7 @@
 // timeoutExecution ends the askers' wait. The attempt goes on, like one that
 // was paused: it may ask to send, and its answer may come late.
 func (r *realMember) timeoutExecution(x *execution) {
-	result, err := r.ledger.Withdraw(r.fleet.clock(r.host), x.sequence)
+	result, err := x.ledger.Withdraw(r.fleet.clock(r.host), x.sequence)
 	r.check(err)
 	r.replyAll(x, result)
 }
@@ -233,7 +282,7 @@
 }
 
 func (r *realMember) finish(x *execution, result atmostonce.Result) {
-	result, err := r.ledger.Finish(r.fleet.clock(r.host), x.sequence, result)
+	result, err := x.ledger.Finish(r.fleet.clock(r.host), x.sequence, result)
 	r.check(err)
 	for i, e := range r.executions {
 		if e == x {
--- a/pkg/atmostonce/schedule_test.go
+++ b/pkg/atmostonce/schedule_test.go
@@ -26,12 +26,13 @@
 	opHeal
 	opLose
 	opDuplicate
+	opHandOver
 	numOps
 )
 
 var opNames = [numOps]string{
 	"deliver", "send", "ask", "askAgain", "late", "refuse", "advance", "timeout",
-	"kill", "pause", "wake", "split", "heal", "lose", "duplicate",
+	"kill", "pause", "wake", "split", "heal", "lose", "duplicate", "handOver",
 }
 
 // String lists the steps and the faults of each kind.
@@ -45,7 +46,7 @@
 }
 
 // weights makes ordinary progress more frequent than faults.
-var weights = [numOps]int{24, 12, 6, 6, 4, 1, 4, 3, 1, 1, 2, 1, 1, 1, 2}
+var weights = [numOps]int{24, 12, 6, 6, 4, 1, 4, 3, 1, 1, 2, 1, 1, 1, 2, 1}
 
 // without returns weights that hold only one of the faults; numOps keeps none.
 func without(only op) [numOps]int {
@@ -120,7 +121,7 @@
 		f.askAgain(s.a, s.b%fleetHosts)
 	case opDeliver, opRefuse, opLate, opLose, opDuplicate:
 		f.onMessage(s)
-	case opSend, opTimeout:
+	case opSend, opTimeout, opHandOver:
 		f.onMember(s, h)
 	case opAdvance:
 		f.now += stepTime
@@ -141,11 +142,14 @@
 	if h.paused {
 		return
 	}
-	if s.op == opSend {
+	switch s.op {
+	case opSend:
 		h.member.send(s.b)
-		return
+	case opTimeout:
+		h.member.timeout(s.b)
+	default:
+		h.member.handOver(s.b % fleetHosts)
 	}
-	h.member.timeout(s.b)
 }
 
 // onMessage acts on the oldest messages, except that a late step takes any.
@@ -170,7 +174,8 @@
 // duplicate copies a message between entry hosts or from a caller. What goes
 // to and from an upstream rides on one TCP connection, which does not double it.
 func (f *fleet) duplicate(m message) {
-	if m.kind == askMessage || m.kind == forwardMessage || m.kind == replyMessage {
+	switch m.kind {
+	case askMessage, forwardMessage, replyMessage, adoptMessage:
 		f.queue = append(f.queue, m)
 	}
 }
