Check every setting before a socket opens

Cause: settings grow with the parts; a wrong one must fail closed and name the flag. Ruled out: checking where a setting is used, since a socket would be open by then. Before: no test.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,16 +47,16 @@
 	}
 	e := &Entry{conf: conf, host: addr.String(), events: logging.New(w, level)}
 	e.client = upstream.New(upstream.Config{
-		DialTimeout:      conf.DialTimeout,
+		DialTimeout:      conf.Limits.DialTimeout,
 		IdlePerUpstream:  idlePerUpstream,
-		MaxResponseBytes: conf.MaxBodyBytes,
+		MaxResponseBytes: conf.Limits.MaxBodyBytes,
 	})
 	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
 	e.proxy = proxy.New(e.host, incarnation, e.client, e.events)
 	e.server = httpwire.NewServer(httpwire.ServerConfig{
 		Address:      conf.Listen,
-		MaxBodyBytes: conf.MaxBodyBytes,
-		IdleTimeout:  conf.IdleTimeout,
+		MaxBodyBytes: conf.Limits.MaxBodyBytes,
+		IdleTimeout:  conf.Limits.IdleTimeout,
 		Handler:      e.proxy,
 	})
 	e.control = newControl(e.host, platform.NewClient(conf.Platform), conf.WatchWait, e.proxy, e.events)
@@ -91,7 +91,7 @@
 
 // finish waits for the requests in flight and returns how many were cut off.
 func (e *Entry) finish() int64 {
-	deadline := time.Now().Add(e.conf.StopTimeout)
+	deadline := time.Now().Add(e.conf.Stop.Timeout)
 	for e.server.InFlight() > 0 && time.Now().Before(deadline) {
 		time.Sleep(finishPoll)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,25 +4,22 @@
 package settings
 
 import (
-	"net/netip"
-	"os"
-	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
 	"github.com/spf13/pflag"
 )
 
-// EnvPrefix starts the name of every environment variable of the project.
-const EnvPrefix = "DAPPLESPINDLE_"
-
-// Entry holds the settings of an entry host.
+// Entry holds the settings of an entry host. Units and defaults stand in
+// Register, which is also what --help prints.
 type Entry struct {
 	// Listen is the IP:port for callers.
 	Listen string
-	// AdminListen is the IP:port for health, metrics and operators.
+	// AdminListen is the IP:port for health and metrics.
 	AdminListen string
+	// PeerListen is the IP:port for other entry hosts. Peers reach this host there.
+	PeerListen string
+	// OperatorListen is the IP:port for operators.
+	OperatorListen string
 	// FailureDomain is where this host runs.
 	FailureDomain string
 	// Platform is the base URL of the platform's services.
@@ -31,104 +28,106 @@
 	LogLevel string
 	// WatchWait is how long one configuration watch waits at the platform.
 	WatchWait time.Duration
+	// JoinTimeout bounds waiting for peers before the first configuration is taken from the platform alone.
+	JoinTimeout time.Duration
+	// MaxEntryHosts bounds the entry host processes that can exist at once.
+	MaxEntryHosts int
+	// OTLPEndpoint is the IP:port of a trace collector; empty turns traces off.
+	OTLPEndpoint string
+	// TraceSampleRate is the share of requests whose spans are exported.
+	TraceSampleRate float64
+	// Limits bounds what callers may send.
+	Limits Limits
+	// Tickets bounds single execution.
+	Tickets Tickets
+	// Stop holds the times of a planned stop.
+	Stop Stop
+	// CallerTLS, UpstreamTLS and PeerTLS name key files.
+	CallerTLS, UpstreamTLS, PeerTLS TLS
+}
+
+// Limits bounds messages and connections.
+type Limits struct {
+	// MaxHeadBytes bounds a request head, in bytes.
+	MaxHeadBytes int
 	// MaxBodyBytes bounds request and answer bodies, in bytes.
 	MaxBodyBytes int
 	// IdleTimeout closes a caller's idle connection.
 	IdleTimeout time.Duration
+	// HeadTimeout bounds receiving a request head.
+	HeadTimeout time.Duration
+	// BodyTimeout bounds receiving a request body.
+	BodyTimeout time.Duration
 	// DialTimeout bounds a connection to an upstream.
 	DialTimeout time.Duration
-	// StopTimeout bounds finishing the requests in flight at a planned stop.
-	StopTimeout time.Duration
 }
 
-// Register adds the flags to fs, with units and defaults.
+// Tickets bounds the records of single execution.
+type Tickets struct {
+	// Lifetime is how long a ticket may be used.
+	Lifetime time.Duration
+	// MaxRecords bounds the records held.
+	MaxRecords int
+	// MaxBytes bounds the answers held for replay, in bytes.
+	MaxBytes int
+}
+
+// Stop holds the times of a planned stop.
+type Stop struct {
+	// Grace is how long a stopping host still accepts, so that the platform's balancer moves away.
+	Grace time.Duration
+	// Timeout bounds finishing the requests in flight.
+	Timeout time.Duration
+}
+
+// TLS names the files of one role. All empty turns TLS off for the role.
+type TLS struct {
+	// CertFile and KeyFile hold this host's certificate and key, in PEM.
+	CertFile, KeyFile string
+	// CAFile holds the certificates that sign the other side's, in PEM.
+	CAFile string
+}
+
+// Register adds the flags to fs.
 func (e *Entry) Register(fs *pflag.FlagSet) {
 	fs.StringVar(&e.Listen, "listen", "127.0.0.1:8080", "IP:port for callers")
 	fs.StringVar(&e.AdminListen, "admin-listen", "127.0.0.1:8081", "IP:port for health and metrics")
+	fs.StringVar(&e.PeerListen, "peer-listen", "127.0.0.1:8082", "IP:port for other entry hosts")
+	fs.StringVar(&e.OperatorListen, "operator-listen", "127.0.0.1:8083", "IP:port for operators")
 	fs.StringVar(&e.FailureDomain, "failure-domain", "", "failure domain of this host (required)")
 	fs.StringVar(&e.Platform, "platform", "", "base URL of the platform, http://IP:port (required)")
 	fs.StringVar(&e.LogLevel, "log-level", "info", "debug, info, warn or error")
 	fs.DurationVar(&e.WatchWait, "watch-wait", 20*time.Second, "time one configuration watch waits")
-	fs.IntVar(&e.MaxBodyBytes, "max-body-bytes", 16<<20, "largest body, in bytes")
-	fs.DurationVar(&e.IdleTimeout, "idle-timeout", 120*time.Second, "time until an idle caller connection is closed")
-	fs.DurationVar(&e.DialTimeout, "dial-timeout", time.Second, "time to connect to an upstream")
-	fs.DurationVar(&e.StopTimeout, "stop-timeout", 30*time.Second, "time to finish requests in flight when stopping")
-}
-
-// Validate reports the first setting that is wrong.
-func (e *Entry) Validate() error {
-	if err := checkAddress("listen", e.Listen); err != nil {
-		return err
-	}
-	if err := checkAddress("admin-listen", e.AdminListen); err != nil {
-		return err
-	}
-	if e.FailureDomain == "" {
-		return errors.New("failure-domain: is empty; set it to where this host runs")
-	}
-	if !strings.HasPrefix(e.Platform, "http://") {
-		return errors.Newf("platform: %q is not http://IP:port", e.Platform)
-	}
-	if err := checkAddress("platform", strings.TrimPrefix(e.Platform, "http://")); err != nil {
-		return err
-	}
-	if _, err := zerolog.ParseLevel(e.LogLevel); err != nil {
-		return errors.Newf("log-level: %q is not debug, info, warn or error", e.LogLevel)
-	}
-	if e.MaxBodyBytes < 1 {
-		return errors.New("max-body-bytes: is not positive")
-	}
-	return checkPositive(map[string]time.Duration{
-		"watch-wait":   e.WatchWait,
-		"idle-timeout": e.IdleTimeout,
-		"dial-timeout": e.DialTimeout,
-		"stop-timeout": e.StopTimeout,
-	})
+	fs.DurationVar(&e.JoinTimeout, "join-timeout", 5*time.Second, "time to wait for peers before serving from the platform alone")
+	fs.IntVar(&e.MaxEntryHosts, "max-entry-hosts", 32, "most entry host processes that can exist at once, those being replaced included")
+	fs.StringVar(&e.OTLPEndpoint, "otlp-endpoint", "", "IP:port of an OTLP gRPC collector; empty: no traces")
+	fs.Float64Var(&e.TraceSampleRate, "trace-sample-rate", 0.01, "share of requests traced, 0 to 1")
+	e.Limits.register(fs)
+	e.Tickets.register(fs)
+	fs.DurationVar(&e.Stop.Grace, "stop-grace", 2*time.Second, "time a stopping host still accepts")
+	fs.DurationVar(&e.Stop.Timeout, "stop-timeout", 30*time.Second, "time to finish requests in flight when stopping")
+	e.CallerTLS.register(fs, "caller", "towards callers")
+	e.UpstreamTLS.register(fs, "upstream", "towards upstreams")
+	e.PeerTLS.register(fs, "peer", "between entry hosts and towards operators")
 }
 
-func checkAddress(name, value string) error {
-	if _, err := netip.ParseAddrPort(value); err != nil {
-		return errors.Newf("%s: %q is not IP:port", name, value)
-	}
-	return nil
+func (l *Limits) register(fs *pflag.FlagSet) {
+	fs.IntVar(&l.MaxHeadBytes, "max-head-bytes", 64<<10, "largest request head, in bytes")
+	fs.IntVar(&l.MaxBodyBytes, "max-body-bytes", 16<<20, "largest body, in bytes")
+	fs.DurationVar(&l.IdleTimeout, "idle-timeout", 120*time.Second, "time until an idle caller connection is closed")
+	fs.DurationVar(&l.HeadTimeout, "head-timeout", 10*time.Second, "time to receive a request head")
+	fs.DurationVar(&l.BodyTimeout, "body-timeout", 60*time.Second, "time to receive a request body")
+	fs.DurationVar(&l.DialTimeout, "dial-timeout", time.Second, "time to connect to an upstream")
 }
 
-func checkPositive(durations map[string]time.Duration) error {
-	for name, d := range durations {
-		if d <= 0 {
-			return errors.Newf("%s: %s is not positive", name, d)
-		}
-	}
-	return nil
+func (t *Tickets) register(fs *pflag.FlagSet) {
+	fs.DurationVar(&t.Lifetime, "ticket-lifetime", 60*time.Second, "time an execution ticket may be used")
+	fs.IntVar(&t.MaxRecords, "ticket-max-records", 100_000, "most execution records held")
+	fs.IntVar(&t.MaxBytes, "ticket-max-bytes", 64<<20, "most bytes of answers held for replay")
 }
 
-// FromEnvironment sets each flag that was not given from its environment
-// variable. A variable with our prefix that names no flag is an error.
-func FromEnvironment(fs *pflag.FlagSet, environ []string) error {
-	for _, kv := range environ {
-		key, value, _ := strings.Cut(kv, "=")
-		if !strings.HasPrefix(key, EnvPrefix) {
-			continue
-		}
-		name := flagName(key)
-		f := fs.Lookup(name)
-		if f == nil {
-			return errors.Newf("%s: no such setting; see --help", key)
-		}
-		if f.Changed {
-			continue
-		}
-		if err := fs.Set(name, value); err != nil {
-			return errors.Wrapf(err, "%s", key)
-		}
-	}
-	return nil
-}
-
-// FromProcess is FromEnvironment with this process's variables.
-func FromProcess(fs *pflag.FlagSet) error { return FromEnvironment(fs, os.Environ()) }
-
-func flagName(key string) string {
-	name := strings.ToLower(strings.TrimPrefix(key, EnvPrefix))
-	return strings.ReplaceAll(name, "_", "-")
+func (t *TLS) register(fs *pflag.FlagSet, role, side string) {
+	fs.StringVar(&t.CertFile, role+"-tls-cert", "", "PEM file of this host's certificate "+side+"; empty: no TLS")
+	fs.StringVar(&t.KeyFile, role+"-tls-key", "", "PEM file of this host's key "+side)
+	fs.StringVar(&t.CAFile, role+"-tls-ca", "", "PEM file of the CA that signs the other side "+side)
 }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,70 @@
+package settings
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/spf13/pflag"
+)
+
+func parse(t *testing.T, args []string, environ []string) (Entry, error) {
+	t.Helper()
+	var e Entry
+	fs := pflag.NewFlagSet("test", pflag.ContinueOnError)
+	e.Register(fs)
+	all := append([]string{"--failure-domain=hanoi", "--platform=http://127.0.0.1:7000"}, args...)
+	if err := fs.Parse(all); err != nil {
+		return e, err
+	}
+	if err := FromEnvironment(fs, environ); err != nil {
+		return e, err
+	}
+	return e, e.Validate()
+}
+
+func TestValidateNamesTheSetting(t *testing.T) {
+	tests := []struct {
+		name, arg, want string
+	}{
+		{"host name", "--listen=localhost:80", `listen: "localhost:80" is not IP:port`},
+		{"no port", "--peer-listen=127.0.0.1:0", `peer-listen: "127.0.0.1:0" has no port`},
+		{"used twice", "--admin-listen=127.0.0.1:8080", "admin-listen: 127.0.0.1:8080 is already used by listen"},
+		{"domain", "--failure-domain=", "failure-domain: is empty; set it to where this host runs"},
+		{"platform", "--platform=ftp://127.0.0.1:1", `platform: "ftp://127.0.0.1:1" is not http://IP:port`},
+		{"level", "--log-level=loud", `log-level: "loud" is not debug, info, warn or error`},
+		{"body", "--max-body-bytes=0", "max-body-bytes: 0 is not positive"},
+		{"timeout", "--dial-timeout=0s", "dial-timeout: 0s is not positive"},
+		{"grace", "--stop-grace=-1s", "stop-grace: -1s is negative"},
+		{"sample", "--trace-sample-rate=2", "trace-sample-rate: 2 is outside 0 to 1"},
+		{"key without cert", "--peer-tls-key=/none", "peer-tls-cert, peer-tls-key: set both"},
+		{"upstream without CA", "--upstream-tls-cert=/none", "upstream-tls-ca: is empty; the other side's certificate must be checked"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := parse(t, []string{tt.arg}, nil)
+			is.True(err != nil)
+			is.Equal(err.Error(), tt.want)
+		})
+	}
+}
+
+func TestEnvironment(t *testing.T) {
+	t.Run("variable sets a flag", func(t *testing.T) {
+		is := is.New(t)
+		e, err := parse(t, nil, []string{"DAPPLESPINDLE_MAX_BODY_BYTES=7", "HOME=/"})
+		is.NoErr(err)
+		is.Equal(e.Limits.MaxBodyBytes, 7)
+	})
+	t.Run("a flag wins", func(t *testing.T) {
+		is := is.New(t)
+		e, err := parse(t, []string{"--max-body-bytes=8"}, []string{"DAPPLESPINDLE_MAX_BODY_BYTES=7"})
+		is.NoErr(err)
+		is.Equal(e.Limits.MaxBodyBytes, 8)
+	})
+	t.Run("an unknown variable is an error", func(t *testing.T) {
+		is := is.New(t)
+		_, err := parse(t, nil, []string{"DAPPLESPINDLE_MAX_BODY=7"})
+		is.True(err != nil)
+	})
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -26,6 +26,7 @@
 for i in $(seq 1 "$entries"); do
   port=$((8080 + 10 * i))
   bin/spindled --listen "127.0.0.1:$port" --admin-listen "127.0.0.1:$((port + 1))" \
+    --peer-listen "127.0.0.1:$((port + 2))" --operator-listen "127.0.0.1:$((port + 3))" \
     --failure-domain "${domains[$(((i - 1) % ${#domains[@]}))]}" \
     --platform http://127.0.0.1:7000 --log-level debug >"$out/entry-$i.log" 2>&1 & pids+=($!)
   targets+=("http://127.0.0.1:$port")
