Pass the event loop's own messages on as numbered events

Cause: nbio prints plain lines to standard output among the JSON log. Ruled out: silencing it, since its warnings matter. Before: 4 plain lines per start.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,6 +46,7 @@
 		return nil, err
 	}
 	e := &Entry{conf: conf, host: addr.String(), events: logging.New(w, level)}
+	logging.CaptureLibrary(e.events)
 	e.client = upstream.New(upstream.Config{
 		DialTimeout:      conf.Limits.DialTimeout,
 		IdlePerUpstream:  idlePerUpstream,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,8 @@
 	AdminListen string
 	// PeerListen is the IP:port for other entry hosts. Peers reach this host there.
 	PeerListen string
+	// PeerAdvertise is the IP:port at which peers reach this host, if not PeerListen.
+	PeerAdvertise string
 	// OperatorListen is the IP:port for operators.
 	OperatorListen string
 	// FailureDomain is where this host runs.
@@ -93,6 +95,7 @@
 	fs.StringVar(&e.Listen, "listen", "127.0.0.1:8080", "IP:port for callers")
 	fs.StringVar(&e.AdminListen, "admin-listen", "127.0.0.1:8081", "IP:port for health and metrics")
 	fs.StringVar(&e.PeerListen, "peer-listen", "127.0.0.1:8082", "IP:port for other entry hosts")
+	fs.StringVar(&e.PeerAdvertise, "peer-advertise", "", "IP:port at which peers reach this host; empty: peer-listen")
 	fs.StringVar(&e.OperatorListen, "operator-listen", "127.0.0.1:8083", "IP:port for operators")
 	fs.StringVar(&e.FailureDomain, "failure-domain", "", "failure domain of this host (required)")
 	fs.StringVar(&e.Platform, "platform", "", "base URL of the platform, http://IP:port (required)")
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -67,8 +67,15 @@
 		}
 		seen[a.value] = a.name
 	}
-	if e.OTLPEndpoint != "" {
-		if err := checkAddress("otlp-endpoint", e.OTLPEndpoint); err != nil {
+	optional := []struct{ name, value string }{
+		{"peer-advertise", e.PeerAdvertise},
+		{"otlp-endpoint", e.OTLPEndpoint},
+	}
+	for _, o := range optional {
+		if o.value == "" {
+			continue
+		}
+		if err := checkAddress(o.name, o.value); err != nil {
 			return err
 		}
 	}
@@ -185,3 +192,11 @@
 	}
 	return nil
 }
+
+// PeerAddress returns the IP:port at which peers reach this host.
+func (e *Entry) PeerAddress() string {
+	if e.PeerAdvertise != "" {
+		return e.PeerAdvertise
+	}
+	return e.PeerListen
+}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -21,6 +21,7 @@
 	slots  chan struct{}
 	active atomic.Int64
 	slowed atomic.Int64
+	served atomic.Int64
 
 	mu     sync.Mutex
 	ledger map[string]int
@@ -37,11 +38,13 @@
 	HeaderLoad   = "X-Load-Active"
 )
 
-// Handler returns the HTTP interface: /_ledger lists what ran, /_slow?factor=N
+// Handler returns the HTTP interface: /_ledger lists what ran, /_served counts
+// the requests that arrived, /_slow?factor=N
 // slows the upstream down, and every other path is work.
 func (u *Upstream) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /_ledger", u.getLedger)
+	mux.HandleFunc("GET /_served", u.getServed)
 	mux.HandleFunc("POST /_slow", u.slow)
 	mux.HandleFunc("/", u.work)
 	return mux
@@ -63,6 +66,7 @@
 	if err != nil {
 		return
 	}
+	u.served.Add(1)
 	u.active.Add(1)
 	defer u.active.Add(-1)
 	select {
@@ -99,6 +103,10 @@
 
 func (u *Upstream) getLedger(w http.ResponseWriter, _ *http.Request) { writeJSON(w, u.Ledger()) }
 
+func (u *Upstream) getServed(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, strconv.FormatInt(u.served.Load(), 10)+"\n")
+}
+
 func (u *Upstream) slow(w http.ResponseWriter, r *http.Request) {
 	factor, err := strconv.ParseInt(r.URL.Query().Get("factor"), 10, 64)
 	if err != nil {
--- a/pkg/event/process_events.go
+++ b/pkg/event/process_events.go
@@ -6,6 +6,7 @@
 	ProcessReady    Code = 1002
 	ProcessStopping Code = 1003
 	ProcessStopped  Code = 1004
+	LibraryMessage  Code = 1005
 )
 
 // processEvents describes the codes 1xxx: the process.
@@ -14,4 +15,5 @@
 	ProcessReady:    {"process-ready", Info, "The entry host has a configuration and takes requests.", ""},
 	ProcessStopping: {"process-stopping", Info, "The entry host takes no new requests and finishes those in flight.", "requests in flight"},
 	ProcessStopped:  {"process-stopped", Info, "The entry host stopped.", "requests cut off"},
+	LibraryMessage:  {"library-message", Warn, "The event loop library reported a problem.", ""},
 }
