--- /dev/null
+++ b/pkg/probebudget/outcome.go
@@ -0,0 +1,13 @@
+package probebudget
+
+// Outcome states how a probe ended.
+type Outcome uint8
+
+const (
+	// Answered means the upstream's whole answer arrived: its work is over.
+	Answered Outcome = iota
+	// GivenUp means that the upstream may still receive the probe, within Plan.Linger.
+	GivenUp
+	// NotSent means that no byte can have left this host.
+	NotSent
+)
