Interpret state charts from checked files

Cause: lifecycles stand in code branches that nobody can check or read whole. Charts of upstream, request, entry host and configuration are files; unknown names, unreachable states, second arrows, a missing initial state, dead ends and unused events stop the program at start with file and line.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Commands for developers. `make test` is what CI runs; measurements are apart.
 BINARIES := spindled spindle-standin spindle-load
 
-.PHONY: build demo test unit lint ldd
+.PHONY: build demo test unit lint ldd charts measure-lifecycle
 
 build:
 	@mkdir -p bin
@@ -23,3 +23,12 @@
 # Every binary is linked to the C library, as the platform expects.
 ldd: build
 	@for b in $(BINARIES); do ldd bin/$$b | grep -q libc.so || { echo "$$b is not linked to libc"; exit 1; }; done
+
+# Writes docs/CHARTS.md from the chart files.
+charts:
+	CHARTS_WRITE=1 go test -count=1 ./charts
+
+# Figures of docs/design/04 and 08: budget, drain and charts under faults.
+measure-lifecycle:
+	go test -count=1 -v -run 'Window|Restarts|News|Seconds|Bytes' ./pkg/probebudget ./pkg/lifecycle -rapid.checks=2000
+	go test -count=1 -run '^$$' -bench . ./charts ./pkg/lifecycle ./pkg/probebudget
--- /dev/null
+++ b/pkg/statechart/parse.go
@@ -0,0 +1,197 @@
+package statechart
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"gopkg.in/yaml.v3"
+)
+
+// Limits of one chart.
+const (
+	maxStates  = 255
+	maxEvents  = 255
+	maxEffects = 32
+)
+
+// Problem is one fault of a chart file.
+type Problem struct {
+	// Line is where, from 1; 0 for the whole file.
+	Line int
+	// Text says what is wrong.
+	Text string
+}
+
+// FileError lists the faults of one chart file.
+type FileError struct {
+	// File is the name of the file.
+	File string
+	// Problems are the faults in the order they were found.
+	Problems []Problem
+}
+
+// Error implements error, with one "file:line: text" per fault.
+func (e *FileError) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = fmt.Sprintf("%s:%d: %s", e.File, p.Line, p.Text)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// parser collects the faults of one file.
+type parser struct {
+	chart    *Chart
+	problems []Problem
+}
+
+func (p *parser) fault(line int, format string, args ...any) {
+	p.problems = append(p.problems, Problem{line, fmt.Sprintf(format, args...)})
+}
+
+// Parse reads and checks a chart. The error is a *FileError with every fault.
+func Parse(file string, content []byte) (*Chart, error) {
+	var root yaml.Node
+	if err := yaml.Unmarshal(content, &root); err != nil {
+		return nil, &FileError{file, []Problem{{0, err.Error()}}}
+	}
+	p := &parser{chart: &Chart{}}
+	if len(root.Content) == 0 {
+		p.fault(0, "the file is empty")
+	} else {
+		p.readChart(&root, root.Content[0])
+	}
+	if len(p.problems) == 0 {
+		p.check()
+	}
+	if len(p.problems) > 0 {
+		return nil, &FileError{file, p.problems}
+	}
+	p.chart.compile()
+	return p.chart, nil
+}
+
+func (p *parser) readChart(root, n *yaml.Node) {
+	c := p.chart
+	fields := p.fields(n, "name", "initial", "events", "effects", "states", "arrows")
+	c.doc = comment(root, n)
+	c.name = p.text(n, fields["name"], "name")
+	c.events = p.items(fields["events"], maxEvents)
+	c.effects = p.items(fields["effects"], maxEffects)
+	c.states = p.items(fields["states"], maxStates)
+	if len(c.states) == 0 {
+		p.fault(n.Line, "there are no states")
+	}
+	if initial := fields["initial"]; initial == nil {
+		p.fault(n.Line, "initial is missing")
+	} else {
+		c.initial = State(p.lookup("state", c.states, initial))
+	}
+	for _, a := range p.list(fields["arrows"]) {
+		p.readArrow(a)
+	}
+}
+
+// comment returns the text of the comment at the head of the file.
+func comment(nodes ...*yaml.Node) string {
+	for _, n := range append(nodes, nodes[len(nodes)-1].Content...) {
+		if text := strings.TrimSpace(strings.TrimPrefix(n.HeadComment, "#")); text != "" {
+			return strings.ReplaceAll(text, "\n# ", " ")
+		}
+	}
+	return ""
+}
+
+func (p *parser) readArrow(n *yaml.Node) {
+	c := p.chart
+	f := p.fields(n, "from", "event", "to", "do")
+	for _, k := range []string{"from", "event", "to"} {
+		if f[k] == nil {
+			p.fault(n.Line, "the arrow has no %s", k)
+			return
+		}
+	}
+	arrow := Arrow{line: n.Line}
+	arrow.Event = Event(p.lookup("event", c.events, f["event"]))
+	arrow.To = State(p.lookup("state", c.states, f["to"]))
+	for _, e := range p.list(f["do"]) {
+		arrow.Effects |= 1 << p.lookup("effect", c.effects, e)
+	}
+	sources := []*yaml.Node{f["from"]}
+	if f["from"].Kind == yaml.SequenceNode {
+		sources = f["from"].Content
+	}
+	for _, from := range sources {
+		arrow.From = State(p.lookup("state", c.states, from))
+		c.arrows = append(c.arrows, arrow)
+	}
+}
+
+// fields returns the values of a mapping by key.
+func (p *parser) fields(n *yaml.Node, allowed ...string) map[string]*yaml.Node {
+	out := make(map[string]*yaml.Node)
+	if n.Kind != yaml.MappingNode {
+		p.fault(n.Line, "not a mapping with the keys %s", strings.Join(allowed, ", "))
+		return out
+	}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		key := n.Content[i]
+		switch {
+		case !slices.Contains(allowed, key.Value):
+			p.fault(key.Line, "unknown key %q; known are %s", key.Value, strings.Join(allowed, ", "))
+		case out[key.Value] != nil:
+			p.fault(key.Line, "key %q stands twice", key.Value)
+		}
+		out[key.Value] = n.Content[i+1]
+	}
+	return out
+}
+
+func (p *parser) list(n *yaml.Node) []*yaml.Node {
+	if n == nil {
+		return nil
+	}
+	if n.Kind != yaml.SequenceNode {
+		p.fault(n.Line, "not a list")
+		return nil
+	}
+	return n.Content
+}
+
+func (p *parser) text(parent, n *yaml.Node, field string) string {
+	if n == nil || n.Kind != yaml.ScalarNode || n.Value == "" {
+		p.fault(parent.Line, "%s is missing or not a text", field)
+		return ""
+	}
+	return n.Value
+}
+
+func (p *parser) items(n *yaml.Node, limit int) []Item {
+	var out []Item
+	for _, entry := range p.list(n) {
+		f := p.fields(entry, "name", "doc", "final")
+		item := Item{Name: p.text(entry, f["name"], "name"), Doc: p.text(entry, f["doc"], "doc"), line: entry.Line}
+		if final := f["final"]; final != nil {
+			item.Final = final.Value == "true"
+		}
+		if indexOf(out, item.Name) >= 0 {
+			p.fault(entry.Line, "%q is declared twice", item.Name)
+		}
+		out = append(out, item)
+	}
+	if len(out) > limit {
+		p.fault(n.Line, "%d entries; at most %d are allowed", len(out), limit)
+	}
+	return out
+}
+
+// lookup returns the index of the declared name, or 0 after a fault.
+func (p *parser) lookup(kind string, items []Item, n *yaml.Node) int {
+	i := indexOf(items, n.Value)
+	if i < 0 {
+		p.fault(n.Line, "unknown %s %q", kind, n.Value)
+		return 0
+	}
+	return i
+}
