Measure seconds from each source to no new requests

Tried first: pushing new words only, 5 rounds to 2 peers. Some trials never reached the last host (over 60 s), so each host also sends all its words to one peer a second.

--- /dev/null
+++ b/pkg/lifecycle/seconds_test.go
@@ -0,0 +1,170 @@
+package lifecycle
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+)
+
+// The schedule of the fleet in TestSecondsToNoNewRequests, in virtual time.
+const (
+	fleetHosts   = 13
+	fleetStep    = 50 * time.Millisecond
+	gossipEvery  = 4 // steps
+	gossipFanout = 2
+	gossipRounds = 5  // how often a host repeats a new word
+	repairEvery  = 20 // steps; then a host sends all its words to one peer
+	lossPercent  = 20
+	listPoll     = 5 * time.Second // of each host
+	documentLag  = 2 * time.Second // largest, of each host
+	fleetRate    = 20              // requests a second to the upstream, all hosts
+	fleetTrials  = 200
+)
+
+type fleetHost struct {
+	registry *Registry
+	snapshot *Snapshot
+	words    []Word
+	rounds   int
+	learnsAt time.Duration // by its own reading of the source
+}
+
+// source says how the fleet hears that the upstream leaves.
+type source struct {
+	name   string
+	lag    time.Duration // each host reads it at a time up to this
+	read   func(*Registry, time.Time)
+	refuse bool // each request is refused with the leaving header
+}
+
+var sources = []source{
+	{name: "document", lag: documentLag, read: func(r *Registry, now time.Time) {
+		r.Configure(now, "lots", 2, []Listing{{Upstream: "u", Draining: true}})
+	}},
+	{name: "host list", lag: listPoll, read: func(r *Registry, now time.Time) { r.HostLeaving(now, testMember) }},
+	{name: "upstream's refusal", refuse: true},
+	{name: "one peer's word", read: nil},
+}
+
+// TestSecondsToNoNewRequests measures how long after the first chance to know
+// the last of 13 entry hosts stops sending, with and without peers' words.
+func TestSecondsToNoNewRequests(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, s := range sources {
+		for _, gossip := range []bool{true, false} {
+			if s.read == nil && !s.refuse && !gossip {
+				continue
+			}
+			var took []time.Duration
+			sent := 0
+			for range fleetTrials {
+				d, n := spread(rng, s, gossip)
+				took = append(took, d)
+				sent += n
+			}
+			slices.Sort(took)
+			t.Logf("%-20s peers' words %-5v p50 %5.2f s, max %5.2f s, requests to the leaving upstream %.1f",
+				s.name, gossip, took[len(took)/2].Seconds(), took[len(took)-1].Seconds(), float64(sent)/fleetTrials)
+			is.True(!gossip || took[len(took)-1] < 10*time.Second)
+		}
+	}
+}
+
+// spread returns when the last host stopped, and the requests sent until then.
+func spread(rng *rand.Rand, s source, gossip bool) (time.Duration, int) {
+	start := time.Unix(1000, 0)
+	hosts := make([]fleetHost, fleetHosts)
+	for i := range hosts {
+		h := &hosts[i]
+		h.registry = NewRegistry(DefaultConfig(), event.Discard{})
+		h.registry.Configure(start, "lots", 1, []Listing{{Upstream: "u"}})
+		h.flush()
+		h.learnsAt = time.Duration(rng.Int64N(int64(s.lag) + 1))
+	}
+	if s.read == nil && !s.refuse {
+		hosts[0].registry.Refused(start, testMember, 0)
+	}
+	sent := 0
+	for step := 0; ; step++ {
+		elapsed := time.Duration(step) * fleetStep
+		if elapsed > time.Minute {
+			return elapsed, sent
+		}
+		now := start.Add(elapsed)
+		for i := range hosts {
+			h := &hosts[i]
+			if s.read != nil && elapsed >= h.learnsAt {
+				s.read(h.registry, now)
+			}
+			if gossip && step%gossipEvery == 0 {
+				h.tellPeers(rng, hosts, now)
+			}
+			if gossip && step%repairEvery == i {
+				h.tellOne(rng, hosts, now, h.registry.Words())
+			}
+			h.flush()
+		}
+		if rng.Float64() < fleetRate*fleetStep.Seconds() {
+			h := &hosts[rng.IntN(fleetHosts)]
+			if h.snapshot.Takes(testMember) {
+				sent++
+				if s.refuse {
+					h.registry.Refused(now, testMember, 0)
+				}
+			}
+		}
+		if !slices.ContainsFunc(hosts, func(h fleetHost) bool { return h.snapshot.Takes(testMember) }) {
+			return elapsed, sent
+		}
+	}
+}
+
+func (h *fleetHost) flush() {
+	snapshot, words := h.registry.Flush()
+	if snapshot != nil {
+		h.snapshot = snapshot
+	}
+	if len(words) > 0 {
+		h.words = words
+		h.rounds = gossipRounds
+	}
+}
+
+func (h *fleetHost) tellPeers(rng *rand.Rand, hosts []fleetHost, now time.Time) {
+	if h.rounds == 0 {
+		return
+	}
+	h.rounds--
+	for range gossipFanout {
+		h.tellOne(rng, hosts, now, h.words)
+	}
+}
+
+func (h *fleetHost) tellOne(rng *rand.Rand, hosts []fleetHost, now time.Time, words []Word) {
+	peer := &hosts[rng.IntN(len(hosts))]
+	if rng.IntN(100) < lossPercent {
+		return
+	}
+	for _, w := range words {
+		peer.registry.Merge(now, w)
+	}
+}
+
+// BenchmarkTakes measures the check before a send.
+func BenchmarkTakes(b *testing.B) {
+	r := NewRegistry(DefaultConfig(), event.Discard{})
+	r.Configure(time.Unix(1000, 0), "lots", 1, []Listing{{Upstream: "u"}})
+	s, _ := r.Flush()
+	b.ReportAllocs()
+	for b.Loop() {
+		if s.CheckSend(testMember, s.Version) != Send {
+			b.Fatal("not sent")
+		}
+	}
+}
