Probe the stalest upstream inside the measuring budget

Cause: nothing sent probes, so nothing spent the budget. internal/prober asks pkg/probebudget, audits the send itself, staggers the first probe of each process, skips upstreams whose reports ride on answers, and charges what a slow probe takes beyond its cost. Checked in virtual time (go test ./internal/prober): spacing never below Plan.Window, slot time of probes that hang stays inside the share, no probe where reports ride on answers.

--- /dev/null
+++ b/internal/prober/prober.go
@@ -0,0 +1,238 @@
+// Package prober sends probes to upstreams, inside the measuring budget.
+//
+// It probes the upstream whose report is stalest, and none whose reports ride
+// on answers often enough. Every probe asks pkg/probebudget first, and the
+// send itself is audited.
+package prober
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/probebudget"
+)
+
+// HeaderLoad is the answer header with the requests active at the upstream.
+const HeaderLoad = "X-Load-Active"
+
+const pollInterval = 20 * time.Millisecond
+
+// Sender sends one request to one upstream.
+type Sender interface {
+	Do(ctx context.Context, address string, req *httpwire.Request) (*httpwire.Response, *errkind.Error)
+}
+
+// Report is what a probe learned.
+type Report struct {
+	// Upstream is its id.
+	Upstream string
+	// Active is the number of requests active there.
+	Active int
+	// Sent and Received are when the probe went out and the answer came.
+	Sent, Received time.Time
+}
+
+// Config configures a Prober.
+type Config struct {
+	// EntryHost is this host's IP, for events.
+	EntryHost string
+	// Sender sends the probes.
+	Sender Sender
+	// Events receives what was done.
+	Events event.Sink
+	// Report receives each report. It is called on the probe's goroutine.
+	Report func(Report)
+	// Path is the request path of a probe.
+	Path string
+	// Timeout ends a probe; it bounds the slot time that one probe takes.
+	Timeout time.Duration
+	// FreshFor is how long a report that rode on an answer makes a probe needless.
+	FreshFor time.Duration
+}
+
+// Prober sends probes until its context ends.
+type Prober struct {
+	conf    Config
+	targets atomic.Pointer[map[string]*target]
+
+	mu     sync.Mutex // guards budget and audit
+	budget *probebudget.Budget
+	audit  *probebudget.Audit
+}
+
+// New returns a prober without targets.
+func New(conf Config) *Prober {
+	p := &Prober{conf: conf, budget: probebudget.New(), audit: probebudget.NewAudit()}
+	p.targets.Store(&map[string]*target{})
+	return p
+}
+
+// SetTargets replaces the upstreams that may be probed. The control goroutine
+// calls it when the configuration changes.
+func (p *Prober) SetTargets(targets []Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := *p.targets.Load()
+	next := make(map[string]*target, len(targets))
+	for id, t := range merge(targets) {
+		known := old[id]
+		if err := p.budget.Configure(time.Now(), id, t.Plan); err != nil {
+			p.emit(event.Event{Code: event.BudgetRejected, Upstream: id, Detail: err.Error()})
+			continue
+		}
+		if known == nil && t.Plan.Enabled() {
+			p.budget.Stagger(id, rand.N(t.Plan.Window()))
+		}
+		next[id] = &target{Target: t}
+		if known != nil {
+			next[id].reported.Store(known.reported.Load())
+		}
+	}
+	for id := range old {
+		if next[id] == nil {
+			p.budget.Remove(id)
+		}
+	}
+	p.targets.Store(&next)
+}
+
+// Heard records that a report of an upstream rode on an answer. Traffic
+// goroutines call it; it takes no lock.
+func (p *Prober) Heard(upstream string, now time.Time) {
+	if t := (*p.targets.Load())[upstream]; t != nil {
+		t.reported.Store(now.UnixNano())
+	}
+}
+
+// Counters returns the probes of one upstream, for metrics.
+func (p *Prober) Counters(upstream string) probebudget.Counters {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Counters(upstream)
+}
+
+// Run sends probes until ctx ends.
+func (p *Prober) Run(ctx context.Context) {
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if t, g, ok := p.next(time.Now()); ok {
+			go p.probe(ctx, t, g)
+		}
+	}
+}
+
+// next takes a grant for the upstream with the stalest report.
+func (p *Prober) next(now time.Time) (*target, probebudget.Grant, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var stalest *target
+	age := p.conf.FreshFor
+	for id, t := range *p.targets.Load() {
+		due, ok := p.budget.Due(id)
+		if ok && !now.Before(due) && t.age(now) > age {
+			stalest, age = t, t.age(now)
+		}
+	}
+	if stalest == nil {
+		return nil, probebudget.Grant{}, false
+	}
+	g, ok := p.budget.Take(now, stalest.Upstream)
+	return stalest, g, ok
+}
+
+// probe sends one probe and ends its grant.
+func (p *Prober) probe(ctx context.Context, t *target, g probebudget.Grant) {
+	ctx, cancel := context.WithTimeout(ctx, p.conf.Timeout)
+	defer cancel()
+	sent := time.Now()
+	if !p.allowed(sent, t) {
+		p.settle(t, g, 0, probebudget.NotSent)
+		return
+	}
+	p.emit(event.Event{Code: event.ProbeSent, Upstream: t.Upstream, Value: int64(g.Cost)})
+	resp, err := p.conf.Sender.Do(ctx, t.Address, p.request(t))
+	received := time.Now()
+	took := min(received.Sub(sent), p.conf.Timeout)
+	p.settle(t, g, took, outcome(err))
+	if over := took - g.Cost; over > 0 {
+		p.emit(event.Event{Code: event.ProbeOverran, Upstream: t.Upstream, Value: int64(over)})
+	}
+	if err != nil {
+		p.emit(event.Event{Code: event.ProbeFailed, Upstream: t.Upstream, Reason: err.Kind.String(), Detail: err.Error(), Value: int64(took)})
+		return
+	}
+	p.report(t, resp, sent, received)
+}
+
+// allowed checks the send itself. A refusal is a broken invariant.
+func (p *Prober) allowed(now time.Time, t *target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	breach := p.audit.Send(now, t.Upstream, t.Plan)
+	if breach == nil {
+		return true
+	}
+	p.emit(event.Event{Code: event.ProbeOverBudget, Upstream: t.Upstream, Value: int64(breach.Early)})
+	return false
+}
+
+func (p *Prober) settle(t *target, g probebudget.Grant, took time.Duration, o probebudget.Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.budget.Settle(time.Now(), g, took, o) {
+		p.emit(event.Event{Code: event.GrantNotOpen, Upstream: t.Upstream})
+	}
+}
+
+// outcome states what is known about a probe that ended with err.
+func outcome(err *errkind.Error) probebudget.Outcome {
+	switch {
+	case err == nil:
+		return probebudget.Answered
+	case err.Kind.Answer().Outcome == errkind.NotRun && err.Kind != errkind.UpstreamRefused:
+		return probebudget.NotSent
+	default:
+		return probebudget.GivenUp
+	}
+}
+
+func (p *Prober) request(t *target) *httpwire.Request {
+	return &httpwire.Request{
+		Method: http.MethodGet,
+		Target: p.conf.Path,
+		Path:   p.conf.Path,
+		Host:   t.Address,
+		Header: http.Header{"User-Agent": {"dapplespindle-probe"}},
+	}
+}
+
+func (p *Prober) report(t *target, resp *httpwire.Response, sent, received time.Time) {
+	active, err := strconv.Atoi(resp.Header.Get(HeaderLoad))
+	if err != nil || active < 0 {
+		p.emit(event.Event{Code: event.ProbeFailed, Upstream: t.Upstream, Reason: "no-load-header", Value: int64(received.Sub(sent))})
+		return
+	}
+	t.reported.Store(received.UnixNano())
+	p.emit(event.Event{Code: event.ProbeAnswered, Upstream: t.Upstream, Value: int64(active)})
+	p.conf.Report(Report{Upstream: t.Upstream, Active: active, Sent: sent, Received: received})
+}
+
+func (p *Prober) emit(e event.Event) {
+	e.At = time.Now()
+	e.EntryHost = p.conf.EntryHost
+	p.conf.Events.Emit(e)
+}
--- /dev/null
+++ b/internal/prober/prober_test.go
@@ -0,0 +1,139 @@
+package prober
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/probebudget"
+)
+
+var plan = probebudget.Plan{MaxHosts: 4, Slots: 3, SlotTimePercent: 10, Cost: 6 * time.Millisecond, Linger: 100 * time.Millisecond}
+
+// fakeUpstreams answers after a delay and records when probes came.
+type fakeUpstreams struct {
+	mu    sync.Mutex
+	delay time.Duration
+	load  string
+	sent  map[string][]time.Time
+}
+
+func (f *fakeUpstreams) Do(ctx context.Context, address string, _ *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+	f.mu.Lock()
+	f.sent[address] = append(f.sent[address], time.Now())
+	f.mu.Unlock()
+	select {
+	case <-time.After(f.delay):
+		return &httpwire.Response{Status: http.StatusOK, Header: http.Header{HeaderLoad: {f.load}}}, nil
+	case <-ctx.Done():
+		return nil, errkind.New(errkind.DeadlineAfterSend, "probe")
+	}
+}
+
+type recorder struct {
+	mu    sync.Mutex
+	codes map[event.Code]int
+}
+
+func (r *recorder) Emit(e event.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.codes[e.Code]++
+}
+
+type rig struct {
+	*Prober
+	upstreams *fakeUpstreams
+	events    *recorder
+	reports   []Report
+}
+
+func newRig(delay time.Duration, load string) *rig {
+	r := &rig{
+		upstreams: &fakeUpstreams{delay: delay, load: load, sent: map[string][]time.Time{}},
+		events:    &recorder{codes: map[event.Code]int{}},
+	}
+	r.Prober = New(Config{
+		Sender: r.upstreams, Events: r.events, Path: "/load", Timeout: 50 * time.Millisecond, FreshFor: 100 * time.Millisecond,
+		Report: func(x Report) { r.reports = append(r.reports, x) },
+	})
+	return r
+}
+
+func (r *rig) runFor(t *testing.T, d time.Duration) {
+	ctx, cancel := context.WithCancel(t.Context())
+	go r.Run(ctx)
+	time.Sleep(d)
+	cancel()
+	synctest.Wait()
+}
+
+func TestProbesStayInTheShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(2*time.Millisecond, "2")
+		r.SetTargets([]Target{{"a", "a:1", plan}, {"b", "b:1", plan}, {"a", "a:1", plan}})
+		r.runFor(t, 10*time.Second)
+		for _, at := range r.upstreams.sent {
+			is.True(len(at) > 50) // of 125 that the share allows
+			for i := 1; i < len(at); i++ {
+				is.True(at[i].Sub(at[i-1]) >= plan.Window())
+			}
+		}
+		is.Equal(len(r.reports), int(r.Counters("a").Answered+r.Counters("b").Answered))
+		is.Equal(r.reports[0].Active, 2)
+		is.Equal(r.events.codes[event.ProbeOverBudget], 0)
+	})
+}
+
+func TestNoProbeWhileReportsRideOnAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(0, "0")
+		r.SetTargets([]Target{{"a", "a:1", plan}, {"b", "b:1", plan}})
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.Run(ctx)
+		for range 100 {
+			r.Heard("a", time.Now())
+			time.Sleep(50 * time.Millisecond)
+		}
+		cancel()
+		synctest.Wait()
+		is.Equal(len(r.upstreams.sent["a:1"]), 0)
+		is.True(len(r.upstreams.sent["b:1"]) > 0)
+	})
+}
+
+func TestSlowProbeIsGivenUpAndPaidBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(time.Hour, "0")
+		r.SetTargets([]Target{{"a", "a:1", plan}})
+		r.runFor(t, 20*time.Second)
+		c := r.Counters("a")
+		is.True(c.GivenUp > 0)
+		share := time.Duration(float64(20*time.Second) * plan.Rate() / float64(plan.MaxHosts))
+		is.True(c.Spent <= share)
+		is.Equal(r.events.codes[event.ProbeOverran], int(c.GivenUp))
+	})
+}
+
+func TestAnswerWithoutLoadIsNoReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(0, "many")
+		r.SetTargets([]Target{{"a", "a:1", plan}, {"bad", "b:1", probebudget.Plan{}}})
+		r.runFor(t, time.Second)
+		is.Equal(len(r.reports), 0)
+		is.True(r.events.codes[event.ProbeFailed] > 0)
+		is.Equal(r.events.codes[event.BudgetRejected], 1)
+	})
+}
--- a/pkg/event/measure_events.go
+++ b/pkg/event/measure_events.go
@@ -1,4 +1,19 @@
 package event
 
+// Codes 7xxx: measuring upstreams. 7000 to 7099 are probes and their budget.
+const (
+	ProbeSent      Code = 7001
+	ProbeAnswered  Code = 7002
+	ProbeFailed    Code = 7003
+	ProbeOverran   Code = 7004
+	BudgetRejected Code = 7005
+)
+
 // measureEvents describes the codes 7xxx: measuring upstreams.
-var measureEvents = map[Code]Entry{}
+var measureEvents = map[Code]Entry{
+	ProbeSent:      {"probe-sent", Debug, "A probe is sent; its slot time is charged to this host's share.", "ns of slot time"},
+	ProbeAnswered:  {"probe-answered", Debug, "A probe brought a report of load.", "requests active there"},
+	ProbeFailed:    {"probe-failed", Info, "A probe brought no report; the reason is the error kind.", "ns since it was sent"},
+	ProbeOverran:   {"probe-overran", Warn, "A probe took longer than its declared cost; the rest is paid back before the next.", "ns over the cost"},
+	BudgetRejected: {"budget-rejected", Warn, "The measuring budget of an upstream is out of range; it is not probed.", ""},
+}
--- a/pkg/probebudget/budget.go
+++ b/pkg/probebudget/budget.go
@@ -80,6 +80,14 @@
 	delete(b.shares, upstream)
 }
 
+// Stagger makes the next probe of an upstream later by d, so that hosts which
+// started together do not probe together. A negative d changes nothing.
+func (b *Budget) Stagger(upstream string, d time.Duration) {
+	if s := b.shares[upstream]; s != nil {
+		s.wait += max(d, 0)
+	}
+}
+
 // Due returns when the next probe of an upstream will be earned. It reports
 // false while a probe is outstanding and for an upstream without a budget.
 func (b *Budget) Due(upstream string) (time.Time, bool) {
