Name gossip items notices and bound their life

Cause: 'word' is no term of the field. Two hosts that repeat a notice to each other would also have kept it for ever, since each repeat renewed its age. The age now counts from the last new knowledge, and a notice about an upstream that is not configured is repeated for half of the time it is kept.

--- a/pkg/lifecycle/naive_test.go
+++ b/pkg/lifecycle/naive_test.go
@@ -6,8 +6,8 @@
 type view interface {
 	document(revision uint64, listed, draining bool, activation uint64)
 	refused(activation uint64)
-	word() Word
-	peer(Word)
+	notice() Notice
+	peer(Notice)
 	takes() bool
 }
 
@@ -28,9 +28,9 @@
 	p.Refused(time.Unix(1000, 0), testMember, activation)
 }
 
-func (p product) word() Word { return p.Registry.word(testMember) }
+func (p product) notice() Notice { return p.Registry.notice(testMember) }
 
-func (p product) peer(w Word) { p.Merge(time.Unix(1000, 0), w) }
+func (p product) peer(w Notice) { p.Merge(time.Unix(1000, 0), w) }
 
 func (p product) takes() bool { return p.snapshot().Takes(testMember) }
 
@@ -43,14 +43,14 @@
 
 func (l *lastWins) refused(uint64) { l.active = false }
 
-func (l *lastWins) word() Word {
+func (l *lastWins) notice() Notice {
 	if l.active {
-		return Word{}
+		return Notice{}
 	}
-	return Word{LeftBelow: 1}
+	return Notice{LeftBelow: 1}
 }
 
-func (l *lastWins) peer(w Word) { l.active = w.LeftBelow == 0 }
+func (l *lastWins) peer(w Notice) { l.active = w.LeftBelow == 0 }
 
 func (l *lastWins) takes() bool { return l.active }
 
@@ -75,8 +75,8 @@
 
 func (b *byRevision) refused(uint64) { b.left = max(b.left, b.revision) }
 
-func (b *byRevision) word() Word { return Word{DrainRevision: b.left} }
+func (b *byRevision) notice() Notice { return Notice{DrainRevision: b.left} }
 
-func (b *byRevision) peer(w Word) { b.left = max(b.left, w.DrainRevision) }
+func (b *byRevision) peer(w Notice) { b.left = max(b.left, w.DrainRevision) }
 
 func (b *byRevision) takes() bool { return b.listed && b.revision > b.left }
--- a/pkg/lifecycle/news.go
+++ b/pkg/lifecycle/news.go
@@ -57,16 +57,16 @@
 		r.step(now, m, evWarm, fromDocument)
 	}
 	if l.Draining {
-		r.learn(now, Word{Key: KeyOf(k.Service, k.Upstream), DrainRevision: revision})
+		r.learn(now, Notice{Key: KeyOf(k.Service, k.Upstream), DrainRevision: revision})
 	}
 	r.settle(now, m, fromDocument)
 }
 
 func (r *Registry) remove(now time.Time, m *member, revision uint64) {
 	key := KeyOf(m.key.Service, m.key.Upstream)
-	r.learn(now, Word{Key: key, DrainRevision: revision})
+	r.learn(now, Notice{Key: key, DrainRevision: revision})
 	r.step(now, m, evRemove, fromDocument)
-	r.announce = append(r.announce, r.word(m.key))
+	r.announce = append(r.announce, r.notice(m.key))
 	delete(r.members, m.key)
 	delete(r.byKey, key)
 	r.emit(now, event.UpstreamRemoved, m, fromDocument)
@@ -88,7 +88,7 @@
 	}
 }
 
-// Refused takes in an upstream's own word that it is leaving, for every
+// Refused takes in an upstream's own notice that it is leaving, for every
 // service that lists it. Activation is
 // the one that the request was sent under, from its View; a late answer to a
 // request of an earlier activation changes nothing.
@@ -105,7 +105,7 @@
 }
 
 // HostLeaving takes in an upstream that the platform's list calls leaving.
-// The list has no order against documents, so the word is about the
+// The list has no order against documents, so the notice is about the
 // activation in force.
 func (r *Registry) HostLeaving(now time.Time, k MemberKey) {
 	if m := r.members[k]; m != nil {
@@ -115,21 +115,21 @@
 
 func (r *Registry) left(now time.Time, k MemberKey, activation uint64, source string) {
 	key := KeyOf(k.Service, k.Upstream)
-	if r.learn(now, Word{Key: key, LeftBelow: activation + 1}) {
-		r.afterWord(now, key, source)
+	if r.learn(now, Notice{Key: key, LeftBelow: activation + 1}) {
+		r.afterNotice(now, key, source)
 	}
 }
 
-// Merge takes in a peer's word. It reports whether anything was new.
-func (r *Registry) Merge(now time.Time, w Word) bool {
-	if !r.learn(now, w) {
+// Merge takes in a peer's notice. It reports whether anything was new.
+func (r *Registry) Merge(now time.Time, n Notice) bool {
+	if !r.learn(now, n) {
 		return false
 	}
-	r.afterWord(now, w.Key, fromPeer)
+	r.afterNotice(now, n.Key, fromPeer)
 	return true
 }
 
-func (r *Registry) afterWord(now time.Time, key Key, source string) {
+func (r *Registry) afterNotice(now time.Time, key Key, source string) {
 	if m := r.byKey[key]; m != nil {
 		r.settle(now, m, source)
 	}
@@ -172,7 +172,7 @@
 }
 
 // Tick does what is due at a time: ends slow starts, tries unreachable
-// upstreams again and forgets old words. Once a second is enough.
+// upstreams again and forgets old notices. Once a second is enough.
 func (r *Registry) Tick(now time.Time) {
 	for _, m := range r.members {
 		switch {
@@ -182,9 +182,9 @@
 			r.step(now, m, evReached, fromTimer)
 		}
 	}
-	for key, w := range r.words {
-		if r.byKey[key] == nil && now.Sub(w.used) >= r.conf.KeepWords {
-			delete(r.words, key)
+	for key, n := range r.notices {
+		if r.byKey[key] == nil && now.Sub(n.learned) >= r.conf.KeepNotices {
+			delete(r.notices, key)
 		}
 	}
 }
--- a/pkg/lifecycle/registry.go
+++ b/pkg/lifecycle/registry.go
@@ -26,11 +26,11 @@
 	ConnectFailures int
 	// UnreachablePause is the time after which an unreachable upstream is tried again.
 	UnreachablePause time.Duration
-	// KeepWords is how long the word about an upstream that is not configured is kept.
-	KeepWords time.Duration
-	// MaxWords bounds the words kept. At the bound news about upstreams that
+	// KeepNotices is how long the notice about an upstream that is not configured is kept.
+	KeepNotices time.Duration
+	// MaxNotices bounds the notices kept. At the bound news about upstreams that
 	// are not configured is dropped and counted; none is evicted.
-	MaxWords int
+	MaxNotices int
 }
 
 // DefaultConfig returns the bounds for the sizes in README.md.
@@ -38,8 +38,8 @@
 	return Config{
 		ConnectFailures:  3,
 		UnreachablePause: 2 * time.Second,
-		KeepWords:        time.Hour,
-		MaxWords:         4096,
+		KeepNotices:      time.Hour,
+		MaxNotices:       4096,
 	}
 }
 
@@ -67,10 +67,10 @@
 	failedAt  time.Time
 }
 
-// knownWord is a word and when it was last needed.
-type knownWord struct {
-	word Word
-	used time.Time
+// knownNotice is a notice and when anything in it was last new.
+type knownNotice struct {
+	notice  Notice
+	learned time.Time
 }
 
 // Registry holds what one entry host knows about its upstreams.
@@ -79,9 +79,9 @@
 	events    event.Sink
 	members   map[MemberKey]*member
 	byKey     map[Key]*member
-	words     map[Key]*knownWord
+	notices   map[Key]*knownNotice
 	revisions map[string]uint64 // of each service's document
-	announce  []Word
+	announce  []Notice
 	changed   bool
 	version   uint64
 	dropped   uint64
@@ -94,14 +94,14 @@
 		events:    events,
 		members:   make(map[MemberKey]*member),
 		byKey:     make(map[Key]*member),
-		words:     make(map[Key]*knownWord),
+		notices:   make(map[Key]*knownNotice),
 		revisions: make(map[string]uint64),
 	}
 }
 
 // Flush returns what changed since the last call: a new snapshot, nil if none
-// is due, and the words to tell the peers at once.
-func (r *Registry) Flush() (*Snapshot, []Word) {
+// is due, and the notices to tell the peers at once.
+func (r *Registry) Flush() (*Snapshot, []Notice) {
 	announce := r.announce
 	r.announce = nil
 	if !r.changed {
@@ -130,44 +130,51 @@
 // takes is the rule: the document in force lists the upstream as active and
 // outranks everything known about its leaving.
 func (r *Registry) takes(m *member) bool {
-	return !m.listing.Draining && r.word(m.key).allows(m.revision, m.listing.Activation)
+	return !m.listing.Draining && r.notice(m.key).allows(m.revision, m.listing.Activation)
 }
 
-func (r *Registry) word(k MemberKey) Word {
+func (r *Registry) notice(k MemberKey) Notice {
 	key := KeyOf(k.Service, k.Upstream)
-	if w := r.words[key]; w != nil {
-		return w.word
+	if n := r.notices[key]; n != nil {
+		return n.notice
 	}
-	return Word{Key: key}
+	return Notice{Key: key}
 }
 
-// Words returns everything known about leaving upstreams, for a peer that asks.
-func (r *Registry) Words() []Word {
-	words := make([]Word, 0, len(r.words))
-	for _, w := range r.words {
-		words = append(words, w.word)
+// Notices returns what is known about leaving upstreams, to repeat to peers.
+// A notice about an upstream that is not configured is repeated for half of
+// the time it is kept, so that peers do not keep it alive among them.
+func (r *Registry) Notices(now time.Time) []Notice {
+	notices := make([]Notice, 0, len(r.notices))
+	for key, n := range r.notices {
+		if r.byKey[key] != nil || now.Sub(n.learned) < r.conf.KeepNotices/2 {
+			notices = append(notices, n.notice)
+		}
 	}
-	return words
+	return notices
 }
 
-// Dropped returns the number of words that found no room.
+// Dropped returns the number of notices that found no room.
 func (r *Registry) Dropped() uint64 { return r.dropped }
 
-// learn joins a word and reports whether anything in it was new.
-func (r *Registry) learn(now time.Time, w Word) bool {
-	known := r.words[w.Key]
+// learn joins a notice and reports whether anything in it was new.
+func (r *Registry) learn(now time.Time, n Notice) bool {
+	known := r.notices[n.Key]
 	if known == nil {
-		if len(r.words) >= r.conf.MaxWords && r.byKey[w.Key] == nil {
+		if len(r.notices) >= r.conf.MaxNotices && r.byKey[n.Key] == nil {
 			r.dropped++
 			return false
 		}
-		known = &knownWord{word: Word{Key: w.Key}}
-		r.words[w.Key] = known
+		known = &knownNotice{notice: Notice{Key: n.Key}}
+		r.notices[n.Key] = known
+	}
+	before := known.notice
+	known.notice = before.Join(n)
+	if known.notice == before {
+		return false
 	}
-	known.used = now
-	before := known.word
-	known.word = before.Join(w)
-	return known.word != before
+	known.learned = now
+	return true
 }
 
 // step applies an event to a member and does the effects.
@@ -187,7 +194,7 @@
 		r.changed = true
 	}
 	if effects.Has(doAnnounce) {
-		r.announce = append(r.announce, r.word(m.key))
+		r.announce = append(r.announce, r.notice(m.key))
 	}
 	if effects.Has(doReportDrained) {
 		r.emit(now, event.UpstreamDrained, m, reason)
--- a/pkg/lifecycle/registry_test.go
+++ b/pkg/lifecycle/registry_test.go
@@ -82,17 +82,17 @@
 	}
 }
 
-// letter is a peer's word under way, with what the sender knew.
+// letter is a peer's notice under way, with what the sender knew.
 type letter struct {
-	word  []Word // one per variant
-	known []int
+	notice []Notice // one per variant
+	known  []int
 }
 
 var viewVariants = []struct {
 	name string
 	make func() view
 }{
-	{"joined news", func() view { return product{NewRegistry(DefaultConfig(), event.Discard{})} }},
+	{"joined news", func() view { return product{NewRegistry(DefaultConfig(), invariants{})} }},
 	{"last report wins", func() view { return &lastWins{} }},
 	{"any newer document revives", func() view { return &byRevision{} }},
 }
@@ -100,7 +100,7 @@
 const newsHosts = 3
 
 // TestNewsInAnyOrder delivers drawn histories to three hosts in drawn order,
-// with repeats and late words of peers, and compares who takes new requests
+// with repeats and late notices of peers, and compares who takes new requests
 // with the promise.
 func TestNewsInAnyOrder(t *testing.T) {
 	is := is.New(t)
@@ -122,13 +122,15 @@
 		for range rapid.IntRange(1, 40).Draw(rt, "deliveries") {
 			deliveries++
 			h := rapid.IntRange(0, newsHosts-1).Draw(rt, "host")
-			switch rapid.IntRange(0, 3).Draw(rt, "what") {
+			switch rapid.IntRange(0, 4).Draw(rt, "what") {
 			case 0:
 				letters = append(letters, write(&hosts[h], views[h]))
 			case 1:
 				if len(letters) > 0 {
 					read(letters[rapid.IntRange(0, len(letters)-1).Draw(rt, "letter")], &hosts[h], views[h])
 				}
+			case 2:
+				views[h][0].(product).noise(rapid.IntRange(0, 3).Draw(rt, "noise"))
 			default:
 				i := rapid.IntRange(0, len(history)-1).Draw(rt, "news")
 				hosts[h].deliver(history, i)
@@ -158,6 +160,30 @@
 	is.True(broken[2] > 0)
 }
 
+// invariants is a sink that stops the test at a broken invariant.
+type invariants struct{}
+
+func (invariants) Emit(e event.Event) {
+	if e.Code >= 10000 {
+		panic(e.Code.String() + ": " + e.Detail)
+	}
+}
+
+// noise is what must not change who takes new requests.
+func (p product) noise(kind int) {
+	now := time.Unix(1000, 0)
+	switch kind {
+	case 0:
+		p.ConnectFailed(now, testMember)
+	case 1:
+		p.Reached(now, testMember)
+	case 2:
+		p.InFlight(now, testMember, 0)
+	default:
+		p.Tick(now.Add(time.Minute))
+	}
+}
+
 func tell(v view, n news) {
 	if n.revision == 0 {
 		v.refused(n.activation)
@@ -172,7 +198,7 @@
 		l.known = append(l.known, i)
 	}
 	for _, v := range views {
-		l.word = append(l.word, v.word())
+		l.notice = append(l.notice, v.notice())
 	}
 	return l
 }
@@ -182,7 +208,7 @@
 		k.known[i] = true
 	}
 	for v := range views {
-		views[v].peer(l.word[v])
+		views[v].peer(l.notice[v])
 	}
 }
 
@@ -207,7 +233,7 @@
 	is.Equal(v.Weight(now.Add(5*time.Second)), 0.5)
 	r.Refused(now, testMember, 0)
 	_, announced := r.Flush()
-	is.Equal(announced[len(announced)-1], Word{Key: KeyOf("lots", "u"), DrainRevision: 2, LeftBelow: 1})
+	is.Equal(announced[len(announced)-1], Notice{Key: KeyOf("lots", "u"), DrainRevision: 2, LeftBelow: 1})
 	list(4, 0, false)
 	is.True(!takes()) // an unrelated change revives nothing
 	list(5, 1, false)
@@ -245,19 +271,20 @@
 	is.Equal(len(announced), 0) // not told to peers
 }
 
-func TestWordsAreBounded(t *testing.T) {
+func TestNoticesAreBounded(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	conf := DefaultConfig()
-	conf.MaxWords = 2
+	conf.MaxNotices = 2
 	r := NewRegistry(conf, event.Discard{})
 	for k := range 5 {
-		r.Merge(now, Word{Key: Key(k), LeftBelow: 1})
+		r.Merge(now, Notice{Key: Key(k), LeftBelow: 1})
 	}
-	is.Equal(len(r.Words()), 2)
+	is.Equal(len(r.Notices(now)), 2)
+	is.Equal(len(r.Notices(now.Add(conf.KeepNotices/2))), 0) // no longer repeated
 	is.Equal(r.Dropped(), uint64(3))
-	r.Tick(now.Add(conf.KeepWords))
-	is.Equal(len(r.Words()), 0)
+	r.Tick(now.Add(conf.KeepNotices))
+	is.Equal(len(r.notices), 0)
 }
 
 func TestCheckSend(t *testing.T) {
--- a/pkg/lifecycle/seconds_test.go
+++ b/pkg/lifecycle/seconds_test.go
@@ -17,8 +17,8 @@
 	fleetStep    = 50 * time.Millisecond
 	gossipEvery  = 4 // steps
 	gossipFanout = 2
-	gossipRounds = 5  // how often a host repeats a new word
-	repairEvery  = 20 // steps; then a host sends all its words to one peer
+	gossipRounds = 5  // how often a host repeats a new notice
+	repairEvery  = 20 // steps; then a host sends all its notices to one peer
 	lossPercent  = 20
 	listPoll     = 5 * time.Second // of each host
 	documentLag  = 2 * time.Second // largest, of each host
@@ -29,7 +29,7 @@
 type fleetHost struct {
 	registry *Registry
 	snapshot *Snapshot
-	words    []Word
+	notices  []Notice
 	rounds   int
 	learnsAt time.Duration // by its own reading of the source
 }
@@ -48,11 +48,11 @@
 	}},
 	{name: "host list", lag: listPoll, read: func(r *Registry, now time.Time) { r.HostLeaving(now, testMember) }},
 	{name: "upstream's refusal", refuse: true},
-	{name: "one peer's word", read: nil},
+	{name: "one peer's notice", read: nil},
 }
 
 // TestSecondsToNoNewRequests measures how long after the first chance to know
-// the last of 13 entry hosts stops sending, with and without peers' words.
+// the last of 13 entry hosts stops sending, with and without peers' notices.
 func TestSecondsToNoNewRequests(t *testing.T) {
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(1, 2))
@@ -69,7 +69,7 @@
 				sent += n
 			}
 			slices.Sort(took)
-			t.Logf("%-20s peers' words %-5v p50 %5.2f s, max %5.2f s, requests to the leaving upstream %.1f",
+			t.Logf("%-20s peers' notices %-5v p50 %5.2f s, max %5.2f s, requests to the leaving upstream %.1f",
 				s.name, gossip, took[len(took)/2].Seconds(), took[len(took)-1].Seconds(), float64(sent)/fleetTrials)
 			is.True(!gossip || took[len(took)-1] < 10*time.Second)
 		}
@@ -106,7 +106,7 @@
 				h.tellPeers(rng, hosts, now)
 			}
 			if gossip && step%repairEvery == i {
-				h.tellOne(rng, hosts, now, h.registry.Words())
+				h.tellOne(rng, hosts, now, h.registry.Notices(now))
 			}
 			h.flush()
 		}
@@ -126,12 +126,12 @@
 }
 
 func (h *fleetHost) flush() {
-	snapshot, words := h.registry.Flush()
+	snapshot, notices := h.registry.Flush()
 	if snapshot != nil {
 		h.snapshot = snapshot
 	}
-	if len(words) > 0 {
-		h.words = words
+	if len(notices) > 0 {
+		h.notices = notices
 		h.rounds = gossipRounds
 	}
 }
@@ -142,16 +142,16 @@
 	}
 	h.rounds--
 	for range gossipFanout {
-		h.tellOne(rng, hosts, now, h.words)
+		h.tellOne(rng, hosts, now, h.notices)
 	}
 }
 
-func (h *fleetHost) tellOne(rng *rand.Rand, hosts []fleetHost, now time.Time, words []Word) {
+func (h *fleetHost) tellOne(rng *rand.Rand, hosts []fleetHost, now time.Time, notices []Notice) {
 	peer := &hosts[rng.IntN(len(hosts))]
 	if rng.IntN(100) < lossPercent {
 		return
 	}
-	for _, w := range words {
+	for _, w := range notices {
 		peer.registry.Merge(now, w)
 	}
 }
