Revert lending of the measuring budget; read plans and listings from documents

Targets and Listings turn documents into what the prober and the registry take; an upstream in two groups gets the stricter of both.

--- /dev/null
+++ b/internal/prober/plans.go
@@ -0,0 +1,43 @@
+package prober
+
+import (
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/probebudget"
+)
+
+// Targets returns the upstreams that the documents in force give a measuring
+// budget. MaxHosts and linger are settings of the fleet; see docs/MEASURING.md.
+// Draining upstreams are not probed.
+func Targets(services []*config.Service, maxHosts int, linger time.Duration) []Target {
+	var out []Target
+	for _, svc := range services {
+		for g := range svc.Groups {
+			out = append(out, groupTargets(&svc.Groups[g], maxHosts, linger)...)
+		}
+	}
+	return out
+}
+
+func groupTargets(g *config.Group, maxHosts int, linger time.Duration) []Target {
+	var out []Target
+	for i := range g.Upstreams {
+		u := &g.Upstreams[i]
+		if u.State == config.Draining {
+			continue
+		}
+		out = append(out, Target{
+			Upstream: u.ID,
+			Address:  u.Address,
+			Plan: probebudget.Plan{
+				MaxHosts:        maxHosts,
+				Slots:           u.Slots,
+				SlotTimePercent: g.Probe.SlotTimePercent,
+				Cost:            g.Probe.Cost.Std(),
+				Linger:          linger,
+			},
+		})
+	}
+	return out
+}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -97,8 +97,8 @@
 		}
 	}
 	for id := range old {
-		if next[id] == nil {
-			p.budget.Remove(id)
+		if next[id] == nil && p.budget.Remove(id) {
+			p.audit.Forget(id)
 		}
 	}
 	p.targets.Store(&next)
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/probebudget"
@@ -137,3 +138,17 @@
 		is.Equal(r.events.codes[event.BudgetRejected], 1)
 	})
 }
+
+func TestTargetsOfDocuments(t *testing.T) {
+	is := is.New(t)
+	svc := &config.Service{Groups: []config.Group{
+		{
+			Probe:     config.ProbeBudget{SlotTimePercent: 2, Cost: config.Duration(time.Millisecond)},
+			Upstreams: []config.Upstream{{ID: "a", Slots: 3}, {ID: "b", Slots: 3, State: config.Draining}},
+		},
+		{Probe: config.ProbeBudget{SlotTimePercent: 1, Cost: config.Duration(time.Millisecond)}, Upstreams: []config.Upstream{{ID: "a", Slots: 3}}},
+	}}
+	targets := merge(Targets([]*config.Service{svc}, 24, time.Second))
+	is.Equal(len(targets), 1)
+	is.Equal(targets["a"].Plan.SlotTimePercent, 1.0) // the strictest of both groups
+}
--- a/pkg/lifecycle/registry_test.go
+++ b/pkg/lifecycle/registry_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 )
 
@@ -299,3 +300,12 @@
 	is.Equal(after.CheckSend(testMember, before.Version), ChooseAgain)
 	is.Equal(after.CheckSend(testMember, after.Version), Broken)
 }
+
+func TestListingsTakeTheStrictest(t *testing.T) {
+	is := is.New(t)
+	svc := &config.Service{Groups: []config.Group{
+		{Upstreams: []config.Upstream{{ID: "a"}, {ID: "b"}}},
+		{Upstreams: []config.Upstream{{ID: "a", State: config.Draining}}, SlowStart: config.Duration(time.Second)},
+	}}
+	is.Equal(Listings(svc, nil), []Listing{{Upstream: "a", Draining: true, SlowStart: time.Second}, {Upstream: "b"}})
+}
--- a/pkg/probebudget/budget.go
+++ b/pkg/probebudget/budget.go
@@ -67,17 +67,16 @@
 }
 
 // Remove forgets an upstream. While a probe is outstanding the share stays, so
-// that an upstream which is configured again does not earn twice.
-func (b *Budget) Remove(upstream string) {
+// that an upstream which is configured again does not earn twice; Remove then
+// reports false.
+func (b *Budget) Remove(upstream string) bool {
 	s := b.shares[upstream]
-	if s == nil {
-		return
-	}
-	if s.outstanding {
+	if s != nil && s.outstanding {
 		s.removed = true
-		return
+		return false
 	}
 	delete(b.shares, upstream)
+	return true
 }
 
 // Stagger makes the next probe of an upstream later by d, so that hosts which
--- a/pkg/probebudget/budget_test.go
+++ b/pkg/probebudget/budget_test.go
@@ -89,6 +89,20 @@
 	return 0
 }
 
+// TestUseOfWindowsByLiveHosts measures what absent hosts leave unused.
+func TestUseOfWindowsByLiveHosts(t *testing.T) {
+	window := int(testPlan.Window() / tick)
+	full := float64(scheduleTicks) / float64(window) * float64(testPlan.MaxHosts)
+	for absent := range testPlan.MaxHosts {
+		var faults []fault
+		for h := range absent {
+			faults = append(faults, fault{kind: down, host: h, ticks: 2 * scheduleTicks})
+		}
+		arrivals := run(newFixedShare, faults, scheduleTicks)
+		t.Logf("%d of %d hosts live: %.0f%% of the budget used", testPlan.MaxHosts-absent, testPlan.MaxHosts, 100*float64(len(arrivals))/full)
+	}
+}
+
 // TestRestartsEarnNothing restarts one process a hundred times.
 func TestRestartsEarnNothing(t *testing.T) {
 	is := is.New(t)
--- a/pkg/probebudget/fixed_test.go
+++ b/pkg/probebudget/fixed_test.go
@@ -10,7 +10,7 @@
 
 const testUpstream = "u"
 
-func newFixedShare(_ int, now time.Time, p Plan) spender {
+func newFixedShare(now time.Time, p Plan) spender {
 	b := New()
 	if err := b.Configure(now, testUpstream, p); err != nil {
 		panic(err)
--- a/pkg/probebudget/naive_test.go
+++ b/pkg/probebudget/naive_test.go
@@ -38,23 +38,23 @@
 // variants are the ways measured in one run; the first is the product's.
 var variants = []struct {
 	name string
-	make func(int, time.Time, Plan) spender
+	make func(time.Time, Plan) spender
 }{
 	{"fixed share, earned from the end of the last probe", newFixedShare},
-	{"the same without linger time", func(_ int, now time.Time, p Plan) spender {
+	{"the same without linger time", func(now time.Time, p Plan) spender {
 		p.Linger = 0
-		return newFixedShare(0, now, p)
+		return newFixedShare(now, p)
 	}},
-	{"share by live count", func(_ int, now time.Time, p Plan) spender {
+	{"share by live count", func(now time.Time, p Plan) spender {
 		return &bucket{plan: p, depth: 1, last: now, shareLive: true}
 	}},
-	{"fixed share, bucket starts full", func(_ int, now time.Time, p Plan) spender {
+	{"fixed share, bucket starts full", func(now time.Time, p Plan) spender {
 		return &bucket{plan: p, depth: 1, level: 1, last: now}
 	}},
-	{"fixed share, deep bucket fills during a pause", func(_ int, now time.Time, p Plan) spender {
+	{"fixed share, deep bucket fills during a pause", func(now time.Time, p Plan) spender {
 		return &bucket{plan: p, depth: 4, last: now}
 	}},
-	{"fixed share, earned from the grant", func(_ int, now time.Time, p Plan) spender {
+	{"fixed share, earned from the grant", func(now time.Time, p Plan) spender {
 		return &bucket{plan: p, depth: 1, last: now}
 	}},
 }
--- a/pkg/probebudget/schedule_test.go
+++ b/pkg/probebudget/schedule_test.go
@@ -48,7 +48,7 @@
 // fleet runs MaxHosts processes under a schedule and records when probes reach
 // the upstream.
 type fleet struct {
-	newSpender func(int, time.Time, Plan) spender
+	newSpender func(time.Time, Plan) spender
 	procs      []process
 	splitAt    int
 	splitTo    int
@@ -67,7 +67,7 @@
 	p := &f.procs[i]
 	rate := 1 + (float64(f.draw(3))-1)*ClockDrift*0.999
 	*p = process{started: now, rate: rate}
-	p.spender = f.newSpender(i, f.local(p, now), testPlan)
+	p.spender = f.newSpender(f.local(p, now), testPlan)
 }
 
 // draw is a small deterministic generator, so that all variants of one
@@ -77,7 +77,7 @@
 	return int(f.noise>>33) % n
 }
 
-func run(newSpender func(int, time.Time, Plan) spender, faults []fault, ticks int) []int {
+func run(newSpender func(time.Time, Plan) spender, faults []fault, ticks int) []int {
 	f := &fleet{newSpender: newSpender, procs: make([]process, testPlan.MaxHosts), noise: 1}
 	for i := range f.procs {
 		f.start(i, 0)
