--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Commands for developers. `make test` is what CI runs; measurements are apart.
 BINARIES := spindled spindle-standin spindle-load
 
-.PHONY: build demo test unit lint ldd charts measure-lifecycle
+.PHONY: build demo test unit lint ldd charts check-leaving measure-lifecycle
 
 build:
 	@mkdir -p bin
@@ -10,7 +10,7 @@
 demo:
 	@scripts/demo.sh
 
-test: lint build ldd unit
+test: lint build ldd unit check-leaving
 
 unit:
 	go test ./...
@@ -28,6 +28,10 @@
 charts:
 	CHARTS_WRITE=1 go test -count=1 ./charts
 
+# Model check of spec/leaving.pml and of its broken twin.
+check-leaving:
+	@scripts/check-leaving.sh
+
 # Figures of docs/design/04 and 08: budget, drain and charts under faults.
 measure-lifecycle:
 	go test -count=1 -v -run 'Window|Restarts|News|Seconds|Bytes' ./pkg/probebudget ./pkg/lifecycle -rapid.checks=2000
