--- a/spec/check.sh
+++ b/spec/check.sh
@@ -19,7 +19,7 @@
       timeout "$seconds" ./pan -m1000000 >pan.log
   ) || { echo "$1 ${2:-}: could not be checked" >&2; cat "$dir"/*log >&2; return 1; }
   awk '/states, stored/ { s = $1 } /errors:/ { e = $NF }
-    /search too deep|out of memory|aborted/ { bad = 1 }
+    /max search depth too small|out of memory|aborted/ { bad = 1 }
     END { print s, (bad ? "incomplete" : e) }' "$dir/pan.log"
 }
 
