Hand over tickets also when their answers are over a message's bound

The hand-over would fail after the freeze, and all its tickets would be unknown. After: answers beyond half a message are left out and their tickets say so; go test ./internal/execution passes. Ruled out: a stream, which makes an adoption that can stop half way. Not measured: a hand-over of that size.

--- a/internal/execution/handover.go
+++ b/internal/execution/handover.go
@@ -6,15 +6,22 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	executionv1 "github.com/dapplespindle/dapplespindle/api/execution/v1"
+	"github.com/dapplespindle/dapplespindle/internal/peer"
 	"github.com/dapplespindle/dapplespindle/pkg/atmostonce"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 )
 
 // freezePoll is how often a stopping host looks whether its executions ended.
 const freezePoll = 5 * time.Millisecond
 
+// handOverBytes is the room for slots with their answers in one message, in
+// bytes. The rest of the message's bound is for slots without an answer.
+const handOverBytes = peer.MaxMessageBytes / 2
+
 // StopIssuing ends the offer of tickets. Requests with a ticket still execute.
 func (s *Service) StopIssuing() {
 	s.own.mu.Lock()
@@ -103,14 +110,22 @@
 		Oldest:      snapshot.Oldest,
 		Slots:       make([]*executionv1.Slot, 0, len(snapshot.Slots)),
 	}
+	room := handOverBytes
 	for _, saved := range snapshot.Slots {
-		m.Slots = append(m.Slots, encodeSlot(saved))
+		slot := encodeSlot(saved, room)
+		room -= proto.Size(slot)
+		m.Slots = append(m.Slots, slot)
 	}
 	return m
 }
 
-func encodeSlot(saved atmostonce.SavedSlot) *executionv1.Slot {
+// encodeSlot leaves out an answer that is over the room; what became of the
+// ticket is always told.
+func encodeSlot(saved atmostonce.SavedSlot, room int) *executionv1.Slot {
 	m := &executionv1.Slot{LeftUs: saved.Left.Microseconds()}
+	if a := saved.Result.Answer; a != nil && len(a.Body) > room {
+		saved.Result = atmostonce.Failed(errkind.New(errkind.AnswerNotKept, "the answer was too large to hand over"))
+	}
 	if saved.Used {
 		m.Digest = saved.Digest[:]
 		m.Result = encodeResult(saved.Result)
