Answer unknown when a ticket's issuer was not asked

Cause: found in a trial with 13 real processes under SIGKILL: a host that had just restarted answered not-run (not-ready) to a second ask, while the first ask with the same ticket had run through another host. 1 action of 15590.

Any refusal before Execute has this fault: no configuration, no route, a limit. Undecided turns it into issuer-not-asked (unknown) when a ticket is carried. A request with a ticket keeps its protection when its rule has become direct.

Ruled out: a lost answer or a second run; the ledgers show one run each.

Before: the specification's hosts asked the issuer or stayed silent, and so it could not find this.

Conclusion: whoever refuses a non-repeatable request must call Undecided.

--- a/internal/execution/headers.go
+++ b/internal/execution/headers.go
@@ -37,7 +37,7 @@
 		return atmostonce.Ticket{}, errkind.New(errkind.TicketRequired, "repeat the request with the offered ticket as "+HeaderKey)
 	case 1:
 	default:
-		return atmostonce.Ticket{}, errkind.New(errkind.BadRequest, "more than one "+HeaderKey)
+		return atmostonce.Ticket{}, errkind.New(errkind.IssuerNotAsked, "more than one "+HeaderKey)
 	}
 	text := strings.TrimSpace(values[0])
 	if n := len(text); n >= 2 && text[0] == '"' && text[n-1] == '"' {
@@ -50,6 +50,20 @@
 	return t, nil
 }
 
+// Undecided returns the error to answer with when a request is refused before
+// Execute was called: for want of a configuration or a route, by a limit, or
+// because it was not received whole. The request was not run by this ask, but
+// with a ticket an earlier ask may have run: then the outcome is unknown.
+func Undecided(h http.Header, err *errkind.Error) *errkind.Error {
+	if len(h[HeaderKey]) == 0 || err.Kind.Answer().Outcome != errkind.NotRun {
+		return err
+	}
+	if _, bad := ticketOf(h); bad != nil && bad.Kind == errkind.TicketRequired {
+		return err
+	}
+	return errkind.Wrap(errkind.IssuerNotAsked, err, "refused before the issuer was asked")
+}
+
 // resultOf reads what the proxy's answer says about execution.
 func resultOf(resp *httpwire.Response) atmostonce.Result {
 	name := resp.Header.Get(headerError)
--- a/internal/execution/service.go
+++ b/internal/execution/service.go
@@ -87,11 +87,11 @@
 // the issuer of its ticket, or answers without running it. Every answer but a
 // direct rule's offers a fresh ticket, unless the bound is reached.
 func (s *Service) Execute(ctx context.Context, req *httpwire.Request, rule *routing.Rule, run func(ctx context.Context) *httpwire.Response) *httpwire.Response {
-	if s.conf.Direct != nil && s.conf.Direct(rule) {
-		return run(ctx)
-	}
 	id := req.Header.Get(headerRequestID)
 	ticket, err := ticketOf(req.Header)
+	if err != nil && s.direct(rule) {
+		return run(ctx)
+	}
 	if err != nil {
 		return s.offer(responseOf(atmostonce.Failed(err), id), id)
 	}
@@ -102,6 +102,12 @@
 	return s.offer(resp, id)
 }
 
+// direct reports whether a request without a ticket is run. One with a ticket
+// keeps its protection when the rule has become direct in between.
+func (s *Service) direct(rule *routing.Rule) bool {
+	return s.conf.Direct != nil && s.conf.Direct(rule)
+}
+
 // offer adds a fresh ticket. A caller who needed one and gets none is told
 // that the fleet is short of room: nothing ran.
 func (s *Service) offer(resp *httpwire.Response, id string) *httpwire.Response {
--- a/internal/execution/service_test.go
+++ b/internal/execution/service_test.go
@@ -139,6 +139,25 @@
 	is.True(old.HandOver(context.Background(), other.address, nil) != nil)
 }
 
+func TestRefusedBeforeTheIssuerIsAsked(t *testing.T) {
+	var runs atomic.Int64
+	ticket := ticketOf(newHost(t, &runs).ask("", ""))
+	for name, c := range map[string]struct {
+		keys []string
+		want errkind.Kind
+	}{
+		"no key":      {nil, errkind.NotReady},
+		"own key":     {[]string{"order-7"}, errkind.NotReady},
+		"ticket":      {[]string{ticket}, errkind.IssuerNotAsked},
+		"two tickets": {[]string{ticket, ticket}, errkind.IssuerNotAsked},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := http.Header{execution.HeaderKey: c.keys}
+			is.New(t).Equal(execution.Undecided(h, errkind.New(errkind.NotReady, "")).Kind, c.want)
+		})
+	}
+}
+
 // BenchmarkExecute compares a request sent directly with one under a ticket,
 // asked for at its issuer and through another host on loopback.
 func BenchmarkExecute(b *testing.B) {
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -60,6 +60,9 @@
 	TicketMismatch
 	// IssuerUnreachable is a ticket whose issuer did not answer.
 	IssuerUnreachable
+	// IssuerNotAsked is a request with a ticket that was refused before the
+	// ticket's issuer was asked what became of it.
+	IssuerNotAsked
 	// IssuerGone is a ticket of a process that has ended.
 	IssuerGone
 	// AnswerNotKept is a request that ran and whose answer is no longer held.
@@ -122,6 +125,7 @@
 	TicketForgotten:    {"ticket-forgotten", http.StatusGone, Unknown, false},
 	TicketMismatch:     {"ticket-mismatch", http.StatusUnprocessableEntity, Unknown, false},
 	IssuerUnreachable:  {"issuer-unreachable", http.StatusBadGateway, Unknown, true},
+	IssuerNotAsked:     {"issuer-not-asked", http.StatusServiceUnavailable, Unknown, true},
 	IssuerGone:         {"issuer-gone", http.StatusGone, Unknown, false},
 	AnswerNotKept:      {"answer-not-kept", http.StatusGone, Ran, false},
 }
--- a/spec/single_execution.pml
+++ b/spec/single_execution.pml
@@ -12,7 +12,7 @@
  * TCP connection: it arrives once, late, or never, and can outlive its sender.
  *
  * A broken twin is this file with one macro defined; the check must catch it.
- * broken: RESEND HASH FORGET NOBURN WITHDRAW KEEP ADOPTTWICE ADOPTANY
+ * broken: RESEND HASH FORGET NOBURN WITHDRAW KEEP ADOPTTWICE ADOPTANY REFUSE
  */
 
 #define KILLS 2  /* kills of each host */
@@ -81,6 +81,10 @@
        :: endNotRun(h)      /* expired, or past its deadline */
        fi }
   :: atomic { asked[h] && owns[h] && rec[h] == notrun -> tellNotRun() }
+#ifdef REFUSE
+     /* a host that is not ready, or has no route, refuses on its own */
+  :: atomic { asked[h] && !owns[h] -> tellNotRun() }
+#endif
      /* executing: joins; ran, unknown: replayed; not the owner: forwards, or
         answers unknown. None of them changes state. */
   od
