--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Commands for developers. `make test` is what CI runs; measurements are apart.
 BINARIES := spindled spindle-standin spindle-load
 
-.PHONY: build demo test unit lint ldd charts check-leaving measure-lifecycle
+.PHONY: build demo test unit lint ldd charts check-leaving measure-lifecycle spec long-execution
 
 build:
 	@mkdir -p bin
@@ -10,7 +10,7 @@
 demo:
 	@scripts/demo.sh
 
-test: lint build ldd unit check-leaving
+test: lint build ldd unit check-leaving spec
 
 unit:
 	go test ./...
@@ -24,6 +24,16 @@
 ldd: build
 	@for b in $(BINARIES); do ldd bin/$$b | grep -q libc.so || { echo "$$b is not linked to libc"; exit 1; }; done
 
+# Model checks of the core protocols, and of their broken twins.
+spec:
+	spec/check.sh single_execution.pml
+
+# A long randomised run of single execution; RUNS schedules of 300 steps.
+RUNS ?= 20000
+long-execution:
+	ATMOSTONCE_RUNS=$(RUNS) go test ./pkg/atmostonce -v -count=1 -run 'TestSchedules|TestUnknownShare|TestNaiveFails'
+	go test ./pkg/atmostonce -v -count=1 -run TestStateMachine -rapid.checks=$(RUNS)
+
 # Writes docs/CHARTS.md from the chart files.
 charts:
 	CHARTS_WRITE=1 go test -count=1 ./charts
