Add the core of membership between entry hosts

Cause: entry hosts know each other only from the platform's lagging list. A core without I/O probes one member a period, spreads news on the probes, lets suspects refute by incarnation, compares one window of members with one peer now and then, and after a pause learns before it judges.

--- a/pkg/event/member_events.go
+++ b/pkg/event/member_events.go
@@ -1,4 +1,41 @@
 package event
 
+// Codes 6xxx: membership of entry hosts. Event.Detail names the member.
+const (
+	MemberJoined           Code = 6001
+	MemberSuspected        Code = 6002
+	MemberDead             Code = 6003
+	MemberAlive            Code = 6004
+	MemberLeaving          Code = 6005
+	MemberRestarted        Code = 6006
+	MemberForgotten        Code = 6007
+	MemberSelfRefuted      Code = 6010
+	MemberSelfWaking       Code = 6011
+	MemberSelfAwake        Code = 6012
+	MemberSelfJoined       Code = 6013
+	MemberSelfLeaving      Code = 6014
+	MemberMessageRefused   Code = 6020
+	MemberLimitReached     Code = 6021
+	MemberHostsUnreadable  Code = 6022
+	MemberAddressContested Code = 6023
+)
+
 // memberEvents describes the codes 6xxx: membership of entry hosts.
-var memberEvents = map[Code]Entry{}
+var memberEvents = map[Code]Entry{
+	MemberJoined:           {"member-joined", Info, "An entry host was heard of for the first time.", "incarnation"},
+	MemberSuspected:        {"member-suspected", Warn, "An entry host did not answer, or a peer says so; it may refute.", "incarnation"},
+	MemberDead:             {"member-dead", Warn, "An entry host did not refute in time, or said that it stopped.", "incarnation"},
+	MemberAlive:            {"member-alive", Info, "A suspect or dead entry host refuted.", "incarnation"},
+	MemberLeaving:          {"member-leaving", Info, "An entry host is about to go.", "incarnation"},
+	MemberRestarted:        {"member-restarted", Info, "Another process runs at the address of an entry host.", "incarnation"},
+	MemberForgotten:        {"member-forgotten", Info, "An entry host was dead for so long that it is forgotten.", "incarnation"},
+	MemberSelfRefuted:      {"member-self-refuted", Warn, "Peers took this entry host for suspect or dead; it refuted.", "incarnation"},
+	MemberSelfWaking:       {"member-self-waking", Warn, "This process was paused; it learns before it acts.", "pause in milliseconds"},
+	MemberSelfAwake:        {"member-self-awake", Info, "After a pause this process is up to date, or found no peer.", "incarnation"},
+	MemberSelfJoined:       {"member-self-joined", Info, "This entry host exchanged members with a first peer, or is alone.", "members"},
+	MemberSelfLeaving:      {"member-self-leaving", Info, "This entry host tells its peers that it is about to go.", "incarnation"},
+	MemberMessageRefused:   {"member-message-refused", Warn, "Membership messages were malformed, unauthenticated or too many; counted since the last event.", "messages"},
+	MemberLimitReached:     {"member-limit-reached", Warn, "A new entry host was not taken in: the member limit is reached.", "members"},
+	MemberHostsUnreadable:  {"member-hosts-unreadable", Warn, "The platform's host list could not be read.", ""},
+	MemberAddressContested: {"member-address-contested", Warn, "Another process claims this entry host's peer address.", "incarnation"},
+}
--- /dev/null
+++ b/pkg/membership/fleet_faults_test.go
@@ -0,0 +1,206 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/membership"
+)
+
+func TestFaultsOnePerRow(t *testing.T) {
+	rows := []struct {
+		name  string
+		fault func(f *fleet)
+		bound int // periods until all agree
+	}{
+		{"join", func(*fleet) {}, 30},
+		{"kill", func(f *fleet) { f.hosts[3].up = false }, 30},
+		{"restart at once", func(f *fleet) { f.start(3); f.list(2, f.live()) }, 40},
+		{"kill, forget the list, restart", func(f *fleet) {
+			f.hosts[3].up = false
+			f.run(30)
+			f.start(3)
+			f.list(2, f.live())
+		}, 40},
+		{"pause", func(f *fleet) { f.hosts[3].paused = true; f.run(60); f.resume(3) }, 40},
+		{"short pause of half", func(f *fleet) {
+			for i := range 7 {
+				f.hosts[i].paused = true
+			}
+			f.run(5)
+			for i := range 7 {
+				f.resume(i)
+			}
+		}, 60},
+		{"split and heal", func(f *fleet) { split(f, 6); f.run(60); heal(f) }, 90},
+		{"stop", func(f *fleet) {
+			f.do(3, func(c *membership.Core) membership.Effects { return c.Stop(f.now) })
+			f.run(1)
+			f.hosts[3].up = false
+		}, 10},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(13, 1)
+			f.run(30)
+			is.Equal(f.disagreement(), "")
+			row.fault(f)
+			_, done := f.runUntil(row.bound, f.agreed)
+			is.True(done) // all agree within the bound
+			is.Equal(f.breaches(), 0)
+		})
+	}
+}
+
+func split(f *fleet, first int) {
+	for i, h := range f.hosts {
+		if i < first {
+			h.side = 1
+		}
+	}
+}
+
+func heal(f *fleet) {
+	for _, h := range f.hosts {
+		h.side = 0
+	}
+}
+
+// A list with dead hosts and without most live ones is enough to find all, if
+// it names one live host.
+func TestJoinFromStaleList(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(13, 2)
+	for i := 8; i < 13; i++ {
+		f.hosts[i].up = false
+	}
+	f.run(40)
+	f.hosts[5].up = false
+	f.run(40)
+	f.start(5)
+	f.list(3, []int{0, 8, 9, 10, 11, 12})
+	_, done := f.runUntil(40, f.agreed)
+	is.True(done)
+}
+
+func TestLeavingIsSeenAndNotTakenBack(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(9, 3)
+	f.run(30)
+	f.do(4, func(c *membership.Core) membership.Effects { return c.Leave(f.now) })
+	f.run(8)
+	for _, h := range f.hosts {
+		is.Equal(h.core.Snapshot().Find(address(4)).Status(), "leaving")
+	}
+	split(f, 4)
+	f.run(40)
+	heal(f)
+	f.run(60)
+	for _, h := range f.hosts {
+		is.Equal(h.core.Snapshot().Find(address(4)).Status(), "leaving")
+	}
+}
+
+func TestListMarksLeavingAndOlderListsDoNotRevive(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5, 4)
+	f.run(20)
+	set := func(revision uint64, leaving bool) {
+		list := []membership.ListedHost{{Address: address(2), Leaving: leaving}}
+		f.do(0, func(c *membership.Core) membership.Effects { return c.SetHosts(f.now, revision, list) })
+	}
+	set(9, true)
+	set(8, false)
+	is.True(!f.hosts[0].core.Snapshot().Find(address(2)).Usable())
+	is.True(f.hosts[1].core.Snapshot().Find(address(2)).Usable()) // another host's list does not say so
+	set(10, false)
+	is.True(f.hosts[0].core.Snapshot().Find(address(2)).Usable())
+}
+
+func TestMetadataReachesAll(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(9, 5)
+	f.run(20)
+	is.NoErr(f.hosts[4].core.SetMetadata([]byte("revision 7")))
+	is.Equal(f.hosts[4].core.SetMetadata(make([]byte, 65)), membership.ErrMetadataTooLong)
+	f.run(20)
+	for _, h := range f.hosts {
+		is.Equal(string(h.core.Snapshot().Find(address(4)).Metadata), "revision 7")
+	}
+}
+
+// A host that wakes judges nobody before a peer has answered.
+func TestWakingHostLearnsFirst(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(9, 6)
+	f.run(30)
+	f.hosts[0].paused = true
+	f.run(30)
+	f.hosts[0].side = 1 // awake, but nobody reaches it
+	f.resume(0)
+	var judged []string
+	f.onEvent = func(at int, e event.Event) {
+		if at == 0 && (e.Code == event.MemberSuspected || e.Code == event.MemberDead) {
+			judged = append(judged, fmt.Sprint(e.Code, e.Detail))
+		}
+	}
+	f.run(8)
+	is.True(f.hosts[0].core.Snapshot().Waking)
+	is.Equal(len(judged), 0)
+	heal(f)
+	_, done := f.runUntil(30, f.agreed)
+	is.True(done)
+	is.Equal(f.breaches(), 0)
+}
+
+// Every datagram of a life is sent again to a fleet that has moved on.
+func TestReplayedDatagramsChangeNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(9, 7)
+	f.run(10)
+	f.dup = 0
+	var old []delivery
+	for range 200 {
+		f.run(1)
+		old = append(old, f.queue...)
+	}
+	f.start(4)
+	f.list(2, f.live())
+	f.run(40)
+	is.Equal(f.disagreement(), "")
+	for _, d := range old {
+		f.deliver(d)
+	}
+	is.Equal(f.disagreement(), "")
+	f.run(10)
+	is.Equal(f.disagreement(), "")
+	is.Equal(f.breaches(), 0)
+}
+
+func TestDeadMembersAreForgotten(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5, 8)
+	f.run(20)
+	f.hosts[4].up = false
+	f.run(680)
+	for i := range 4 {
+		is.Equal(f.hosts[i].core.Snapshot().Find(address(4)), nil)
+	}
+	is.Equal(f.events[event.MemberForgotten], 4)
+}
+
+func TestMemberLimit(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2, 9)
+	c := membership.New(f.now, membership.Config{Address: address(0), MaxMembers: 1, Rand: f.rand})
+	for i := 1; i < 4; i++ {
+		from := membership.Entry{Address: address(i), Process: 1, Incarnation: 1, State: membership.Alive}
+		c.Receive(f.now.Add(time.Millisecond), &membership.Message{From: from, Body: membership.Ping{}})
+	}
+	is.Equal(len(c.Snapshot().Members), 2)
+}
--- /dev/null
+++ b/pkg/membership/snapshot.go
@@ -0,0 +1,90 @@
+package membership
+
+import (
+	"net/netip"
+	"slices"
+)
+
+// Member is one entry host as a snapshot shows it.
+type Member struct {
+	Entry
+	// ListLeaving is true when the platform's list shows the member as leaving.
+	ListLeaving bool
+}
+
+// Usable reports whether m is alive and not about to go. It is a guess.
+func (m *Member) Usable() bool {
+	return m.State == Alive && !m.Leaving && !m.ListLeaving
+}
+
+// Status returns "alive", "suspect", "leaving" or "dead" for operators.
+func (m *Member) Status() string {
+	if m.State == Alive && !m.Usable() {
+		return "leaving"
+	}
+	return m.State.String()
+}
+
+// Snapshot is the view of one host at one moment. It is immutable.
+type Snapshot struct {
+	// Version rises with each new snapshot of this process.
+	Version uint64
+	// Self is this host.
+	Self Member
+	// Joined is true once a peer has answered, or none could be found.
+	Joined bool
+	// Waking is true after a pause, until a peer has answered.
+	Waking bool
+	// Members holds all known members and this host, by address.
+	Members []Member
+}
+
+// Find returns the member at address, or nil.
+func (s *Snapshot) Find(address netip.AddrPort) *Member {
+	at, found := slices.BinarySearchFunc(s.Members, address, func(m Member, a netip.AddrPort) int {
+		return m.Address.Compare(a)
+	})
+	if !found {
+		return nil
+	}
+	return &s.Members[at]
+}
+
+// Count returns how many members are usable, this host included.
+func (s *Snapshot) Count() int {
+	n := 0
+	for i := range s.Members {
+		if s.Members[i].Usable() {
+			n++
+		}
+	}
+	return n
+}
+
+// Snapshot returns the current view. It is built anew only after a change;
+// changes of metadata alone show up once a period.
+func (c *Core) Snapshot() *Snapshot {
+	if !c.dirty && c.snapshot != nil {
+		return c.snapshot
+	}
+	var version uint64 = 1
+	if c.snapshot != nil {
+		version = c.snapshot.Version + 1
+	}
+	self := Member{c.self, c.hosts.listed[c.self.Address] && c.hosts.selfLive}
+	members := make([]Member, 0, len(c.order)+1)
+	members = append(members, self)
+	for _, r := range c.order {
+		members = append(members, Member{r.entry, r.listLeaving})
+	}
+	slices.SortFunc(members, func(a, b Member) int { return a.Address.Compare(b.Address) })
+	c.dirty = false
+	c.snapshot = &Snapshot{
+		Version: version,
+		Self:    self,
+		Joined:  c.hosts.joined,
+		Waking:  c.awake.waking,
+		Members: members,
+	}
+	return c.snapshot
+}
