--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,222 @@
+// Package members runs pkg/membership in the daemon: datagrams over UDP, the
+// platform's host list, and the control goroutine that owns the core.
+package members
+
+import (
+	"context"
+	crand "crypto/rand"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/dapplespindle/dapplespindle/internal/control"
+	"github.com/dapplespindle/dapplespindle/internal/platform"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/membership"
+	"github.com/dapplespindle/dapplespindle/pkg/membership/wire"
+)
+
+// HostSource reads the platform's lagging host list; *platform.Client is one.
+type HostSource interface {
+	Hosts(ctx context.Context) (*platform.HostList, error)
+}
+
+// Config holds what New needs. Zero durations take their defaults.
+type Config struct {
+	// Address is where peers reach this host, over UDP. It is bound as it is.
+	Address netip.AddrPort
+	// FailureDomain is where this host runs.
+	FailureDomain string
+	// Keys are the fleet keys: the first signs, all are accepted. Without keys
+	// datagrams are not authenticated.
+	Keys [][]byte
+	// Process identifies this process. Default: drawn at random.
+	Process uint64
+	// Period is the time between two probes. Default: membership.DefaultPeriod.
+	Period time.Duration
+	// PauseBound is the gap that counts as a pause. Default: two periods.
+	PauseBound time.Duration
+	// ForgetAfter is how long dead members are kept. Default: 600 periods.
+	ForgetAfter time.Duration
+	// Hosts reads the platform's list.
+	Hosts HostSource
+	// Loop is the control loop; New must be called before it runs.
+	Loop *control.Loop
+	// Events receives the decisions.
+	Events event.Sink
+}
+
+// Members is membership on this host.
+type Members struct {
+	conf      Config
+	core      *membership.Core // belongs to the control goroutine
+	transport *transport
+	snapshot  atomic.Pointer[membership.Snapshot]
+	started   time.Time
+	lastTick  atomic.Int64 // nanoseconds after started
+	lastWall  time.Time    // of the last tick, on the control goroutine
+	reported  time.Time    // when refused datagrams were last reported
+	refused   int64        // reported so far
+	cancel    context.CancelFunc
+}
+
+// New prepares membership and registers its tick with the loop.
+func New(conf Config) (*Members, error) {
+	if len(conf.FailureDomain) > membership.MaxFailureDomainBytes {
+		return nil, errors.Newf("failure domain %q is longer than %d bytes", conf.FailureDomain, membership.MaxFailureDomainBytes)
+	}
+	if !conf.Address.IsValid() || conf.Address.Addr().IsUnspecified() {
+		return nil, errors.Newf("peer address %q is not one that peers can reach", conf.Address)
+	}
+	codec, err := wire.NewCodec(conf.Keys)
+	if err != nil {
+		return nil, errors.Wrap(err, "fleet key")
+	}
+	if conf.Period <= 0 {
+		conf.Period = membership.DefaultPeriod
+	}
+	if conf.PauseBound <= 0 {
+		conf.PauseBound = 2 * conf.Period
+	}
+	now := time.Now()
+	m := &Members{conf: conf, started: now, lastWall: now, reported: now}
+	m.core = membership.New(now, m.coreConfig(now))
+	m.snapshot.Store(m.core.Snapshot())
+	m.transport = newTransport(conf.Address, codec, m.receive)
+	conf.Loop.Every(conf.Period/membership.TicksPerPeriod, m.tick)
+	return m, nil
+}
+
+func (m *Members) coreConfig(now time.Time) membership.Config {
+	var seed [32]byte
+	_, _ = crand.Read(seed[:])
+	random := rand.New(rand.NewChaCha8(seed))
+	process := m.conf.Process
+	if process == 0 {
+		process = random.Uint64()
+	}
+	return membership.Config{
+		Address:       m.conf.Address,
+		FailureDomain: m.conf.FailureDomain,
+		Process:       process,
+		Incarnation:   uint64(now.UnixMilli()),
+		Period:        m.conf.Period,
+		PauseBound:    m.conf.PauseBound,
+		ForgetAfter:   m.conf.ForgetAfter,
+		Rand:          random,
+	}
+}
+
+// Start opens the socket and begins to read the platform's list. The control
+// loop must run, or be about to.
+func (m *Members) Start() error {
+	if err := m.transport.start(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	go m.readHosts(ctx)
+	return nil
+}
+
+// Leave tells the peers that this host is about to go. Call it when a planned
+// stop begins; membership goes on.
+func (m *Members) Leave() {
+	m.conf.Loop.Post(func() { m.apply(m.core.Leave(time.Now())) })
+}
+
+// Stop tells the peers that this host is gone, and closes the socket. The
+// control loop must still run, else the peers have to find out.
+func (m *Members) Stop(ctx context.Context) {
+	_ = m.conf.Loop.Call(ctx, func() { m.apply(m.core.Stop(time.Now())) })
+	if m.cancel != nil {
+		m.cancel()
+	}
+	m.transport.stop()
+}
+
+// Snapshot returns the newest view. It never blocks and is never nil.
+func (m *Members) Snapshot() *membership.Snapshot { return m.snapshot.Load() }
+
+// Waking reports whether this process was paused and has not caught up. It
+// notices a pause before the control goroutine does, so a traffic goroutine
+// that asks right after waking gets the right answer.
+func (m *Members) Waking() bool {
+	silent := time.Since(m.started) - time.Duration(m.lastTick.Load())
+	return silent > m.conf.PauseBound || m.snapshot.Load().Waking
+}
+
+// SetMetadata publishes up to 64 bytes with this host's entry, at most every
+// five periods. It reports membership.ErrMetadataTooLong.
+func (m *Members) SetMetadata(metadata []byte) error {
+	if len(metadata) > membership.MaxMetadataBytes {
+		return membership.ErrMetadataTooLong
+	}
+	m.conf.Loop.Post(func() { _ = m.core.SetMetadata(metadata) })
+	return nil
+}
+
+// Stats returns the traffic since the start.
+func (m *Members) Stats() Stats { return m.transport.stats() }
+
+func (m *Members) tick(now time.Time) {
+	m.checkSuspend(now)
+	m.apply(m.core.Tick(now))
+	m.lastTick.Store(int64(now.Sub(m.started)))
+	m.reportRefused(now)
+	if s := m.core.Snapshot(); s != m.snapshot.Load() {
+		m.snapshot.Store(s)
+	}
+}
+
+// checkSuspend finds pauses in which the monotonic clock stood still, such as
+// that of a suspended virtual machine. A wall clock that is set forward looks
+// the same, and costs one exchange with a peer.
+func (m *Members) checkSuspend(now time.Time) {
+	wall := now.Round(0).Sub(m.lastWall.Round(0))
+	hidden := wall - now.Sub(m.lastWall)
+	m.lastWall = now
+	if hidden > m.conf.PauseBound {
+		m.apply(m.core.Wake(now, wall))
+	}
+}
+
+// receive hands a message to the control goroutine; it reports false when
+// that goroutine is behind.
+func (m *Members) receive(msg *membership.Message, done func()) bool {
+	return m.conf.Loop.Post(func() {
+		defer done()
+		m.apply(m.core.Receive(time.Now(), msg))
+	})
+}
+
+func (m *Members) apply(effects membership.Effects) {
+	for _, e := range effects.Events {
+		m.emit(e)
+	}
+	for _, s := range effects.Send {
+		m.transport.send(s)
+	}
+}
+
+func (m *Members) emit(e event.Event) {
+	e.At = time.Now()
+	e.EntryHost = m.conf.Address.Addr().String()
+	m.conf.Events.Emit(e)
+}
+
+const refusedReportEvery = 10 * time.Second
+
+// reportRefused reports refused datagrams, many in one event.
+func (m *Members) reportRefused(now time.Time) {
+	refused := m.transport.stats().Refused
+	if refused == m.refused || now.Sub(m.reported) < refusedReportEvery {
+		return
+	}
+	m.emit(event.Event{Code: event.MemberMessageRefused, Value: refused - m.refused})
+	m.refused = refused
+	m.reported = now
+}
--- a/pkg/membership/fleet_faults_test.go
+++ b/pkg/membership/fleet_faults_test.go
@@ -204,3 +204,84 @@
 	}
 	is.Equal(len(c.Snapshot().Members), 2)
 }
+
+// deaths counts how often a host took one of the given hosts for dead.
+func deaths(f *fleet, of func(at, member int) bool) *int {
+	n := 0
+	f.onEvent = func(at int, e event.Event) {
+		for i := range f.hosts {
+			if e.Code == event.MemberDead && e.Detail == address(i).String() && of(at, i) {
+				n++
+			}
+		}
+	}
+	return &n
+}
+
+// When a split heals, no side takes its own members for dead on the word of
+// the other.
+func TestHealingBringsNoFalseDeaths(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(13, 10)
+	f.run(30)
+	split(f, 6)
+	f.run(60)
+	wrong := deaths(f, func(at, member int) bool { return (at < 6) == (member < 6) })
+	heal(f)
+	f.run(60)
+	is.Equal(f.disagreement(), "")
+	is.Equal(*wrong, 0)
+}
+
+// Two hosts that cannot reach each other reach one another through others.
+func TestCutLinkIsNoDeath(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(9, 11)
+	f.run(30)
+	f.cut = func(from, to int) bool { return from+to == 1 }
+	suspected := 0
+	f.onEvent = func(_ int, e event.Event) {
+		if e.Code == event.MemberSuspected {
+			suspected++
+		}
+	}
+	f.run(200)
+	is.Equal(suspected, 0)
+	is.Equal(f.disagreement(), "")
+}
+
+// News that are no longer passed on still reach a host through comparisons.
+func TestComparisonFindsWhatGossipMissed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2, 12)
+	f.run(20)
+	push := &membership.Message{From: f.hosts[1].core.Snapshot().Self.Entry, Body: membership.SyncPush{}}
+	for i := 10; i < 60; i++ {
+		push.Updates = append(push.Updates, membership.Entry{
+			Address: address(i), Process: 1, Incarnation: 1, State: membership.Alive,
+		})
+	}
+	f.do(0, func(c *membership.Core) membership.Effects { return c.Receive(f.now, push) })
+	f.run(15)
+	is.True(len(f.hosts[1].core.Snapshot().Members) >= 50)
+}
+
+// Two processes that happen to start with one incarnation are told apart, in
+// whatever order the news arrive.
+func TestProcessesOfOneIncarnationAreOrdered(t *testing.T) {
+	is := is.New(t)
+	entry := func(process uint64, s membership.State) membership.Entry {
+		return membership.Entry{Address: address(1), Process: process, Incarnation: 5, State: s}
+	}
+	from := membership.Entry{Address: address(2), Process: 1, Incarnation: 1, State: membership.Alive}
+	old, restarted := entry(1, membership.Suspect), entry(2, membership.Alive)
+	for _, updates := range [][]membership.Entry{{old, restarted}, {restarted, old}} {
+		f := newFleet(1, 13)
+		f.do(0, func(c *membership.Core) membership.Effects {
+			return c.Receive(f.now, &membership.Message{From: from, Updates: updates, Body: membership.Ping{}})
+		})
+		got := f.hosts[0].core.Snapshot().Find(address(1))
+		is.Equal(got.Process, uint64(2))
+		is.Equal(got.State, membership.Alive)
+	}
+}
--- a/pkg/membership/fleet_test.go
+++ b/pkg/membership/fleet_test.go
@@ -68,6 +68,7 @@
 	messages  int64
 	events    map[event.Code]int
 	onEvent   func(at int, e event.Event)
+	cut       func(from, to int) bool // links that are down, beyond sides
 	err       error
 }
 
@@ -159,6 +160,9 @@
 	f.messages++
 	ip := s.To.Addr().As4()
 	to := int(binary.BigEndian.Uint32(ip[:])-10<<24) - 1
+	if to >= len(f.hosts) {
+		return
+	}
 	copies := 1
 	if f.rand.Float64() < f.dup {
 		copies = 2
@@ -175,7 +179,7 @@
 
 func (f *fleet) deliver(d delivery) {
 	to := f.hosts[d.to]
-	if !to.up || f.hosts[d.from].side != to.side {
+	if !to.up || f.hosts[d.from].side != to.side || f.cut != nil && f.cut(d.from, d.to) {
 		return
 	}
 	if to.paused {
--- /dev/null
+++ b/pkg/membership/rendezvous/rendezvous_test.go
@@ -0,0 +1,47 @@
+package rendezvous
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/pkg/membership"
+)
+
+func fleet() []membership.Member {
+	var out []membership.Member
+	for i := range 12 {
+		out = append(out, membership.Member{Entry: membership.Entry{
+			Address:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000),
+			State:         membership.Alive,
+			FailureDomain: string(rune('a' + i%3)),
+		}})
+	}
+	return out
+}
+
+func TestChoiceDependsOnMembersOnly(t *testing.T) {
+	is := is.New(t)
+	members := fleet()
+	chosen := PerDomain("readers", members, 2)
+	is.Equal(len(chosen), 6)
+	slices.Reverse(members)
+	is.Equal(PerDomain("readers", members, 2), chosen)
+}
+
+func TestOnlyTheChoiceOfALostMemberMoves(t *testing.T) {
+	is := is.New(t)
+	members := fleet()
+	chosen := PerDomain("readers", members, 2)
+	for i := range members {
+		if members[i].Address == chosen[0].Address {
+			members[i].Leaving = true
+		}
+	}
+	after := PerDomain("readers", members, 2)
+	is.Equal(len(after), 6)
+	is.Equal(after[0], chosen[1]) // the next in line moves up
+	is.Equal(after[2:], chosen[2:])
+}
