Repeat a probe before suspecting, and settle faster after a start

And a fresh fleet took long to know itself, as each host asked few listed ones.

Ruled out: a longer suspicion, which slows every detection.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Commands for developers. `make test` is what CI runs; measurements are apart.
 BINARIES := spindled spindle-standin spindle-load
 
-.PHONY: build demo test unit lint ldd
+.PHONY: build demo test unit lint ldd measure-membership long-membership
 
 build:
 	@mkdir -p bin
@@ -23,3 +23,15 @@
 # Every binary is linked to the C library, as the platform expects.
 ldd: build
 	@for b in $(BINARIES); do ldd bin/$$b | grep -q libc.so || { echo "$$b is not linked to libc"; exit 1; }; done
+
+# Cost, detection and false suspicions of membership, under virtual time, and
+# one exchange over UDP against gRPC on loopback.
+measure-membership:
+	go test -run '^$$' -bench . -benchtime 1x -timeout 30m ./pkg/membership
+	go test -run '^$$' -bench Exchange -benchtime 20000x ./internal/members
+
+# Random faults for longer: RAPID_CHECKS fleets, from RAPID_SEED.
+long-membership:
+	RAPID_CHECKS=$${RAPID_CHECKS:-10000} RAPID_SEED=$${RAPID_SEED:-7} \
+		go test -count=1 -timeout 60m -v -run RandomFaults ./pkg/membership
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime 60s -parallel 2 ./pkg/membership/wire
--- a/internal/members/transport_test.go
+++ b/internal/members/transport_test.go
@@ -65,7 +65,7 @@
 		<-answers
 	}
 	b.ReportMetric(float64((cpuTime()-start).Nanoseconds())/float64(b.N), "cpu-ns/op")
-	b.ReportMetric(float64(near.sentBytes.Load()+far.sentBytes.Load())/float64(b.N), "B/op")
+	b.ReportMetric(float64(near.sentBytes.Load()+far.sentBytes.Load())/float64(b.N), "wire-B/op")
 }
 
 // listenAnywhere opens t on a free port and notes it as its address.
@@ -141,7 +141,7 @@
 		}
 	}
 	b.ReportMetric(float64((cpuTime()-start).Nanoseconds())/float64(b.N), "cpu-ns/op")
-	b.ReportMetric(float64(bytes.Load())/float64(b.N), "B/op")
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/op")
 }
 
 // pingOf returns the protobuf message of a ping.
--- a/pkg/membership/hosts.go
+++ b/pkg/membership/hosts.go
@@ -12,6 +12,7 @@
 	joinContacts   = 3  // hosts asked in a period while joining or waking
 	joinPeriods    = 10 // periods after which a host that nobody answers starts alone
 	reconnectEvery = 3  // periods between two tries to reach a host held for dead
+	settlePeriods  = 30 // periods after the start in which such a try is made each time
 )
 
 // ListedHost is one entry of the platform's lagging host list.
@@ -127,10 +128,11 @@
 // stepReconnect tries now and then to reach a host that is dead or was never
 // heard of, so that a split that healed finds itself again.
 func (c *Core) stepReconnect() {
-	if c.periods%reconnectEvery != 0 || !c.awakeAndJoined() {
+	settling := c.periods < settlePeriods
+	if c.periods%reconnectEvery != 0 && !settling || !c.awakeAndJoined() {
 		return
 	}
-	if c.periods%(2*reconnectEvery) == 0 {
+	if c.periods%(2*reconnectEvery) == 0 || settling {
 		for _, i := range c.pick(len(c.hosts.others), 1) {
 			c.reconnect(c.hosts.others[i])
 		}
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -11,17 +11,18 @@
 	helperSample   = 12 // members looked at to find helpers
 	maxRelays      = 64 // pings made for others that wait for an answer
 	maxUrgent      = 16 // members to be probed out of turn
-	// directShare is the part of a period, in percent, that a direct probe may
-	// take before helpers are asked.
-	directShare = 35
+	// retryShare is the part of a period, in percent, after which a probe that
+	// has no answer is repeated, directly and through helpers.
+	retryShare   = 30
+	probeRetries = 2
 )
 
 // probe is the one member being probed.
 type probe struct {
 	target   *record
 	sequence uint64
-	asked    bool // helpers were asked
-	askAt    time.Duration
+	retries  int // left
+	retryAt  time.Duration
 	endAt    time.Duration
 }
 
@@ -38,8 +39,8 @@
 	if c.awake.waking {
 		return
 	}
-	if c.probe.target != nil && !c.probe.asked && c.clock >= c.probe.askAt {
-		c.askHelpers()
+	if c.probe.target != nil && c.probe.retries > 0 && c.clock >= c.probe.retryAt {
+		c.retryProbe()
 	}
 	if c.clock < c.probe.endAt {
 		return
@@ -70,7 +71,8 @@
 	c.probe = probe{
 		target:   r,
 		sequence: c.conf.Rand.Uint64(),
-		askAt:    c.clock + c.conf.Period*directShare/100*stretch,
+		retries:  probeRetries,
+		retryAt:  c.clock + c.retryInterval(),
 		endAt:    c.clock + c.conf.Period*stretch,
 	}
 	c.ping(r, c.probe.sequence)
@@ -133,10 +135,17 @@
 	c.send(r.entry.Address, []Entry{claim}, Ping{c.conf.Rand.Uint64()})
 }
 
-// askHelpers asks members in several failure domains to probe the target.
-func (c *Core) askHelpers() {
-	c.probe.asked = true
+func (c *Core) retryInterval() time.Duration {
+	return c.conf.Period * retryShare / 100 * time.Duration(1+c.health)
+}
+
+// retryProbe probes the target again, and asks members in several failure
+// domains to do the same.
+func (c *Core) retryProbe() {
+	c.probe.retries--
+	c.probe.retryAt = c.clock + c.retryInterval()
 	target := c.probe.target
+	c.ping(target, c.probe.sequence)
 	for _, h := range c.helpers(target) {
 		c.send(h.entry.Address, c.withNewsOf(target), PingRequest{c.probe.sequence, target.entry.Address})
 	}
