Bound comparisons in a busy fleet and keep floods from hiding acks

And one budget for all answers let old pings, sent again, crowd out the acks of fresh ones.

A comparison now comes early only for changes other than metadata, and every 5 periods otherwise. Acks of own probes are outside the budget.

--- a/internal/members/hostlist.go
+++ b/internal/members/hostlist.go
@@ -67,7 +67,10 @@
 		if err != nil {
 			continue
 		}
-		out = append(out, membership.ListedHost{Address: a, Leaving: h.State == platform.Leaving})
+		out = append(out, membership.ListedHost{
+			Address: netip.AddrPortFrom(a.Addr().Unmap(), a.Port()),
+			Leaving: h.State == platform.Leaving,
+		})
 	}
 	return out
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -81,6 +81,7 @@
 	if conf.PauseBound <= 0 {
 		conf.PauseBound = 2 * conf.Period
 	}
+	conf.Address = netip.AddrPortFrom(conf.Address.Addr().Unmap(), conf.Address.Port())
 	now := time.Now()
 	m := &Members{conf: conf, started: now, lastWall: now, reported: now}
 	m.core = membership.New(now, m.coreConfig(now))
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -141,3 +141,17 @@
 		return m != nil && m.State == membership.Dead
 	})
 }
+
+func TestParseKeys(t *testing.T) {
+	is := is.New(t)
+	keys, err := ParseKeys("00112233445566778899aabbccddeeff, ffeeddccbbaa99887766554433221100")
+	is.NoErr(err)
+	is.Equal(len(keys), 2)
+	for _, bad := range []string{"zz", "0011", "00112233445566778899aabbccddeeff,"} {
+		_, err := ParseKeys(bad)
+		is.True(err != nil)
+	}
+	keys, err = ParseKeys("")
+	is.NoErr(err)
+	is.Equal(len(keys), 0)
+}
--- a/pkg/membership/core.go
+++ b/pkg/membership/core.go
@@ -57,8 +57,8 @@
 
 	defaultPausePeriods  = 2
 	defaultForgetPeriods = 600
-	maxHealth            = 4  // highest count of signs that this host is slow
-	answersPerPeriod     = 64 // answers of any kind sent in one period
+	maxHealth            = 4   // highest count of signs that this host is slow
+	answersPerPeriod     = 512 // answers of any kind sent in one period
 	syncRepliesPerPeriod = 6
 )
 
@@ -87,6 +87,7 @@
 	self    Entry
 	selfSum uint64 // address hash of self
 	stopped bool
+	noted   map[event.Code]uint64 // period of the last event that emitOnce let pass
 
 	// clock counts observed time: it stands still over a pause, so that no
 	// timer runs out because this process did not run.
@@ -114,6 +115,7 @@
 	answers     int
 	syncReplies int
 
+	changes           uint64 // changes of members, metadata aside
 	dirty, minorDirty bool
 	snapshot          *Snapshot
 	out               Effects
@@ -144,6 +146,7 @@
 		},
 		selfSum: addressHash(conf.Address),
 		last:    now,
+		noted:   make(map[event.Code]uint64),
 		records: make(map[netip.AddrPort]*record),
 		dirty:   true,
 	}
@@ -244,6 +247,15 @@
 	})
 }
 
+// emitOnce emits at most one event of this code in a period.
+func (c *Core) emitOnce(code event.Code, about *Entry) {
+	if at, noted := c.noted[code]; noted && at == c.periods {
+		return
+	}
+	c.noted[code] = c.periods
+	c.emit(code, about)
+}
+
 func (c *Core) effects() Effects {
 	out := c.out
 	c.out = Effects{}
--- a/pkg/membership/entry.go
+++ b/pkg/membership/entry.go
@@ -63,6 +63,8 @@
 // Valid reports whether e is within its bounds.
 func (e *Entry) Valid() bool {
 	return e.Address.IsValid() &&
+		!e.Address.Addr().IsUnspecified() &&
+		!e.Address.Addr().IsMulticast() &&
 		e.Address.Port() != 0 &&
 		e.Incarnation < MaxIncarnation &&
 		e.State >= Alive && e.State <= Dead &&
--- a/pkg/membership/news.go
+++ b/pkg/membership/news.go
@@ -46,8 +46,12 @@
 	if e.State == Dead {
 		return
 	}
+	if e.Address == c.self.Address {
+		c.emit(event.InvariantSelfOverwritten, &e)
+		return
+	}
 	if len(c.records) >= c.conf.MaxMembers {
-		c.emit(event.MemberLimitReached, &e)
+		c.emitOnce(event.MemberLimitReached, &e)
 		return
 	}
 	r := &record{entry: e, hash: addressHash(e.Address)}
@@ -109,6 +113,7 @@
 		c.minorDirty = true
 		return
 	}
+	c.changes++
 	c.dirty = true
 }
 
@@ -146,7 +151,7 @@
 	}
 	if e.Process != c.self.Process {
 		if e.State == Alive {
-			c.emit(event.MemberAddressContested, e)
+			c.emitOnce(event.MemberAddressContested, e)
 		}
 		c.raise(e.Incarnation + 1)
 		return
--- a/pkg/membership/receive.go
+++ b/pkg/membership/receive.go
@@ -18,6 +18,7 @@
 	if _, isPush := m.Body.(SyncPush); isPush || isReply {
 		via = synced
 	}
+	before := c.changes
 	var behind []Entry
 	for _, e := range m.Updates {
 		if r := c.records[e.Address]; expected && r != nil && r.entry.newerThan(&e) {
@@ -28,7 +29,7 @@
 	if m.From.State == Dead {
 		return c.effects()
 	}
-	c.answer(m, expected, behind)
+	c.answer(m, expected, behind, c.changes-before)
 	return c.effects()
 }
 
@@ -41,29 +42,29 @@
 }
 
 // answer does what the body asks for, within the bounds of a period.
-func (c *Core) answer(m *Message, expected bool, behind []Entry) {
-	if c.answers >= answersPerPeriod {
+func (c *Core) answer(m *Message, expected bool, behind []Entry, changes uint64) {
+	if b, isAck := m.Body.(Ack); isAck && c.ownAck(b) {
 		return
 	}
-	c.answers++
 	from := c.records[m.From.Address]
-	if from == nil {
+	if from == nil || c.answers >= answersPerPeriod {
 		return
 	}
+	c.answers++
 	switch b := m.Body.(type) {
 	case Ping:
 		c.send(from.entry.Address, c.withNewsOf(from), Ack(b))
 	case PingRequest:
 		c.pingFor(m, b)
 	case Ack:
-		c.acked(b)
+		c.passOn(b)
 		c.nudge(from)
 	case SyncRequest:
 		c.replySync(from, b)
 	case SyncReply:
 		c.nudge(from)
 		if expected {
-			c.finishSync(m, b, behind)
+			c.finishSync(m, b, behind, changes)
 		}
 	}
 }
@@ -93,14 +94,20 @@
 	}
 }
 
-// acked ends the current probe, or passes the answer on to its origin.
-func (c *Core) acked(b Ack) {
-	if c.probe.target != nil && b.Sequence == c.probe.sequence {
-		c.probe.target = nil
-		c.probe.endAt = min(c.probe.endAt, c.nextPeriod)
-		c.health = max(c.health-1, 0)
-		return
+// ownAck ends the current probe, if b answers it and no more is to be said.
+func (c *Core) ownAck(b Ack) bool {
+	if c.probe.target == nil || b.Sequence != c.probe.sequence {
+		return false
 	}
+	behind := c.probe.target.behind
+	c.probe.target = nil
+	c.probe.endAt = min(c.probe.endAt, c.nextPeriod)
+	c.health = max(c.health-1, 0)
+	return !behind
+}
+
+// passOn sends the answer to a ping made for another host to that host.
+func (c *Core) passOn(b Ack) {
 	for i, r := range c.relays {
 		if r.sequence == b.Sequence {
 			c.relays = append(c.relays[:i:i], c.relays[i+1:]...)
--- a/pkg/membership/sync.go
+++ b/pkg/membership/sync.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	syncEvery       = 10  // periods between two comparisons in a quiet fleet
+	syncEvery       = 5   // periods between two comparisons in a quiet fleet
 	windowTarget    = 48  // members in a window, on average
 	maxDigests      = 64  // digests in a request
 	syncEntryBytes  = 700 // bytes of entries in one datagram of a comparison
@@ -14,7 +14,7 @@
 	pushDatagrams   = 2   // datagrams in one push
 	maxOutstanding  = 8   // requests that wait for their reply
 	catchUpRequests = 4   // requests in a period while catching up
-	syncNewsEnough  = 6   // news in a reply that make the next request come early
+	syncNewsEnough  = 6   // changes from a reply that make the next request come early
 )
 
 // syncState is the state of comparing members with peers.
@@ -164,10 +164,10 @@
 }
 
 // finishSync pushes what the peer lacks and plans the next comparison.
-func (c *Core) finishSync(m *Message, b SyncReply, behind []Entry) {
+func (c *Core) finishSync(m *Message, b SyncReply, behind []Entry, changes uint64) {
 	c.sync.heard = min(int(b.Members), c.conf.MaxMembers)
 	c.pushWanted(m.From.Address, b.Wanted, behind)
-	if len(m.Updates)+len(b.Wanted) >= syncNewsEnough {
+	if changes+uint64(len(b.Wanted)) >= syncNewsEnough {
 		c.sync.at = c.periods + 1
 	}
 	if c.sync.catchUp == 0 && c.sync.heard > 2*len(c.order) {
