--- a/Makefile
+++ b/Makefile
@@ -24,11 +24,10 @@
 ldd: build
 	@for b in $(BINARIES); do ldd bin/$$b | grep -q libc.so || { echo "$$b is not linked to libc"; exit 1; }; done
 
-# Cost, detection and false suspicions of membership, under virtual time, and
-# one exchange over UDP against gRPC on loopback.
+# Cost, detection, false suspicions, joining and healing of membership, under
+# virtual time.
 measure-membership:
 	go test -run '^$$' -bench . -benchtime 1x -timeout 30m ./pkg/membership
-	go test -run '^$$' -bench Exchange -benchtime 20000x ./internal/members
 
 # Random faults for longer: RAPID_CHECKS fleets, from RAPID_SEED.
 long-membership:
