--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -7,6 +7,7 @@
 	crand "crypto/rand"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -49,6 +50,9 @@
 	Events event.Sink
 }
 
+// ErrBusy is returned when the control queue is full; try again later.
+var ErrBusy = errors.New("control queue is full")
+
 // Members is membership on this host.
 type Members struct {
 	conf      Config
@@ -124,13 +128,15 @@
 }
 
 // Leave tells the peers that this host is about to go. Call it when a planned
-// stop begins; membership goes on.
-func (m *Members) Leave() {
-	m.conf.Loop.Post(func() { m.apply(m.core.Leave(time.Now())) })
+// stop begins, not on the control goroutine; membership goes on. It fails only
+// with ctx's error.
+func (m *Members) Leave(ctx context.Context) error {
+	return m.conf.Loop.Call(ctx, func() { m.apply(m.core.Leave(time.Now())) })
 }
 
 // Stop tells the peers that this host is gone, and closes the socket. The
-// control loop must still run, else the peers have to find out.
+// control loop must still run, else the peers have to find out. Call it not on
+// the control goroutine.
 func (m *Members) Stop(ctx context.Context) {
 	_ = m.conf.Loop.Call(ctx, func() { m.apply(m.core.Stop(time.Now())) })
 	if m.cancel != nil {
@@ -151,12 +157,16 @@
 }
 
 // SetMetadata publishes up to 64 bytes with this host's entry, at most every
-// five periods. It reports membership.ErrMetadataTooLong.
+// five periods; the newest wins. It may be called on any goroutine, and reports
+// membership.ErrMetadataTooLong or ErrBusy.
 func (m *Members) SetMetadata(metadata []byte) error {
 	if len(metadata) > membership.MaxMetadataBytes {
 		return membership.ErrMetadataTooLong
 	}
-	m.conf.Loop.Post(func() { _ = m.core.SetMetadata(metadata) })
+	own := slices.Clone(metadata)
+	if !m.conf.Loop.Post(func() { _ = m.core.SetMetadata(own) }) {
+		return ErrBusy
+	}
 	return nil
 }
 
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -106,7 +106,7 @@
 	eventually(t, "metadata arrive", func() bool {
 		return string(all[0].Snapshot().Find(addresses[1]).Metadata) == "revision 3"
 	})
-	all[5].Leave()
+	is.NoErr(all[5].Leave(context.Background()))
 	eventually(t, "the leaving host is not usable", count(5))
 	all[5].Stop(context.Background())
 	gone := all[5]
