--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Commands for developers. `make test` is what CI runs; measurements are apart.
 BINARIES := spindled spindle-standin spindle-load
 
-.PHONY: build demo test unit lint ldd charts check-leaving measure-lifecycle spec long-execution
+.PHONY: build demo test unit lint ldd charts check-leaving measure-lifecycle spec long-execution measure-membership long-membership
 
 build:
 	@mkdir -p bin
@@ -46,3 +46,14 @@
 measure-lifecycle:
 	go test -count=1 -v -run 'Window|Restarts|News|Seconds|Bytes' ./pkg/probebudget ./pkg/lifecycle -rapid.checks=2000
 	go test -count=1 -run '^$$' -bench . ./charts ./pkg/lifecycle ./pkg/probebudget
+
+# Cost, detection, false suspicions, joining and healing of membership, under
+# virtual time.
+measure-membership:
+	go test -run '^$$' -bench . -benchtime 1x -timeout 30m ./pkg/membership
+
+# Random faults for longer: RAPID_CHECKS fleets, from RAPID_SEED.
+long-membership:
+	RAPID_CHECKS=$${RAPID_CHECKS:-10000} RAPID_SEED=$${RAPID_SEED:-7} \
+		go test -count=1 -timeout 60m -v -run RandomFaults ./pkg/membership
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime 60s -parallel 2 ./pkg/membership/wire
