Decide the configuration in force by a join over all versions seen

Cause: the watch of each host applied whatever the platform last answered, so a stale platform or a restart put an older document in force. Ruled out: trusting the last read; first come on equal revisions.

--- /dev/null
+++ b/pkg/configsync/state_test.go
@@ -0,0 +1,129 @@
+package configsync
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestStateIsAJoin(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(3, 3))
+	versions := []Version{
+		NewVersion("services/a", 1, false, document("a", 1)),
+		NewVersion("services/a", 2, false, []byte(`{}`)),
+		NewVersion("services/a", 3, false, document("a", 3)),
+		NewVersion("services/a", 3, false, document("a", 4)),
+		NewVersion("services/a", 4, false, document("b", 4)),
+		NewVersion("services/b", 5, false, document("b", 5)),
+		NewVersion("services/b", 6, true, nil),
+		NewVersion("hosts", 7, false, []byte(`1`)),
+	}
+	digests := make(map[uint64]bool)
+	for range 200 {
+		s := NewState()
+		for range 2 {
+			for _, i := range r.Perm(len(versions)) {
+				s.Merge(versions[i])
+			}
+		}
+		digests[s.Digest()] = true
+		is.Equal(len(s.InForce()), 1)
+		is.Equal(s.InForceID("services/a"), max3(versions[2].ID, versions[3].ID))
+	}
+	is.Equal(len(digests), 1) // the order of merges does not matter
+}
+
+func max3(a, b ID) ID {
+	if a.Compare(b) > 0 {
+		return a
+	}
+	return b
+}
+
+func TestInvalidLeavesTheOneInForce(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	good := NewVersion("services/a", 1, false, document("a", 1))
+	is.True(s.Merge(good).InForce)
+	got := s.Merge(NewVersion("services/a", 2, false, []byte(`{"name":"a"}`)))
+	is.True(got.Invalid != nil)
+	is.True(!got.InForce)
+	is.Equal(s.InForceID("services/a"), good.ID)
+	is.Equal(s.verdict("services/a", 2), Rejected)
+	is.Equal(s.verdict("services/a", 1), Current)
+	is.Equal(s.verdict("services/a", 3), Unseen)
+}
+
+func TestPutRefusesToFallBack(t *testing.T) {
+	is := is.New(t)
+	newer := NewVersion("services/a", 2, true, nil)
+	older := NewVersion("services/a", 1, true, nil)
+	e := &entry{inForce: &newer}
+	is.True(!e.put(&older, nil))
+	is.Equal(e.inForce.ID, newer.ID)
+}
+
+func TestDelta(t *testing.T) {
+	is := is.New(t)
+	for _, pair := range [][2]string{{"", ""}, {"abc", "abc"}, {"abc", "abXc"}, {"aaa", "aa"}, {"aa", "aaa"}, {"", "x"}, {"x", ""}} {
+		old := &Version{Value: []byte(pair[0])}
+		got, ok := newDelta(old, []byte(pair[1])).apply(old.Value)
+		is.True(ok)
+		is.Equal(string(got), pair[1])
+	}
+	_, ok := Delta{Prefix: 2, Suffix: 2}.apply([]byte("abc"))
+	is.True(!ok)
+}
+
+func TestWatermark(t *testing.T) {
+	is := is.New(t)
+	w := Watermark{Frontier: 7, Digest: 9, Ready: true}
+	is.Equal(len(w.Encode()), WatermarkBytes)
+	got, err := DecodeWatermark(w.Encode())
+	is.NoErr(err)
+	is.Equal(got, w)
+	_, err = DecodeWatermark([]byte("short"))
+	is.True(err != nil)
+}
+
+func TestFollow(t *testing.T) {
+	is := is.New(t)
+	n := NewNode(epoch, Options{Rand: rand.New(rand.NewPCG(1, 1))})
+	n.state.Merge(NewVersion("services/a", 5, false, document("a", 1)))
+	members := []MemberWatermark{
+		{Member{Address: "x"}, Watermark{Frontier: 5, Ready: true}},
+		{Member{Address: "y"}, Watermark{Frontier: 4, Ready: true}},
+	}
+	got := n.Follow("services/a", 5, members)
+	is.Equal(got, Progress{Current, []string{"y"}})
+	is.True(!got.Everywhere())
+	is.True(n.Follow("services/a", 5, members[:1]).Everywhere())
+}
+
+func TestDamagedItemIsDropped(t *testing.T) {
+	is := is.New(t)
+	n := NewNode(epoch, Options{Rand: rand.New(rand.NewPCG(1, 1))})
+	v := NewVersion("services/a", 1, false, document("a", 1))
+	v.Value = []byte(strings.Replace(string(v.Value), "9001", "9002", 1))
+	n.Receive(epoch, "peer", Items{Range: Range{0, 1}, Versions: []Item{{Version: v}}})
+	is.Equal(n.state.Frontier(), uint64(0))
+	is.Equal(len(n.state.Keys()), 0)
+}
+
+func TestWakeLearnsFirst(t *testing.T) {
+	is := is.New(t)
+	n := NewNode(epoch, Options{Self: Member{"a", "d"}, Rand: rand.New(rand.NewPCG(1, 1))})
+	n.SetMembers(epoch, nil)
+	n.PlatformAnswered(epoch, Answer{})
+	is.True(n.Ready())
+	n.SetMembers(epoch, []Member{{"b", "d"}})
+	later := epoch.Add(time.Minute)
+	n.Receive(later, "b", Announce{})
+	is.True(n.Learning())
+	n.Receive(later, "b", Summary{Ready: true})
+	is.True(!n.Learning())
+}
--- a/pkg/event/config_events.go
+++ b/pkg/event/config_events.go
@@ -5,6 +5,15 @@
 	ConfigApplied      Code = 2001
 	ConfigRejected     Code = 2002
 	PlatformUnreadable Code = 2003
+	PlatformStale      Code = 2004
+	ConfigConflict     Code = 2005
+	ConfigReady        Code = 2006
+	ConfigUnconfirmed  Code = 2007
+	ConfigLearning     Code = 2008
+	ConfigLearned      Code = 2009
+	ConfigFallbackRead Code = 2010
+	ConfigDamaged      Code = 2011
+	ConfigSendDropped  Code = 2012
 )
 
 // configEvents describes the codes 2xxx: configuration.
@@ -12,4 +21,13 @@
 	ConfigApplied:      {"config-applied", Info, "A published document is in force on this entry host.", "revision"},
 	ConfigRejected:     {"config-rejected", Warn, "A published document is invalid; the one in force stays.", "revision"},
 	PlatformUnreadable: {"platform-unreadable", Warn, "The configuration service gave no usable answer.", ""},
+	PlatformStale:      {"platform-stale", Warn, "The configuration service is behind what this entry host knows; nothing falls back.", "revision of the platform"},
+	ConfigConflict:     {"config-conflict", Error, "One revision of a key came with two contents; the higher digest wins on every entry host.", "revision"},
+	ConfigReady:        {"config-ready", Info, "The entry host knows what its peers know and may serve.", "frontier revision"},
+	ConfigUnconfirmed:  {"config-unconfirmed", Error, "The entry host serves what the platform gave although listed peers did not answer; it may be old.", "frontier revision"},
+	ConfigLearning:     {"config-learning", Warn, "The entry host was paused and asks its peers before it acts.", ""},
+	ConfigLearned:      {"config-learned", Info, "The entry host has asked after a pause and acts again.", "frontier revision"},
+	ConfigFallbackRead: {"config-fallback-read", Info, "The entry host is no reader but reads the platform, for want of news.", ""},
+	ConfigDamaged:      {"config-damaged", Error, "A document from a peer did not fit its digest and was dropped.", ""},
+	ConfigSendDropped:  {"config-send-dropped", Warn, "Messages to peers were dropped because too many were waiting; comparison repairs it.", "messages"},
 }
