--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -5,9 +5,11 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 )
@@ -16,6 +18,18 @@
 // for a document of one megabyte and for a forwarded request with its body.
 const MaxMessageBytes = 32 << 20
 
+// A peer that was gone for long is tried again within a second or so: a host
+// that restarts must not wait for its peers' backoff.
+var connectParams = grpc.ConnectParams{
+	Backoff: backoff.Config{
+		BaseDelay:  100 * time.Millisecond,
+		Multiplier: 1.6,
+		Jitter:     0.2,
+		MaxDelay:   time.Second,
+	},
+	MinConnectTimeout: 2 * time.Second,
+}
+
 // Server listens for peers.
 type Server struct {
 	*grpc.Server
@@ -68,6 +82,7 @@
 	c, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(p.creds),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithConnectParams(connectParams),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)))
 	if err != nil {
 		return nil, errors.Wrap(err, "peer connection")
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -72,14 +72,30 @@
 	http *http.Client
 }
 
+// maxAnswerBytes bounds one answer, in bytes.
 const maxAnswerBytes = 64 << 20
 
+// StatusError is an answer other than 200.
+type StatusError struct {
+	// Code is the HTTP status.
+	Code int
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return "platform answered " + strconv.Itoa(e.Code) + " " + http.StatusText(e.Code)
+}
+
+// ErrTooLarge says that an answer exceeds 64 MiB.
+var ErrTooLarge = errors.New("platform answer exceeds 64 MiB")
+
 // NewClient returns a client of the service at base, "http://IP:port".
 func NewClient(base string) *Client {
 	return &Client{base: base, http: &http.Client{}}
 }
 
-// Watch returns the changes after revision, waiting up to wait for one.
+// Watch returns the changes after revision, waiting up to wait for one. The
+// error is a *StatusError, ErrTooLarge, or one of transport or decoding.
 func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error) {
 	q := url.Values{
 		"after": {strconv.FormatUint(after, 10)},
@@ -106,11 +122,14 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return errors.Newf("platform answered %s", resp.Status)
+		return &StatusError{resp.StatusCode}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return errors.Wrap(err, "platform body")
 	}
+	if len(body) > maxAnswerBytes {
+		return ErrTooLarge
+	}
 	return errors.Wrap(json.Unmarshal(body, out), "platform answer")
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -7,113 +7,118 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/internal/platform"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
 )
 
-const maxWatchWait = 60 * time.Second
+const (
+	maxWatchWait = 60 * time.Second
+	// lagPoll is how often a waiting watch looks again while the platform lags.
+	lagPoll = 10 * time.Millisecond
+)
 
 // Platform is an in-memory configuration service and host list. Documents are
 // published with PUT and DELETE below /v1/config/; the system never does so.
+// Faults make it misbehave.
 type Platform struct {
-	mu       sync.Mutex
-	revision uint64
-	docs     map[string]platform.Change
-	hosts    platform.HostList
-	changed  chan struct{}
-	reads    atomic.Int64
+	store  store
+	faults faults
+	reads  atomic.Int64
 }
 
-// NewPlatform returns an empty platform.
+// NewPlatform returns an empty platform without faults.
 func NewPlatform() *Platform {
-	return &Platform{docs: make(map[string]platform.Change), changed: make(chan struct{})}
+	p := new(Platform)
+	p.store.changed = make(chan struct{})
+	return p
 }
 
 // Handler returns the HTTP interface.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/config", p.watch)
+	mux.HandleFunc("GET /v1/config", p.counted(p.watch))
+	mux.HandleFunc("GET /v1/hosts", p.counted(p.getHosts))
 	mux.HandleFunc("PUT /v1/config/{key...}", p.put)
 	mux.HandleFunc("DELETE /v1/config/{key...}", p.delete)
-	mux.HandleFunc("GET /v1/hosts", p.getHosts)
 	mux.HandleFunc("PUT /v1/hosts", p.putHosts)
 	mux.HandleFunc("GET /v1/reads", p.getReads)
+	mux.HandleFunc("PUT /v1/faults", p.putFaults)
 	return mux
 }
 
-// Reads returns the number of reads and watches served.
+// Reads returns the number of reads and watches, those refused included.
 func (p *Platform) Reads() int64 { return p.reads.Load() }
 
 // Publish stores value under key and returns its revision. A nil value deletes.
 func (p *Platform) Publish(key string, value []byte) uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.revision++
-	p.docs[key] = platform.Change{Key: key, Revision: p.revision, Deleted: value == nil, Value: value}
-	close(p.changed)
-	p.changed = make(chan struct{})
-	return p.revision
+	return p.store.publish(key, value, time.Now())
 }
 
 // SetHosts replaces the host list.
-func (p *Platform) SetHosts(hosts []platform.Host) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.hosts = platform.HostList{Revision: p.hosts.Revision + 1, Hosts: hosts}
+func (p *Platform) SetHosts(hosts []platform.Host) { p.store.setHosts(hosts) }
+
+// SetFaults replaces the faults. Watches that wait see them at once.
+func (p *Platform) SetFaults(f Faults) {
+	p.faults.set(f)
+	p.store.wake()
+}
+
+// counted counts a read and refuses it while the platform is down or over its
+// rate.
+func (p *Platform) counted(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		p.reads.Add(1)
+		if code := p.faults.refuse(time.Now()); code != 0 {
+			http.Error(w, "refused", code)
+			return
+		}
+		next(w, r)
+	}
 }
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
-	p.reads.Add(1)
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
 		http.Error(w, "after: not a revision", http.StatusBadRequest)
 		return
 	}
 	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
-	if err != nil || wait > maxWatchWait {
+	if err != nil || wait < 0 || wait > maxWatchWait {
 		http.Error(w, "wait: not a duration up to 60s", http.StatusBadRequest)
 		return
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+	deadline := time.Now().Add(wait)
 	for {
-		changes, changed := p.since(after)
-		if len(changes.Changes) > 0 {
-			writeJSON(w, changes)
+		f := p.faults.get()
+		if f.Down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		answer, changed := p.store.since(after, f, time.Now())
+		left := time.Until(deadline)
+		if len(answer.Changes) > 0 || left <= 0 {
+			writeJSON(w, answer)
 			return
 		}
+		if f.Lag > 0 {
+			left = min(left, lagPoll)
+		}
 		select {
 		case <-changed:
-		case <-timer.C:
-			writeJSON(w, changes)
-			return
+		case <-time.After(left):
 		case <-r.Context().Done():
 			return
 		}
 	}
 }
 
-func (p *Platform) since(after uint64) (platform.Changes, chan struct{}) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := platform.Changes{Revision: p.revision}
-	for _, c := range p.docs {
-		if c.Revision > after {
-			out.Changes = append(out.Changes, c)
-		}
-	}
-	slices.SortFunc(out.Changes, func(a, b platform.Change) int { return int(a.Revision) - int(b.Revision) })
-	return out, p.changed
-}
-
 func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, config.MaxDocumentBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
@@ -134,11 +139,7 @@
 }
 
 func (p *Platform) getHosts(w http.ResponseWriter, _ *http.Request) {
-	p.reads.Add(1)
-	p.mu.Lock()
-	hosts := p.hosts
-	p.mu.Unlock()
-	writeJSON(w, hosts)
+	writeJSON(w, p.store.hostList())
 }
 
 func (p *Platform) putHosts(w http.ResponseWriter, r *http.Request) {
@@ -155,6 +156,18 @@
 	_, _ = io.WriteString(w, strconv.FormatInt(p.reads.Load(), 10)+"\n")
 }
 
+func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	var b strings.Builder
--- a/pkg/configsync/fleet_test.go
+++ b/pkg/configsync/fleet_test.go
@@ -11,7 +11,10 @@
 	"time"
 
 	"github.com/matryer/is"
+
 	"pgregory.net/rapid"
+
+	"github.com/dapplespindle/dapplespindle/pkg/event"
 )
 
 // TestMain fixes the seed of rapid, unless the command line gives one.
@@ -34,15 +37,13 @@
 }
 
 // naive takes whatever it last read of the platform or heard from a peer, and
-// serves at once.
+// serves after its first read.
 type naive struct {
 	*Node
 }
 
 func newNaiveNode(w *world, m Member) subject {
-	n := newRealNode(w, m).(*Node)
-	n.start.done = true
-	return naive{n}
+	return naive{newRealNode(w, m).(*Node)}
 }
 
 func (n naive) PlatformAnswered(now time.Time, a Answer) Effects {
@@ -55,6 +56,10 @@
 		n.read.next = now
 	}
 	e := n.Node.PlatformAnswered(now, a)
+	if !n.start.done {
+		n.start.finish(n.Node, event.ConfigReady, "read once")
+		e.Events = append(e.Events, n.take().Events...)
+	}
 	e.InForce = true
 	return e
 }
@@ -260,4 +265,6 @@
 	rapid.Check(t, func(rt *rapid.T) { _ = runFleet(rt, &sum, newNaiveNode) })
 	t.Log(sum)
 	is.True(sum.broken > sum.runs/10) // the run can tell the naive variant
+	is.True(sum.faults["BREACH fell back"] > 0)
+	is.True(sum.faults["BREACH start below a peer"] > 0)
 }
--- /dev/null
+++ b/spec/config_order.pml
@@ -0,0 +1,200 @@
+/*
+ * Configuration order over hosts that keep nothing.
+ *
+ * One key with versions 1..MAXV. A version is revision*2+twin, so two contents
+ * of one revision are two versions in a total order. Hosts restart with empty
+ * state, read a platform that may show any old prefix of its history, exchange
+ * state in both directions while a link is up, and serve after they have heard
+ * from every peer they can reach.
+ *
+ * Left out: paging, deltas and frontiers (an exchange is atomic), loss (an
+ * exchange that does not happen), and how a host finds out which peers can be
+ * reached (mayServe knows; the code goes by answers and a bounded wait). Heal
+ * is two rounds of exchanges in a ring.
+ *
+ * Checked, by assertions:
+ *   - the version in force on a host never goes down while it runs;
+ *   - a host that begins to serve has at least what each peer it asked served;
+ *   - after heal and one exchange between all, every host has the same.
+ *
+ * With -DNAIVE a host takes whatever the platform said last and serves after
+ * its first read. With -DFIRST the first content of a revision that a host
+ * saw wins. With -DALONE only the wait for peers is left out. Each must fail.
+ */
+#ifndef HOSTS
+#define HOSTS 3
+#endif
+#define REVISIONS 2
+#define REVISION(v) ((v) / 2)
+#define STEPS 7
+
+byte top = 0;             /* newest revision published */
+byte inforce[HOSTS];      /* 0: nothing */
+bool serving[HOSTS];
+bool read[HOSTS];         /* has an answer of the platform, itself or by a peer */
+bool heard[HOSTS * HOSTS];/* heard[a*HOSTS+b]: a holds what b had when asked */
+byte needed[HOSTS];       /* the most that a peer asked by the host served */
+bool split = false;       /* cuts off host 0 */
+byte steps = 0;
+
+#define LINKED(a, b) (!split || ((a) != 0 && (b) != 0))
+
+inline join(h, v) {
+#ifdef NAIVE
+	inforce[h] = v;
+#else
+#ifdef FIRST
+	if
+	:: REVISION(v) > REVISION(inforce[h]) -> inforce[h] = v
+	:: else -> skip
+	fi;
+#else
+	if
+	:: v > inforce[h] -> inforce[h] = v
+	:: else -> skip
+	fi;
+#endif
+#endif
+}
+
+/* take joins v and checks that nothing falls back. */
+inline take(h, v) {
+	before = inforce[h];
+	join(h, v);
+	assert(!serving[h] || inforce[h] >= before);
+}
+
+/* exchange is a whole comparison: both end with the join of both. */
+inline exchange(a, b) {
+	if
+	:: serving[b] && inforce[b] > needed[a] -> needed[a] = inforce[b]
+	:: else -> skip
+	fi;
+	if
+	:: serving[a] && inforce[a] > needed[b] -> needed[b] = inforce[a]
+	:: else -> skip
+	fi;
+	v = inforce[a];
+	w = inforce[b];
+	take(a, w);
+	take(b, v);
+	heard[a * HOSTS + b] = true;
+	heard[b * HOSTS + a] = true;
+	informed = read[a] || read[b];
+	read[a] = informed;
+	read[b] = informed;
+}
+
+inline restart(h) {
+	inforce[h] = 0;
+	serving[h] = false;
+	read[h] = false;
+	needed[h] = 0;
+	p = 0;
+	do
+	:: p < HOSTS -> heard[h * HOSTS + p] = false; p++
+	:: else -> break
+	od;
+}
+
+/* mayServe: every peer that can be reached answered, and the platform too. */
+inline mayServe(h) {
+	ok = read[h];
+#ifndef NAIVE
+#ifndef ALONE
+	p = 0;
+	do
+	:: p < HOSTS ->
+		if
+		:: p != h && !heard[h * HOSTS + p] && LINKED(h, p) -> ok = false
+		:: else -> skip
+		fi;
+		p++
+	:: else -> break
+	od;
+#endif
+#endif
+}
+
+active proctype fleet() {
+	byte h, q, p, v, w, before, r;
+	bool ok, informed;
+
+	do
+	:: steps < STEPS ->
+		d_step { /* locals that hold nothing between steps */
+			steps++;
+			h = 0; q = 0; p = 0; v = 0; w = 0; before = 0; r = 0;
+			ok = false; informed = false
+		}
+		do
+		:: h < HOSTS - 1 -> h++
+		:: break
+		od;
+		q = (h + 1) % HOSTS;
+		if
+		:: atomic { top < REVISIONS -> top++ }
+		:: atomic { /* read: the platform shows a prefix, and either content */
+			r = 0;
+			do
+			:: r < top -> r++
+			:: break
+			od;
+			if
+			:: r == 0 -> skip
+			:: r > 0 -> v = r * 2; take(h, v)
+			:: r > 0 -> v = r * 2 + 1; take(h, v)
+			fi;
+			read[h] = true
+		   }
+		:: atomic { LINKED(h, q) -> exchange(h, q) }
+		:: atomic { restart(h) }
+		:: atomic { !serving[h] -> mayServe(h);
+			if
+			:: ok ->
+				serving[h] = true;
+				/* peers in reach now, whether asked or not */
+				p = 0;
+				do
+				:: p < HOSTS ->
+					if
+					:: p != h && serving[p] && LINKED(h, p) && inforce[p] > needed[h] && !heard[h * HOSTS + p] ->
+						needed[h] = inforce[p]
+					:: else -> skip
+					fi;
+					p++
+				:: else -> break
+				od;
+				assert(inforce[h] >= needed[h])
+			:: else -> skip
+			fi
+		   }
+		:: atomic { split = !split }
+		fi
+	:: steps == STEPS -> break
+	od;
+
+	/* heal: all exchange in two rounds; all must agree. */
+	atomic {
+		split = false;
+		r = 0;
+		do
+		:: r < 2 ->
+			h = 0;
+			do
+			:: h < HOSTS ->
+				q = (h + 1) % HOSTS;
+				exchange(h, q);
+				h++
+			:: else -> break
+			od;
+			r++
+		:: else -> break
+		od;
+		h = 1;
+		do
+		:: h < HOSTS -> assert(inforce[h] == inforce[0]); h++
+		:: else -> break
+		od
+	}
+}
