--- a/pkg/configsync/bootstrap.go
+++ b/pkg/configsync/bootstrap.go
@@ -31,10 +31,10 @@
 
 // list takes a new list of members; answers already had are kept.
 func (b *bootstrap) list(now time.Time, n *Node) {
+	b.listed = true
 	if b.done {
 		return
 	}
-	b.listed = true
 	b.order = spread(n.opt, n.members)
 	b.order = b.order[:min(len(b.order), n.opt.AskPeers)]
 	if b.status == nil {
--- a/pkg/configsync/node.go
+++ b/pkg/configsync/node.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/pkg/event"
@@ -51,7 +52,9 @@
 	last       time.Time
 	started    time.Time
 	members    []Member
+	listed     []Member
 	neighbours neighbours
+	reader     bool
 	start      bootstrap
 	wakeUntil  time.Time
 	nextSync   time.Time
@@ -62,7 +65,7 @@
 // NewNode returns the node of a host that starts at now. It knows nothing and
 // is not ready.
 func NewNode(now time.Time, opt Options) *Node {
-	n := &Node{opt: opt.withDefaults(), state: NewState(), last: now, started: now}
+	n := &Node{opt: opt.withDefaults(), state: NewState(), last: now, started: now, reader: true}
 	n.nextSync = now.Add(n.jitter(n.opt.SyncEvery))
 	return n
 }
@@ -90,14 +93,13 @@
 // Until the first call a host waits, unless Options.AloneAfter passes.
 func (n *Node) SetMembers(now time.Time, members []Member) Effects {
 	n.begin(now)
-	n.members = n.members[:0]
-	for _, m := range members {
-		if m.Address != n.opt.Self.Address {
-			n.members = append(n.members, m)
-		}
+	if !n.start.listed || !slices.Equal(members, n.listed) {
+		n.listed = slices.Clone(members)
+		n.members = others(members, n.opt.Self.Address)
+		n.neighbours = chooseNeighbours(n.opt, n.members)
+		n.reader = isReader(n.opt, n.members)
+		n.start.list(now, n)
 	}
-	n.neighbours = chooseNeighbours(n.opt, n.members)
-	n.start.list(now, n)
 	n.stepRead(now)
 	return n.take()
 }
--- a/pkg/configsync/peers.go
+++ b/pkg/configsync/peers.go
@@ -32,6 +32,17 @@
 	return out
 }
 
+// others returns the members without self.
+func others(members []Member, self string) []Member {
+	var out []Member
+	for _, m := range members {
+		if m.Address != self {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // rank orders members by a hash of their address and salt, the highest first.
 func rank(members []Member, salt string) []Member {
 	type scored struct {
--- a/pkg/configsync/reader.go
+++ b/pkg/configsync/reader.go
@@ -22,7 +22,7 @@
 	if r.pending != nil || now.Before(r.next) {
 		return
 	}
-	if isReader(n.opt, n.members) {
+	if n.reader {
 		n.call(now, n.opt.WatchWait)
 		return
 	}
