--- a/internal/configfeed/feed_test.go
+++ b/internal/configfeed/feed_test.go
@@ -34,6 +34,7 @@
 	base     string
 	list     []configsync.Member
 	hosts    []*member
+	bytes    *atomic.Int64 // counts traffic between peers if set
 }
 
 func newFleet(t testing.TB, size int) *fleet {
@@ -77,13 +78,25 @@
 		Events:   event.Discard{},
 		OnChange: func(s Snapshot) { m.snapshot.Store(&s) },
 	})
-	if err := m.server.Start(); err != nil {
-		t.Fatal(err)
-	}
+	f.serve(t, m)
 	go loop.Run(ctx)
 	f.hosts[i] = m
 }
 
+func (f *fleet) serve(t testing.TB, m *member) {
+	if f.bytes == nil {
+		if err := m.server.Start(); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	ln, err := net.Listen("tcp", m.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = m.server.Serve(countingListener{ln, f.bytes}) }()
+}
+
 func (f *fleet) startAll(t testing.TB) {
 	for i := range f.hosts {
 		f.start(t, i)
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -25,13 +25,17 @@
 	DefaultBudgetPercent  = 10
 
 	maxDeadline  = 5 * time.Minute
+	maxWaiting   = 100_000
 	maxSlots     = 10_000
 	maxConns     = 100_000
 	maxAttempts  = 10
 	maxUpstreams = 4096
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+var (
+	namePattern   = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	methodPattern = regexp.MustCompile(`^[A-Z][A-Z-]{0,31}$`)
+)
 
 // FieldError names the field that is wrong and how to mend it.
 type FieldError struct {
@@ -155,14 +159,14 @@
 	if g.Probe.SlotTimePercent < 0 || g.Probe.SlotTimePercent > 50 {
 		return &FieldError{field + ".probe.slot_time_percent", "is outside 0 to 50", "write a percentage of slot time"}
 	}
-	if g.Probe.Cost <= 0 {
-		return &FieldError{field + ".probe.cost", "is not positive", "write the slot time of one probe, such as \"6ms\""}
+	if g.Probe.Cost <= 0 || g.Probe.Cost.Std() > maxDeadline {
+		return &FieldError{field + ".probe.cost", "is outside 0 to 5m", "write the slot time of one probe, such as \"6ms\""}
 	}
 	if g.SlowStart < 0 || g.SlowStart.Std() > maxDeadline {
 		return &FieldError{field + ".slow_start", "is outside 0 to 5m", "write for example \"10s\""}
 	}
-	if g.Queue.MaxWaiting < 0 {
-		return &FieldError{field + ".queue.max_waiting", "is negative", "write 0 for the default or a bound"}
+	if g.Queue.MaxWaiting < 0 || g.Queue.MaxWaiting > maxWaiting {
+		return &FieldError{field + ".queue.max_waiting", "is outside 0 to 100000", "write 0 for the default or a bound"}
 	}
 	ids := make(map[string]bool, len(g.Upstreams))
 	for i := range g.Upstreams {
@@ -182,7 +186,7 @@
 	if err := checkName(field+".id", u.ID); err != nil {
 		return err
 	}
-	if ap, err := netip.ParseAddrPort(u.Address); err != nil || ap.Port() == 0 {
+	if ap, err := netip.ParseAddrPort(u.Address); err != nil || ap.Port() == 0 || ap.Addr().IsUnspecified() {
 		return &FieldError{field + ".address", "is not IP:port", "write for example \"10.0.0.7:8080\""}
 	}
 	if err := checkName(field+".failure_domain", u.FailureDomain); err != nil {
@@ -208,7 +212,7 @@
 		return &FieldError{field + ".group", "names no group of this service", "add the group or correct the name"}
 	}
 	for i, m := range r.Methods {
-		if m == "" || m != strings.ToUpper(m) {
+		if !methodPattern.MatchString(m) {
 			return &FieldError{index(field+".methods", i), "is not an upper-case method", "write for example \"GET\""}
 		}
 	}
@@ -235,8 +239,8 @@
 		if r.Retry.BudgetPercent < 0 || r.Retry.BudgetPercent > 100 {
 			return &FieldError{field + ".retry.budget_percent", "is outside 0 to 100", "write the share of extra sends"}
 		}
-		if r.Retry.HedgeAfter < 0 {
-			return &FieldError{field + ".retry.hedge_after", "is negative", "write 0 to turn hedging off"}
+		if r.Retry.HedgeAfter < 0 || r.Retry.HedgeAfter.Std() > maxDeadline {
+			return &FieldError{field + ".retry.hedge_after", "is outside 0 to 5m", "write 0 to turn hedging off"}
 		}
 	case NonRepeatable:
 		if r.Retry != (Retry{}) {
