Give the figures of configuration for changes of one upstream

Cause: the documents of the measurement changed from end to end with each publication, so that the delta never applied.

--- a/internal/configfeed/measure_test.go
+++ b/internal/configfeed/measure_test.go
@@ -59,7 +59,7 @@
 		if u == n%30 {
 			state = "draining"
 		}
-		list = append(list, fmt.Sprintf(`{"id":"%s-%d","address":"10.%d.%d.%d:8080","failure_domain":"campina-grande","state":%q}`, name, u, n%200, i/250, i%250, state))
+		list = append(list, fmt.Sprintf(`{"id":"%s-%d","address":"10.%d.%d.%d:8080","failure_domain":"campina-grande","state":%q}`, name, u, i%200, u/250, u%250, state))
 	}
 	return fmt.Appendf(nil, `{"name":%q,"match":{"path_prefix":"/%s/"},"groups":[{"name":"main","upstreams":[%s]}],`+
 		`"rules":[{"name":"r","group":"main","repeat":"repeatable"}]}`, name, name, strings.Join(list, ","))
--- a/pkg/configsync/measure_test.go
+++ b/pkg/configsync/measure_test.go
@@ -35,7 +35,7 @@
 		if i == n%30 {
 			state = "draining"
 		}
-		fmt.Fprintf(&b, `{"id":"%s-%d","address":"10.%d.%d.%d:8080","failure_domain":"campina-grande","state":%q}`, name, i, n%200, i/250, i%250, state)
+		fmt.Fprintf(&b, `{"id":"%s-%d","address":"10.%d.%d.%d:8080","failure_domain":"campina-grande","state":%q}`, name, i, len(name), i/250, i%250, state)
 	}
 	b.WriteString(`]}],"rules":[{"name":"r","group":"main","repeat":"repeatable"}]}`)
 	return []byte(b.String())
