--- a/Makefile
+++ b/Makefile
@@ -57,3 +57,24 @@
 	RAPID_CHECKS=$${RAPID_CHECKS:-10000} RAPID_SEED=$${RAPID_SEED:-7} \
 		go test -count=1 -timeout 60m -v -run RandomFaults ./pkg/membership
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 60s -parallel 2 ./pkg/membership/wire
+
+# Proof and figures of docs/design/02-configuration.md. check-config takes seconds;
+# long-config takes CHECKS random runs of SEED.
+.PHONY: check-config fuzz-config long-config measure-config
+CHECKS ?= 5000
+SEED ?= 2026
+FUZZTIME ?= 30s
+
+check-config:
+	spec/check-config.sh
+
+fuzz-config:
+	go test -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) -fuzzminimizetime 20x ./pkg/config
+	go test -run xxx -fuzz FuzzDeliver -fuzztime $(FUZZTIME) -fuzzminimizetime 20x ./internal/configfeed
+
+long-config:
+	go test -run Fleet -v -timeout 2h ./pkg/configsync -rapid.checks=$(CHECKS) -rapid.seed=$(SEED)
+
+measure-config:
+	CONFIG_MEASURE=1 go test -run Measure -v -timeout 30m ./pkg/configsync ./internal/configfeed
+	go test -run xxx -bench Compile ./internal/configfeed
--- a/pkg/event/invariant_events.go
+++ b/pkg/event/invariant_events.go
@@ -16,6 +16,11 @@
 	InvariantWakingJudged    Code = 10603
 )
 
+// Codes 10200-10299: broken invariants of configuration.
+const (
+	ConfigFellBack Code = 10201
+)
+
 // invariantEvents describes the codes 10xxx: broken invariants; each stops the request concerned, not the process.
 var invariantEvents = map[Code]Entry{
 	InvariantTicketNeverIssued: {"invariant-ticket-never-issued", Error, "A verified ticket carries a number that this process never issued; it is not run.", "sequence number"},
@@ -26,4 +31,5 @@
 	InvariantSelfOverwritten: {"invariant-self-overwritten", Error, "News from elsewhere would have replaced this host's own entry; it was dropped.", "incarnation"},
 	InvariantDeathUntimed:    {"invariant-death-untimed", Error, "A member would have been declared dead without a suspicion that ran out.", "incarnation"},
 	InvariantWakingJudged:    {"invariant-waking-judged", Error, "A member would have been judged while this process was waking.", "incarnation"},
+	ConfigFellBack: {"config-fell-back", Error, "An older document would have replaced the one in force; it was refused.", "revision"},
 }
