--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,310 @@
+package operator
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	operatorv1 "github.com/dapplespindle/dapplespindle/api/operator/v1"
+	"github.com/dapplespindle/dapplespindle/internal/events"
+	"github.com/dapplespindle/dapplespindle/internal/peer"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/plan"
+)
+
+const ledger = `{"name": "ledger", "match": {"path_prefix": "/ledger/"},
+  "groups": [{"name": "main", "upstreams": [
+    {"id": "ledger-1", "address": "10.0.0.1:80", "failure_domain": "caruaru"},
+    {"id": "ledger-2", "address": "10.0.0.2:80", "failure_domain": "petrolina"}]}],
+  "rules": [{"name": "sale", "group": "main", "repeat": "non-repeatable"}]}`
+
+// fleet is a FleetView that a test changes.
+type fleet struct {
+	mu      sync.Mutex
+	members []Member
+}
+
+func (f *fleet) Members() []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]Member(nil), f.members...)
+}
+
+func (f *fleet) set(i int, change func(*Member)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(&f.members[i])
+}
+
+type noRequests struct{}
+
+func (noRequests) InFlight() int64 { return 0 }
+
+// host is one entry host's operator service over loopback.
+type host struct {
+	published Published
+	fleet     fleet
+	ring      *events.Ring
+	address   string
+	client    operatorv1.OperatorClient
+}
+
+func startHost(t *testing.T, name string, peers Peers) *host {
+	t.Helper()
+	is := is.New(t)
+	h := &host{ring: events.NewRing(events.Config{})}
+	s := New(Config{
+		Host: name, Build: "test", Source: &h.published, Fleet: &h.fleet, Local: noRequests{},
+		Upstreams: ConfiguredUpstreams{Source: &h.published}, Events: h.ring, Peers: peers,
+		PollEvery: time.Millisecond,
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := grpc.NewServer()
+	s.Register(server)
+	s.RegisterPeer(server)
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(server.Stop)
+	h.address = ln.Addr().String()
+	conn, err := grpc.NewClient(h.address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	is.NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	h.client = operatorv1.NewOperatorClient(conn)
+	h.fleet.members = []Member{{Host: name, State: Alive, Self: true, PeerAddress: h.address}}
+	return h
+}
+
+// publish puts a document into force on h.
+func (h *host) publish(t *testing.T, revision uint64, document []byte) {
+	t.Helper()
+	s, err := config.Parse(document)
+	is.New(t).NoErr(err)
+	h.published.Store(&plan.State{Revision: revision, Documents: []plan.Document{{Service: s, Revision: revision}}})
+}
+
+func (h *host) drain(expected *operatorv1.Version, upstream, operator string) (*operatorv1.Plan, error) {
+	return h.client.PlanDrain(context.Background(), &operatorv1.PlanDrainRequest{
+		Service: "ledger", Upstream: upstream,
+		Options: &operatorv1.PlanOptions{Expected: expected, Operator: operator},
+	})
+}
+
+func TestSecondOperatorIsToldOfTheConflict(t *testing.T) {
+	is := is.New(t)
+	h := startHost(t, "10.1.0.1", NoPeers{})
+	h.publish(t, 7, []byte(ledger))
+	described, err := h.client.DescribeService(context.Background(), &operatorv1.DescribeServiceRequest{Name: "ledger"})
+	is.NoErr(err)
+	base := described.GetVersion()
+
+	first, err := h.drain(base, "ledger-1", "ana")
+	is.NoErr(err)
+	is.Equal(len(first.GetWarnings()), 0)
+	second, err := h.drain(base, "ledger-2", "bia")
+	is.NoErr(err)
+	is.True(strings.Contains(second.GetWarnings()[0], "ana planned another change"))
+
+	h.publish(t, 8, first.GetDocument())
+	_, err = h.drain(base, "ledger-2", "bia")
+	is.Equal(status.Code(err), codes.Aborted)
+	conflict := status.Convert(err).Details()[0].(*operatorv1.Conflict)
+	is.Equal(conflict.GetPlannedBy(), "ana")
+	is.Equal(conflict.GetActual().GetRevision(), uint64(8))
+	is.Equal(len(conflict.GetChanges()), 1)
+	is.Equal(conflict.GetChanges()[0].GetField(), "groups[main].upstreams[ledger-1].state")
+}
+
+// TestOnlyOneOfTwoRacingOperatorsWins plays the platform: the first plan to
+// come in is published, and the other operator's Follow says who won.
+func TestOnlyOneOfTwoRacingOperatorsWins(t *testing.T) {
+	is := is.New(t)
+	h := startHost(t, "10.1.0.1", NoPeers{})
+	h.publish(t, 7, []byte(ledger))
+	plans := make(chan *operatorv1.Plan, 2)
+	for _, name := range []string{"ledger-1", "ledger-2"} {
+		go func() {
+			p, err := h.drain(nil, name, "operator of "+name)
+			is.NoErr(err)
+			plans <- p
+		}()
+	}
+	won, lost := <-plans, <-plans
+	h.publish(t, 8, won.GetDocument())
+	is.Equal(last(t, h, follow(won)).GetState(), operatorv1.FollowUpdate_STATE_IN_FORCE)
+	update := last(t, h, follow(lost))
+	is.Equal(update.GetState(), operatorv1.FollowUpdate_STATE_SUPERSEDED)
+	is.True(strings.HasPrefix(update.GetPlannedBy(), "operator of "))
+}
+
+func follow(p *operatorv1.Plan) *operatorv1.FollowRequest {
+	revision := p.GetBase().GetRevision()
+	return &operatorv1.FollowRequest{Key: p.GetKey(), Digest: p.GetDigest(), BaseRevision: &revision}
+}
+
+// last follows to the end and returns the final update.
+func last(t *testing.T, h *host, req *operatorv1.FollowRequest) *operatorv1.FollowUpdate {
+	t.Helper()
+	is := is.New(t)
+	stream, err := h.client.Follow(context.Background(), req)
+	is.NoErr(err)
+	for {
+		update, err := stream.Recv()
+		is.NoErr(err)
+		if final(update.GetState()) {
+			return update
+		}
+	}
+}
+
+func TestFollowNamesTheLaggard(t *testing.T) {
+	is := is.New(t)
+	h := startHost(t, "10.1.0.1", NoPeers{})
+	h.publish(t, 7, []byte(ledger))
+	h.fleet.members = append(h.fleet.members,
+		Member{Host: "10.1.0.2", State: Alive, Revision: 7},
+		Member{Host: "10.1.0.3", State: Dead, Revision: 2})
+	p, err := h.drain(nil, "ledger-1", "ana")
+	is.NoErr(err)
+	stream, err := h.client.Follow(context.Background(), follow(p))
+	is.NoErr(err)
+
+	update, err := stream.Recv()
+	is.NoErr(err)
+	is.Equal(update.GetState(), operatorv1.FollowUpdate_STATE_AWAITED)
+	is.Equal(len(update.GetLagging()), 2)
+
+	h.publish(t, 8, p.GetDocument())
+	update, err = stream.Recv()
+	is.NoErr(err)
+	is.Equal(update.GetState(), operatorv1.FollowUpdate_STATE_SPREADING)
+	is.Equal(update.GetLagging()[0].GetHost(), "10.1.0.2")
+	is.Equal(update.GetLagging()[0].GetReason(), "at revision 7, before 8")
+
+	h.fleet.set(1, func(m *Member) { m.Revision, m.Digest = 8, 99 })
+	update, err = stream.Recv()
+	is.NoErr(err)
+	is.Equal(update.GetLagging()[0].GetReason(), "at the same revision with other content")
+
+	h.fleet.set(1, func(m *Member) { m.Digest = 0 })
+	update, err = stream.Recv()
+	is.NoErr(err)
+	is.Equal(update.GetState(), operatorv1.FollowUpdate_STATE_IN_FORCE)
+	is.Equal(update.GetHostsInForce(), uint32(2))
+}
+
+func TestFollowStates(t *testing.T) {
+	s, err := config.Parse([]byte(ledger))
+	is.New(t).NoErr(err)
+	digest := plan.Digest(s)
+	with := func(revision uint64) *plan.State {
+		return &plan.State{Revision: 9, Documents: []plan.Document{{Service: s, Revision: revision}}}
+	}
+	none := &plan.State{Revision: 9}
+	tests := []struct {
+		name  string
+		f     follower
+		state *plan.State
+		want  operatorv1.FollowUpdate_State
+	}{
+		{"digest in force", follower{digest: digest, base: 7}, with(8), operatorv1.FollowUpdate_STATE_IN_FORCE},
+		{"other version", follower{digest: 1, base: 7}, with(8), operatorv1.FollowUpdate_STATE_SUPERSEDED},
+		{"not yet", follower{digest: 1, base: 8}, with(8), operatorv1.FollowUpdate_STATE_AWAITED},
+		{"created by another", follower{digest: 1}, with(8), operatorv1.FollowUpdate_STATE_SUPERSEDED},
+		{"not yet created", follower{digest: 1}, none, operatorv1.FollowUpdate_STATE_AWAITED},
+		{"deleted by another", follower{digest: 1, base: 7}, none, operatorv1.FollowUpdate_STATE_SUPERSEDED},
+		{"deleted", follower{base: 8}, none, operatorv1.FollowUpdate_STATE_IN_FORCE},
+		{"not yet deleted", follower{base: 8}, with(8), operatorv1.FollowUpdate_STATE_AWAITED},
+		{"changed, not deleted", follower{base: 7}, with(8), operatorv1.FollowUpdate_STATE_SUPERSEDED},
+		{"revision", follower{revision: 9, base: 7}, with(9), operatorv1.FollowUpdate_STATE_IN_FORCE},
+		{"revision not yet", follower{revision: 10, base: 7}, with(9), operatorv1.FollowUpdate_STATE_AWAITED},
+		{"revision passed", follower{revision: 8, base: 7}, with(9), operatorv1.FollowUpdate_STATE_SUPERSEDED},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			tc.f.service, tc.f.history = "ledger", newHistory()
+			got := tc.f.step(tc.state, []Member{{Host: "a", State: Alive, Self: true}})
+			is.New(t).Equal(got.GetState(), tc.want)
+		})
+	}
+}
+
+func TestExplainCrossesHostsAndNamesTheUnasked(t *testing.T) {
+	is := is.New(t)
+	pool := peer.NewPool(nil)
+	defer pool.Close()
+	a := startHost(t, "10.1.0.1", PeerClient{Connections: pool})
+	b := startHost(t, "10.1.0.2", NoPeers{})
+	a.fleet.members = append(a.fleet.members,
+		Member{Host: "10.1.0.2", State: Alive, PeerAddress: b.address},
+		Member{Host: "10.1.0.3", State: Suspect, PeerAddress: "127.0.0.1:1"},
+		Member{Host: "10.1.0.4", State: Dead})
+	at := time.Unix(1_700_000_000, 0)
+	b.ring.Emit(event.Event{Code: event.RequestAnswered, Request: "r", At: at.Add(time.Second), EntryHost: "10.1.0.2"})
+	a.ring.Emit(event.Event{Code: event.RequestReceived, Request: "r", At: at, EntryHost: "10.1.0.1"})
+	a.ring.Emit(event.Event{Code: event.RequestReceived, Request: "other", At: at})
+	out, err := a.client.Explain(context.Background(), &operatorv1.ExplainRequest{Request: "r"})
+	is.NoErr(err)
+	is.Equal(len(out.GetEvents()), 2)
+	is.Equal(out.GetEvents()[0].GetEntryHost(), "10.1.0.1")
+	is.Equal(out.GetEvents()[1].GetName(), "request-answered")
+	is.Equal(out.GetAsked(), uint32(2))
+	is.Equal(out.GetUnasked()[0].GetHost(), "10.1.0.3")
+	is.Equal(out.GetUnasked()[1].GetReason(), "the membership says that it is dead")
+
+	hosts, err := a.client.Status(context.Background(), &operatorv1.StatusRequest{})
+	is.NoErr(err)
+	is.Equal(len(hosts.GetHosts()), 4)
+	is.Equal(hosts.GetHosts()[1].GetBuild(), "test") // asked over gRPC
+	is.True(hosts.GetHosts()[2].GetUnreachable() != "")
+}
+
+func TestWatchFilters(t *testing.T) {
+	is := is.New(t)
+	h := startHost(t, "10.1.0.1", NoPeers{})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h.ring.Emit(event.Event{Code: event.RequestRefused, Service: "ledger", Reason: "past"})
+	stream, err := h.client.Watch(ctx, &operatorv1.WatchRequest{Filter: &operatorv1.Filter{Service: "ledger", MinLevel: "info"}, Recent: 5})
+	is.NoErr(err)
+	first, err := stream.Recv()
+	is.NoErr(err)
+	is.Equal(first.GetEvent().GetReason(), "past")
+	h.ring.Emit(event.Event{Code: event.RequestAnswered, Service: "ledger"})
+	h.ring.Emit(event.Event{Code: event.RequestRefused, Service: "catalogue"})
+	h.ring.Emit(event.Event{Code: event.RetrySent, Service: "ledger"})
+	second, err := stream.Recv()
+	is.NoErr(err)
+	is.Equal(second.GetEvent().GetName(), "retry-sent")
+	_, err = h.client.Explain(ctx, &operatorv1.ExplainRequest{})
+	is.Equal(status.Code(err), codes.InvalidArgument)
+}
+
+func TestErrorsHaveCodes(t *testing.T) {
+	is := is.New(t)
+	h := startHost(t, "10.1.0.1", NoPeers{})
+	ctx := context.Background()
+	_, err := h.client.ListServices(ctx, &operatorv1.ListServicesRequest{})
+	is.Equal(status.Code(err), codes.Unavailable) // no configuration yet
+	h.publish(t, 7, []byte(ledger))
+	_, err = h.drain(nil, "missing", "")
+	is.Equal(status.Code(err), codes.NotFound)
+	_, err = h.client.PlanService(ctx, &operatorv1.PlanServiceRequest{Document: []byte(ledger), MustCreate: true})
+	is.Equal(status.Code(err), codes.AlreadyExists)
+	bad := strings.Replace(ledger, "non-repeatable", "sometimes", 1)
+	_, err = h.client.PlanService(ctx, &operatorv1.PlanServiceRequest{Document: []byte(bad)})
+	is.Equal(status.Code(err), codes.InvalidArgument)
+	problem := status.Convert(err).Details()[0].(*operatorv1.FieldProblem)
+	is.Equal(problem.GetField(), "rules[0].repeat")
+	_, err = h.client.PlanRule(ctx, &operatorv1.PlanRuleRequest{Service: "ledger", Change: &operatorv1.PlanRuleRequest_Put{Put: []byte(`{"nme": 1}`)}})
+	is.Equal(status.Code(err), codes.InvalidArgument)
+}
