--- /dev/null
+++ b/internal/tlsconf/tlsconf_test.go
@@ -0,0 +1,177 @@
+package tlsconf
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/health"
+	healthv1 "google.golang.org/grpc/health/grpc_health_v1"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	pem         []byte
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	is := is.New(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	is.NoErr(err)
+	certificate, err := x509.ParseCertificate(der)
+	is.NoErr(err)
+	return &authority{certificate, key, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
+}
+
+// issue writes a certificate with its key, and the authority to trust, to dir.
+func (a *authority) issue(t *testing.T, dir, name string, trust *authority) Files {
+	t.Helper()
+	is := is.New(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		DNSNames: []string{"entry"}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	is.NoErr(err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	is.NoErr(err)
+	f := Files{filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem"), filepath.Join(dir, "ca.pem")}
+	is.NoErr(os.WriteFile(f.Certificate, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	is.NoErr(os.WriteFile(f.Key, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER}), 0o600))
+	is.NoErr(os.WriteFile(f.Authority, trust.pem, 0o600))
+	return f
+}
+
+// clock is a clock that a test moves.
+type clock struct{ offset atomic.Int64 }
+
+func (c *clock) now() time.Time { return time.Now().Add(time.Duration(c.offset.Load())) }
+func (c *clock) advance()       { c.offset.Add(int64(checkEvery)) }
+
+func load(t *testing.T, f Files, c *clock, onReload func(error)) *Reloader {
+	t.Helper()
+	r, err := Load(f, Options{Now: c.now, OnReload: onReload})
+	is.New(t).NoErr(err)
+	return r
+}
+
+func serve(t *testing.T, creds credentials.TransportCredentials) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	s := grpc.NewServer(grpc.Creds(creds))
+	healthv1.RegisterHealthServer(s, health.NewServer())
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(s.Stop)
+	return ln.Addr().String()
+}
+
+// call makes one call over a new connection.
+func call(t *testing.T, address string, creds credentials.TransportCredentials) error {
+	t.Helper()
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(creds))
+	is.New(t).NoErr(err)
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err = healthv1.NewHealthClient(conn).Check(ctx, &healthv1.HealthCheckRequest{})
+	return err
+}
+
+func TestOnlyTheAgreedAuthorityIsServed(t *testing.T) {
+	is := is.New(t)
+	agreed, wrong := newAuthority(t), newAuthority(t)
+	var c clock
+	server := load(t, agreed.issue(t, t.TempDir(), "server", agreed), &c, nil)
+	address := serve(t, server.Credentials(""))
+
+	good := load(t, agreed.issue(t, t.TempDir(), "peer", agreed), &c, nil)
+	is.NoErr(call(t, address, good.Credentials("")))
+	is.NoErr(call(t, address, good.Credentials("entry")))
+	is.True(call(t, address, good.Credentials("other")) != nil) // another name than the certificate's
+
+	stranger := load(t, wrong.issue(t, t.TempDir(), "stranger", agreed), &c, nil)
+	is.True(call(t, address, stranger.Credentials("")) != nil) // wrong authority
+
+	pool := x509.NewCertPool()
+	pool.AddCert(agreed.certificate)
+	is.True(call(t, address, credentials.NewTLS(&tls.Config{RootCAs: pool})) != nil) // no certificate
+	is.True(call(t, address, insecure.NewCredentials()) != nil)                      // no TLS
+
+	distrustful := load(t, agreed.issue(t, t.TempDir(), "peer", wrong), &c, nil)
+	is.True(call(t, address, distrustful.Credentials("")) != nil) // the client refuses the server
+}
+
+func TestReloadTakesEffectWithoutRestart(t *testing.T) {
+	is := is.New(t)
+	old, renewed := newAuthority(t), newAuthority(t)
+	var c clock
+	var reloads, failures atomic.Int32
+	dir := t.TempDir()
+	files := old.issue(t, dir, "server", old)
+	server := load(t, files, &c, func(err error) {
+		if err != nil {
+			failures.Add(1)
+			return
+		}
+		reloads.Add(1)
+	})
+	address := serve(t, server.Credentials(""))
+	before := load(t, old.issue(t, t.TempDir(), "peer", old), &c, nil)
+	after := load(t, renewed.issue(t, t.TempDir(), "peer", renewed), &c, nil)
+	is.NoErr(call(t, address, before.Credentials("")))
+	is.True(call(t, address, after.Credentials("")) != nil)
+
+	is.NoErr(os.WriteFile(files.Certificate, []byte("half written"), 0o600))
+	c.advance()
+	is.NoErr(call(t, address, before.Credentials(""))) // files that can't be used leave the old ones
+	is.Equal(failures.Load(), int32(1))
+
+	renewed.issue(t, dir, "server", renewed)
+	c.advance()
+	is.NoErr(call(t, address, after.Credentials("")))
+	is.True(call(t, address, before.Credentials("")) != nil)
+	is.Equal(reloads.Load(), int32(1))
+}
+
+func TestLoadRefusesWhatCannotServe(t *testing.T) {
+	is := is.New(t)
+	f := newAuthority(t).issue(t, t.TempDir(), "server", newAuthority(t))
+	_, err := Load(Files{Certificate: f.Certificate}, Options{})
+	is.True(err != nil) // not whole
+	_, err = Load(Files{f.Certificate, f.Key, f.Key}, Options{})
+	is.True(err != nil) // no authority in the file
+	_, err = Load(Files{f.Certificate, f.Key, f.Key + "x"}, Options{})
+	is.True(err != nil) // no such file
+	is.NoErr(Files{}.Validate())
+}
