Add spindlectl, the operators' command line

Operators need the RPC interface from a terminal and from scripts: readable plans, the exact document in a file, one line per decision, exit codes that tell a conflict from an unreachable host.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Commands for developers. `make test` is what CI runs; measurements are apart.
-BINARIES := spindled spindle-standin spindle-load
+BINARIES := spindled spindlectl spindle-standin spindle-load
 
 .PHONY: build demo test unit lint ldd
 
