--- /dev/null
+++ b/internal/metrics/catalogue.go
@@ -0,0 +1,79 @@
+// Package metrics counts what the decision events tell and serves the numbers
+// as text and JSON.
+//
+// Sink is an event.Sink for traffic goroutines: it counts in atomics and takes
+// no lock of its own. Every name is described in Catalogue, from which
+// docs/METRICS.md is generated.
+package metrics
+
+// Kind says how a metric moves.
+type Kind string
+
+// The kinds of metric.
+const (
+	// CounterKind only grows while the process runs.
+	CounterKind Kind = "counter"
+	// GaugeKind is the value of now.
+	GaugeKind Kind = "gauge"
+	// HistogramKind is a sample of values with quantiles.
+	HistogramKind Kind = "histogram"
+)
+
+// Definition describes a metric, or a family of them whose names differ in
+// the part in angle brackets.
+type Definition struct {
+	// Name is the name, such as "requests.refused.<kind>".
+	Name string
+	// Kind says how it moves.
+	Kind Kind
+	// Unit is the unit of the value.
+	Unit string
+	// Meaning is one sentence for operators.
+	Meaning string
+}
+
+// The names, without the variable part.
+const (
+	nameReceived      = "requests.received"
+	nameOutcome       = "requests.outcome."
+	nameRefused       = "requests.refused."
+	nameUnknown       = "requests.unknown."
+	nameStatus        = "requests.status."
+	nameAttemptFailed = "attempts.failed."
+	nameAttempts      = "attempts.sent"
+	nameRetriesSent   = "retries.sent"
+	nameRetriesDenied = "retries.denied"
+	nameLatency       = "latency.service."
+	nameRevision      = "config.revision"
+	nameEvents        = "events.count."
+	nameKept          = "events.ring.kept"
+	nameSampledOut    = "events.ring.sampled_out"
+	nameDroppedBusy   = "events.ring.dropped_busy"
+	nameDroppedWatch  = "events.ring.dropped_watchers"
+	nameWatchers      = "events.ring.watchers"
+	nameGoroutines    = "process.goroutines"
+	nameHeap          = "process.heap"
+)
+
+// Catalogue describes every metric.
+var Catalogue = []Definition{
+	{nameReceived, CounterKind, "requests", "Requests that matched a rule."},
+	{nameOutcome + "<outcome>", CounterKind, "requests", "Finished requests by what is known of them: ran, not-run or unknown."},
+	{nameRefused + "<kind>", CounterKind, "requests", "Requests that certainly did not run, by error kind (docs/ERRORS.md)."},
+	{nameUnknown + "<kind>", CounterKind, "requests", "Requests that may or may not have run, by error kind."},
+	{nameStatus + "<class>", CounterKind, "requests", "Upstreams' answers passed to callers, by class of status: 1xx to 5xx."},
+	{nameAttempts, CounterKind, "attempts", "Choices of an upstream: first sends, retries and hedges."},
+	{nameAttemptFailed + "<kind>", CounterKind, "attempts", "Sends to an upstream that failed, by error kind."},
+	{nameRetriesSent, CounterKind, "requests", "Repeatable requests sent again."},
+	{nameRetriesDenied, CounterKind, "requests", "Requests that a limit kept from being sent again."},
+	{nameLatency + "<service>", HistogramKind, "microseconds", "Time from a request's arrival to the upstream's answer, of answered requests; over the newest 2048."},
+	{nameRevision, GaugeKind, "revision", "Platform revision of the newest document taken into force."},
+	{nameEvents + "<event>", CounterKind, "events", "Decision events by name (docs/EVENTS.md)."},
+	{nameKept, GaugeKind, "events", "Events written to the ring since the start."},
+	{nameSampledOut, GaugeKind, "events", "Debug events over the ring's budget."},
+	{nameDroppedBusy, GaugeKind, "events", "Events lost because the ring was busy."},
+	{nameDroppedWatch, GaugeKind, "events", "Events that a slow watcher missed."},
+	{nameWatchers, GaugeKind, "watchers", "Live watchers."},
+	{nameGoroutines, GaugeKind, "goroutines", "Goroutines of the process."},
+	{nameHeap, GaugeKind, "bytes", "Memory in the heap's live and unswept objects."},
+}
--- /dev/null
+++ b/internal/metrics/sink.go
@@ -0,0 +1,164 @@
+package metrics
+
+import (
+	"runtime/metrics"
+	"strconv"
+	"sync"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/dapplespindle/dapplespindle/internal/events"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+)
+
+// sampleSize is the number of newest latencies kept for a service.
+const sampleSize = 2048
+
+const numClasses = 6
+
+// Sink implements event.Sink. Its counters are made at the start, so that a
+// metric that never moved reads 0 and is not missing.
+type Sink struct {
+	registry gometrics.Registry
+
+	received      gometrics.Counter
+	attempts      gometrics.Counter
+	retriesSent   gometrics.Counter
+	retriesDenied gometrics.Counter
+	revision      gometrics.Gauge
+	outcomes      [errkind.Unknown + 1]gometrics.Counter
+	classes       [numClasses]gometrics.Counter
+	refused       map[string]gometrics.Counter
+	unknown       map[string]gometrics.Counter
+	failed        map[string]gometrics.Counter
+	events        map[event.Code]gometrics.Counter
+	latencies     sync.Map // service name to gometrics.Histogram
+}
+
+// New returns a sink with its own registry.
+func New() *Sink {
+	r := gometrics.NewRegistry()
+	s := &Sink{
+		registry:      r,
+		received:      gometrics.NewRegisteredCounter(nameReceived, r),
+		attempts:      gometrics.NewRegisteredCounter(nameAttempts, r),
+		retriesSent:   gometrics.NewRegisteredCounter(nameRetriesSent, r),
+		retriesDenied: gometrics.NewRegisteredCounter(nameRetriesDenied, r),
+		revision:      gometrics.NewRegisteredGauge(nameRevision, r),
+		refused:       countersByKind(r, nameRefused),
+		unknown:       countersByKind(r, nameUnknown),
+		failed:        countersByKind(r, nameAttemptFailed),
+		events:        make(map[event.Code]gometrics.Counter, len(event.Catalogue)),
+	}
+	for o := range s.outcomes {
+		s.outcomes[o] = gometrics.NewRegisteredCounter(nameOutcome+errkind.Outcome(o).String(), r)
+	}
+	for class := 1; class < numClasses; class++ {
+		s.classes[class] = gometrics.NewRegisteredCounter(nameStatus+strconv.Itoa(class)+"xx", r)
+	}
+	for code, entry := range event.Catalogue {
+		s.events[code] = gometrics.NewRegisteredCounter(nameEvents+entry.Name, r)
+	}
+	registerProcess(r)
+	return s
+}
+
+func countersByKind(r gometrics.Registry, prefix string) map[string]gometrics.Counter {
+	counters := make(map[string]gometrics.Counter)
+	for _, k := range errkind.All() {
+		counters[k.String()] = gometrics.NewRegisteredCounter(prefix+k.String(), r)
+	}
+	return counters
+}
+
+// Registry returns the registry, for metrics of other parts. Their names
+// belong into Catalogue too.
+func (s *Sink) Registry() gometrics.Registry { return s.registry }
+
+// AddRing registers the counts of an event ring.
+func (s *Sink) AddRing(stats func() events.Stats) {
+	gauge := func(name string, value func(events.Stats) int64) {
+		gometrics.NewRegisteredFunctionalGauge(name, s.registry, func() int64 { return value(stats()) })
+	}
+	gauge(nameKept, func(st events.Stats) int64 { return int64(st.Kept) })
+	gauge(nameSampledOut, func(st events.Stats) int64 { return int64(st.SampledOut) })
+	gauge(nameDroppedBusy, func(st events.Stats) int64 { return int64(st.DroppedBusy) })
+	gauge(nameDroppedWatch, func(st events.Stats) int64 { return int64(st.DroppedWatchers) })
+	gauge(nameWatchers, func(st events.Stats) int64 { return int64(st.Watchers) })
+}
+
+// Emit implements event.Sink.
+func (s *Sink) Emit(e event.Event) {
+	increase(s.events[e.Code])
+	switch e.Code {
+	case event.RequestReceived:
+		s.received.Inc(1)
+	case event.UpstreamChosen:
+		s.attempts.Inc(1)
+	case event.RequestAnswered:
+		s.answered(&e)
+	case event.RequestRefused:
+		s.outcomes[errkind.NotRun].Inc(1)
+		increase(s.refused[e.Reason])
+	case event.RequestUnknown:
+		s.outcomes[errkind.Unknown].Inc(1)
+		increase(s.unknown[e.Reason])
+	case event.AttemptFailed:
+		increase(s.failed[e.Reason])
+	case event.RetrySent:
+		s.retriesSent.Inc(1)
+	case event.RetryDenied:
+		s.retriesDenied.Inc(1)
+	case event.ConfigApplied:
+		s.revision.Update(max(e.Value, s.revision.Value()))
+	}
+}
+
+// increase counts, unless the name is not one of the closed list.
+func increase(c gometrics.Counter) {
+	if c != nil {
+		c.Inc(1)
+	}
+}
+
+func (s *Sink) answered(e *event.Event) {
+	s.outcomes[errkind.Ran].Inc(1)
+	if class := e.Value / 100; class > 0 && class < numClasses {
+		s.classes[class].Inc(1)
+	}
+	s.latency(e.Service).Update(e.Elapsed.Microseconds())
+}
+
+// latency returns the service's histogram. Names come from published
+// documents, so their number is bounded.
+func (s *Sink) latency(service string) gometrics.Histogram {
+	if h, ok := s.latencies.Load(service); ok {
+		return h.(gometrics.Histogram)
+	}
+	h, loaded := s.latencies.LoadOrStore(service, gometrics.NewHistogram(newSample()))
+	if !loaded {
+		_ = s.registry.Register(nameLatency+service, h)
+	}
+	return h.(gometrics.Histogram)
+}
+
+func newSample() gometrics.Sample { return new(window) }
+
+// registerProcess adds the process's own numbers.
+func registerProcess(r gometrics.Registry) {
+	register := func(name, source string) {
+		gometrics.NewRegisteredFunctionalGauge(name, r, func() int64 { return readRuntime(source) })
+	}
+	register(nameGoroutines, "/sched/goroutines:goroutines")
+	register(nameHeap, "/memory/classes/heap/objects:bytes")
+}
+
+func readRuntime(name string) int64 {
+	sample := []metrics.Sample{{Name: name}}
+	metrics.Read(sample)
+	if sample[0].Value.Kind() != metrics.KindUint64 {
+		return 0
+	}
+	return int64(sample[0].Value.Uint64())
+}
