--- /dev/null
+++ b/pkg/event/catalogue_test.go
@@ -0,0 +1,94 @@
+package event
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "rewrite docs/EVENTS.md")
+
+const docsPath = "../../docs/EVENTS.md"
+
+// subsystems are the ranges of codes by their thousands.
+var subsystems = []string{
+	1: "The process", 2: "Configuration", 3: "Requests", 4: "Retries and hedging", 5: "Limits and overload",
+	6: "Membership of entry hosts", 7: "Measuring of upstreams", 8: "Lifecycle of upstreams and drain",
+	9: "Single execution",
+}
+
+const (
+	codesPerSubsystem = 1000
+	otherSubsystem    = "Invariants"
+)
+
+var levelNames = [...]string{Debug: "debug", Info: "info", Warn: "warn", Error: "error"}
+
+// TestDocs compares docs/EVENTS.md with Catalogue; -update rewrites it.
+func TestDocs(t *testing.T) {
+	is := is.New(t)
+	want := docs()
+	if *update {
+		is.NoErr(os.WriteFile(docsPath, []byte(want), 0o644))
+	}
+	got, err := os.ReadFile(docsPath)
+	is.NoErr(err)
+	is.Equal(string(got), want) // run go test ./pkg/event -update
+}
+
+func TestEveryEntryIsWhole(t *testing.T) {
+	is := is.New(t)
+	names := make(map[string]Code)
+	for code, e := range Catalogue {
+		is.True(e.Name != "")                                    // no name
+		is.True(strings.HasSuffix(e.Meaning, "."))               // the meaning is a sentence
+		is.Equal(names[e.Name], Code(0))                         // a name stands twice
+		is.True(code >= codesPerSubsystem)                       // a code outside the ranges
+		is.True(e.Level <= Error)                                // no such level
+		is.True(!strings.Contains(e.Name+e.Meaning+e.Unit, "|")) // would break the table
+		names[e.Name] = code
+	}
+}
+
+func docs() string {
+	var b strings.Builder
+	b.WriteString(docsHead)
+	current := ""
+	for _, code := range slices.Sorted(maps.Keys(Catalogue)) {
+		if s := subsystemOf(code); s != current {
+			current = s
+			fmt.Fprintf(&b, "\n## %s\n\n| code | name | level | meaning | value |\n|---|---|---|---|---|\n", s)
+		}
+		e := Catalogue[code]
+		fmt.Fprintf(&b, "| %d | `%s` | %s | %s | %s |\n", code, e.Name, levelNames[e.Level], e.Meaning, e.Unit)
+	}
+	return b.String()
+}
+
+func subsystemOf(c Code) string {
+	if i := int(c) / codesPerSubsystem; i < len(subsystems) {
+		return subsystems[i]
+	}
+	return otherSubsystem
+}
+
+const docsHead = `# Decision events
+
+Generated from ` + "`pkg/event`" + `; ` + "`go test ./pkg/event -update`" + ` rewrites this page.
+
+Each decision is an event with a number that is stable and never reused. It goes
+to the log (one JSON line, ` + "`event`" + ` is the code), to the event ring of its entry
+host (` + "`spindlectl watch`" + `, ` + "`spindlectl explain`" + `), to the metrics, and to the span
+of its hop if tracing is on. The value is the quantity that decided, in the unit
+of the last column.
+
+Debug events are sampled on an entry host that writes more of them in a second
+than its budget: one request in 16 is kept whole. Events of a higher level are
+never sampled. What was not kept is counted: see ` + "`spindlectl\nstatus`" + ` and docs/METRICS.md.
+`
