Give requests that aren't sampled no client spans

Most requests of a traced fleet are not sampled, so their cost is what counts. Ruled out: dropping the header, which would let upstreams start traces of their own; the sends carry the server span's context.

--- a/internal/events/filter.go
+++ b/internal/events/filter.go
@@ -28,24 +28,17 @@
 
 func same(want, got string) bool { return want == "" || want == got }
 
-// numCodes bounds the codes of the catalogue: four digits.
-const numCodes = 10_000
+// numCodes is the number of values of event.Code.
+const numCodes = 1 << 16
 
 // levels is the catalogue's level of each code, as an array: a map look-up on
 // the call path costs several times as much.
 var levels = func() [numCodes]event.Level {
 	var t [numCodes]event.Level
 	for c, entry := range event.Catalogue {
-		if c < numCodes {
-			t[c] = entry.Level
-		}
+		t[c] = entry.Level
 	}
 	return t
 }()
 
-func levelOf(c event.Code) event.Level {
-	if c >= numCodes {
-		return event.Error
-	}
-	return levels[c]
-}
+func levelOf(c event.Code) event.Level { return levels[c] }
--- a/internal/tracing/hop.go
+++ b/internal/tracing/hop.go
@@ -35,8 +35,10 @@
 }
 
 // Emit turns a decision on this request into spans. It implements event.Sink.
+// A request that isn't sampled has no client spans: its sends carry the server
+// span's context, which tells the upstream that it isn't sampled.
 func (h *Hop) Emit(e event.Event) {
-	if h == nil {
+	if h == nil || !h.recording {
 		return
 	}
 	h.mu.Lock()
@@ -64,9 +66,7 @@
 		trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithTimestamp(e.At))
 	h.attempts = append(h.attempts, attempt{number: e.Attempt, ctx: ctx, span: span})
-	if h.recording {
-		span.SetAttributes(attributes(e)...)
-	}
+	span.SetAttributes(attributes(e)...)
 }
 
 // endAttempt ends the newest open attempt with the event's number.
@@ -76,10 +76,8 @@
 		if a.number != e.Attempt || a.ended {
 			continue
 		}
-		if h.recording {
-			a.span.SetAttributes(attributes(e)...)
-			a.span.SetStatus(status, e.Reason)
-		}
+		a.span.SetAttributes(attributes(e)...)
+		a.span.SetStatus(status, e.Reason)
 		a.span.End(trace.WithTimestamp(e.At))
 		a.ended = true
 		return
@@ -89,21 +87,17 @@
 
 // finish ends the server span with the answer to the caller.
 func (h *Hop) finish(e *event.Event) {
-	if h.recording {
-		h.server.SetAttributes(attributes(e)...)
-		h.server.SetAttributes(attribute.Int64("http.response.status_code", e.Value))
-		if e.Code != event.RequestAnswered {
-			h.server.SetStatus(codes.Error, e.Reason)
-		}
+	h.server.SetAttributes(attributes(e)...)
+	h.server.SetAttributes(attribute.Int64("http.response.status_code", e.Value))
+	if e.Code != event.RequestAnswered {
+		h.server.SetStatus(codes.Error, e.Reason)
 	}
 	h.server.End(trace.WithTimestamp(e.At))
 }
 
 // note adds a decision that is neither a start nor an end to the server span.
 func (h *Hop) note(e *event.Event) {
-	if h.recording {
-		h.server.AddEvent(e.Code.String(), trace.WithTimestamp(e.At), trace.WithAttributes(attributes(e)...))
-	}
+	h.server.AddEvent(e.Code.String(), trace.WithTimestamp(e.At), trace.WithAttributes(attributes(e)...))
 }
 
 // Inject sets the traceparent header of a send to its client span. It is
@@ -112,6 +106,10 @@
 	if h == nil {
 		return
 	}
+	if !h.recording {
+		h.tracer.propagator.Inject(h.ctx, propagation.HeaderCarrier(header))
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for i := len(h.attempts) - 1; i >= 0; i-- {
--- a/pkg/event/catalogue_test.go
+++ b/pkg/event/catalogue_test.go
@@ -20,13 +20,10 @@
 var subsystems = []string{
 	1: "The process", 2: "Configuration", 3: "Requests", 4: "Retries and hedging", 5: "Limits and overload",
 	6: "Membership of entry hosts", 7: "Measuring of upstreams", 8: "Lifecycle of upstreams and drain",
-	9: "Single execution",
+	9: "Single execution", 10: "Broken invariants",
 }
 
-const (
-	codesPerSubsystem = 1000
-	otherSubsystem    = "Invariants"
-)
+const codesPerSubsystem = 1000
 
 var levelNames = [...]string{Debug: "debug", Info: "info", Warn: "warn", Error: "error"}
 
@@ -49,6 +46,7 @@
 		is.True(e.Name != "")                                    // no name
 		is.True(strings.HasSuffix(e.Meaning, "."))               // the meaning is a sentence
 		is.Equal(names[e.Name], Code(0))                         // a name stands twice
+		is.True(int(code)/codesPerSubsystem < len(subsystems))   // a code outside the ranges
 		is.True(code >= codesPerSubsystem)                       // a code outside the ranges
 		is.True(e.Level <= Error)                                // no such level
 		is.True(!strings.Contains(e.Name+e.Meaning+e.Unit, "|")) // would break the table
@@ -71,12 +69,7 @@
 	return b.String()
 }
 
-func subsystemOf(c Code) string {
-	if i := int(c) / codesPerSubsystem; i < len(subsystems) {
-		return subsystems[i]
-	}
-	return otherSubsystem
-}
+func subsystemOf(c Code) string { return subsystems[int(c)/codesPerSubsystem] }
 
 const docsHead = `# Decision events
 
