Tell a follow that ran out of time from a host that went away

A trial of three entry hosts on loopback, one stopped by SIGSTOP, ended a follow with code 6 and 'RST_STREAM' in place of code 5 and the laggard's name. Cause: the deadline travelled with the call, and the server saw it end first. Ruled out: mapping that error to code 5, since a stopped server sends it too. The wait now ends in the command.

The same trial named 'an unnamed operator' for a version that a named one had planned too; a conflict now names all who planned it.

--- a/internal/ctl/follow.go
+++ b/internal/ctl/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,8 +68,16 @@
 }
 
 func (a *app) follow(ctx context.Context, c operatorv1.OperatorClient, req *operatorv1.FollowRequest, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// The wait ends here and not by a deadline of the call, which the server
+	// would see first and answer with an error that reads like its own.
+	var expired atomic.Bool
+	timer := time.AfterFunc(wait, func() {
+		expired.Store(true)
+		cancel()
+	})
+	defer timer.Stop()
 	stream, err := c.Follow(ctx, req)
 	if err != nil {
 		return err
@@ -77,7 +86,7 @@
 	for {
 		update, err := stream.Recv()
 		if err != nil {
-			return followEnd(ctx, err, last, wait)
+			return followEnd(err, last, expired.Load(), wait)
 		}
 		last = update
 		if err := a.printUpdate(update); err != nil {
@@ -93,10 +102,13 @@
 }
 
 // followEnd tells a wait that ended from a host that went away.
-func followEnd(ctx context.Context, err error, last *operatorv1.FollowUpdate, wait time.Duration) error {
-	if last == nil || ctx.Err() == nil {
+func followEnd(err error, last *operatorv1.FollowUpdate, expired bool, wait time.Duration) error {
+	if !expired {
 		return err
 	}
+	if last == nil {
+		return withCode(Unreachable, errors.Newf("no answer within %s", wait))
+	}
 	return withCode(NotInForce, errors.Newf("not in force on every entry host after %s: %s", wait, laggingText(last)))
 }
 
@@ -114,7 +126,10 @@
 	}
 	state := strings.ToLower(strings.ReplaceAll(strings.TrimPrefix(u.GetState().String(), "STATE_"), "_", " "))
 	line := fmt.Sprintf("%s  %-10s  here %s, on %d entry hosts", u.GetAt().AsTime().Format(timeFormat), state, versionText(u.GetCurrent()), u.GetHostsInForce())
-	if len(u.GetLagging()) > 0 {
+	switch {
+	case u.GetState() == operatorv1.FollowUpdate_STATE_AWAITED:
+		line += "; not published yet, or not seen by the answering host"
+	case len(u.GetLagging()) > 0:
 		line += "; " + laggingText(u)
 	}
 	_, err := fmt.Fprintln(a.env.Stdout, line)
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -118,6 +118,9 @@
 
 // reason is the text of an error without the code's prefix.
 func reason(err error) string {
+	if status.Code(err) == codes.DeadlineExceeded {
+		return "no answer in time"
+	}
 	if st, ok := status.FromError(err); ok {
 		return st.Message()
 	}
--- a/internal/operator/follow.go
+++ b/internal/operator/follow.go
@@ -43,7 +43,7 @@
 		}
 		select {
 		case <-stream.Context().Done():
-			return stream.Context().Err()
+			return status.FromContextError(stream.Context().Err()).Err()
 		case <-ticker.C:
 		}
 	}
@@ -196,7 +196,7 @@
 func (f *follower) behind(update *operatorv1.FollowUpdate, members []Member) {
 	for _, m := range members {
 		if m.State != Dead {
-			update.Lagging = append(update.Lagging, lagging(m, "not published yet, or not seen by the answering host"))
+			update.Lagging = append(update.Lagging, lagging(m, "not in force on the answering host either"))
 		}
 	}
 }
--- a/internal/operator/history.go
+++ b/internal/operator/history.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -80,16 +82,27 @@
 	return pending
 }
 
-// plannedBy names who planned the version, if this host answered them.
+// plannedBy names those who planned the version, if this host answered them;
+// any of them may have published it.
 func (h *history) plannedBy(key string, digest uint64) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for i := len(h.issued) - 1; i >= 0; i-- {
-		if o := &h.issued[i]; o.key == key && o.digest == digest {
-			return o.by
+	var names []string
+	known := false
+	for i := range h.issued {
+		o := &h.issued[i]
+		if o.key != key || o.digest != digest {
+			continue
+		}
+		known = true
+		if o.by != anonymous && !slices.Contains(names, o.by) {
+			names = append(names, o.by)
 		}
 	}
-	return ""
+	if known && len(names) == 0 {
+		return anonymous
+	}
+	return strings.Join(names, " or ")
 }
 
 // find returns a version that was in force here, or nil.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -114,6 +114,8 @@
 	is.NoErr(err)
 	is.True(strings.Contains(second.GetWarnings()[0], "ana planned another change"))
 
+	_, err = h.drain(base, "ledger-1", "") // the same plan, without a name
+	is.NoErr(err)
 	h.publish(t, 8, first.GetDocument())
 	_, err = h.drain(base, "ledger-2", "bia")
 	is.Equal(status.Code(err), codes.Aborted)
