Don't repeat the reason of an event in its line

The detail of a failed attempt begins with its kind, which is the reason too, so a trial's lines read 'connect-failed: connect-failed: ...'.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -219,6 +219,19 @@
 	is.True(json.Valid([]byte(stdout)))
 }
 
+func TestReasonIsNotRepeated(t *testing.T) {
+	tests := []struct{ reason, detail, want string }{
+		{"", "", ""},
+		{"connect-failed", "connect-failed: refused", "connect-failed: refused"},
+		{"connect-failed", "connect-failed", "connect-failed"},
+		{"published", "services/ledger", "published: services/ledger"},
+		{"", "free text", "free text"},
+	}
+	for _, tc := range tests {
+		is.New(t).Equal(reasonText(&operatorv1.Event{Reason: tc.reason, Detail: tc.detail}), tc.want)
+	}
+}
+
 func TestColourMarksTheLevel(t *testing.T) {
 	is := is.New(t)
 	e := eventOf("warn")
--- a/internal/ctl/line.go
+++ b/internal/ctl/line.go
@@ -72,8 +72,9 @@
 // reasonText joins the reason, the detail and the quantity that decided.
 func reasonText(e *operatorv1.Event) string {
 	s := e.GetReason()
-	if e.GetDetail() != "" && e.GetDetail() != s {
-		s = strings.TrimPrefix(s+": "+e.GetDetail(), ": ")
+	// The detail of an error often begins with the reason, its kind.
+	if detail := strings.TrimPrefix(e.GetDetail(), s+": "); detail != "" && detail != s {
+		s = strings.TrimPrefix(s+": "+detail, ": ")
 	}
 	if e.GetUnit() == "" {
 		return s
