--- a/internal/events/ring.go
+++ b/internal/events/ring.go
@@ -27,7 +27,7 @@
 
 // Config bounds a Ring.
 type Config struct {
-	// Capacity is the number of events kept; about 220 bytes each. Default: 32768.
+	// Capacity is the number of events kept; 168 bytes each, and their texts. Default: 32768.
 	Capacity int
 	// DebugPerSecond is the number of Debug events kept in a second before
 	// sampling begins. Events of a higher level are always kept. Default: 20000.
--- a/internal/settings/operators.go
+++ b/internal/settings/operators.go
@@ -25,7 +25,7 @@
 func (o *Operators) Register(fs *pflag.FlagSet) {
 	fs.StringVar(&o.Listen, "operator-listen", "127.0.0.1:8083", "IP:port for operators")
 	o.TLS.Register(fs, "operator-tls", "towards operators")
-	fs.IntVar(&o.EventCapacity, "event-capacity", 1<<15, "decision events kept, about 220 bytes each")
+	fs.IntVar(&o.EventCapacity, "event-capacity", 1<<15, "decision events kept, 168 bytes each, and their texts")
 	fs.IntVar(&o.DebugEvents, "event-debug-rate", 20_000, "debug events kept in a second before sampling begins")
 	fs.StringVar(&o.TraceEndpoint, "trace-endpoint", "", "collector's host:port for OTLP over gRPC (default none, tracing off)")
 	fs.Float64Var(&o.TraceRatio, "trace-ratio", 0.01, "share of requests traced, 0 to 1, when the caller's traceparent doesn't decide")
