Tell operators on two entry hosts of each other's plans

Behind one address, two operators usually meet two entry hosts, and each host knew only its own plans: neither the warning nor the name in a conflict came. Now a host asks its live peers for their plans of the document. It remembers its own first, so of two at the same time at least one is warned. Ruled out: spreading plans with the membership, which costs every host for what is asked rarely. Cost: one round trip for each plan, bounded by the peer timeout. Before: the new test over two servers got no warning; after: it passes.

--- a/internal/operator/follow.go
+++ b/internal/operator/follow.go
@@ -32,6 +32,9 @@
 			return err
 		}
 		update := f.step(state, s.conf.Fleet.Members())
+		if update.GetState() == operatorv1.FollowUpdate_STATE_SUPERSEDED {
+			update.PlannedBy = plannedBy(s.issuedPlans(stream.Context(), req.GetKey()), update.GetCurrent().GetDigest())
+		}
 		if !proto.Equal(update, last) {
 			if err := send(stream, update); err != nil {
 				return err
@@ -66,7 +69,6 @@
 	digest   uint64
 	revision uint64
 	base     uint64
-	history  *history
 	// target is the revision that brought the document into force here; 0 until then.
 	target uint64
 	// cached spares computing a digest at each look.
@@ -83,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &follower{service: service, digest: req.GetDigest(), revision: req.GetRevision(), history: s.history}
+	f := &follower{service: service, digest: req.GetDigest(), revision: req.GetRevision()}
 	switch doc := state.Find(service); {
 	case req.BaseRevision != nil:
 		f.base = req.GetBaseRevision()
@@ -105,7 +107,6 @@
 		f.spread(update, state, members)
 	case f.superseded(state, doc):
 		update.State = operatorv1.FollowUpdate_STATE_SUPERSEDED
-		update.PlannedBy = f.history.plannedBy(plan.Key(f.service), update.GetCurrent().GetDigest())
 	default:
 		f.behind(update, members)
 	}
--- a/internal/operator/history.go
+++ b/internal/operator/history.go
@@ -1,8 +1,6 @@
 package operator
 
 import (
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -67,42 +65,24 @@
 	}
 }
 
-// record remembers a plan and returns the others that are pending from the
-// same version of the same document.
-func (h *history) record(p issuedPlan) []issuedPlan {
+// record remembers a plan.
+func (h *history) record(p issuedPlan) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var pending []issuedPlan
-	for _, o := range h.issued {
-		if o.key == p.key && o.base == p.base && o.digest != p.digest && o.by != p.by && p.at.Sub(o.at) < pendingFor {
-			pending = append(pending, o)
-		}
-	}
 	h.issued = newest(append(h.issued, p), maxIssued)
-	return pending
 }
 
-// plannedBy names those who planned the version, if this host answered them;
-// any of them may have published it.
-func (h *history) plannedBy(key string, digest uint64) string {
+// plans returns the remembered plans of a document, oldest first.
+func (h *history) plans(key string) []issuedPlan {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var names []string
-	known := false
-	for i := range h.issued {
-		o := &h.issued[i]
-		if o.key != key || o.digest != digest {
-			continue
+	var out []issuedPlan
+	for _, p := range h.issued {
+		if p.key == key {
+			out = append(out, p)
 		}
-		known = true
-		if o.by != anonymous && !slices.Contains(names, o.by) {
-			names = append(names, o.by)
-		}
-	}
-	if known && len(names) == 0 {
-		return anonymous
 	}
-	return strings.Join(names, " or ")
+	return out
 }
 
 // find returns a version that was in force here, or nil.
--- a/internal/operator/local.go
+++ b/internal/operator/local.go
@@ -51,6 +51,11 @@
 	return nil, errNoPeers
 }
 
+// Plans implements Peers.
+func (NoPeers) Plans(context.Context, Member, string) ([]*operatorv1.IssuedPlan, error) {
+	return nil, errNoPeers
+}
+
 // Status implements Peers.
 func (NoPeers) Status(context.Context, Member) (*operatorv1.HostStatus, error) {
 	return nil, errNoPeers
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -126,6 +126,25 @@
 	is.Equal(conflict.GetChanges()[0].GetField(), "groups[main].upstreams[ledger-1].state")
 }
 
+func TestOperatorsOnTwoHostsAreToldOfEachOther(t *testing.T) {
+	is := is.New(t)
+	pool := peer.NewPool(nil)
+	defer pool.Close()
+	a := startHost(t, "10.1.0.1", NoPeers{})
+	b := startHost(t, "10.1.0.2", PeerClient{Connections: pool})
+	b.fleet.members = append(b.fleet.members, Member{Host: "10.1.0.1", State: Alive, PeerAddress: a.address})
+	a.publish(t, 7, []byte(ledger))
+	b.publish(t, 7, []byte(ledger))
+	first, err := a.drain(nil, "ledger-1", "ana")
+	is.NoErr(err)
+	second, err := b.drain(nil, "ledger-2", "bia")
+	is.NoErr(err)
+	is.True(strings.Contains(second.GetWarnings()[0], "ana planned another change"))
+	b.publish(t, 8, first.GetDocument())
+	_, err = b.drain(second.GetBase(), "ledger-2", "bia")
+	is.Equal(status.Convert(err).Details()[0].(*operatorv1.Conflict).GetPlannedBy(), "ana")
+}
+
 // TestOnlyOneOfTwoRacingOperatorsWins plays the platform: the first plan to
 // come in is published, and the other operator's Follow says who won.
 func TestOnlyOneOfTwoRacingOperatorsWins(t *testing.T) {
@@ -233,7 +252,7 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			tc.f.service, tc.f.history = "ledger", newHistory()
+			tc.f.service = "ledger"
 			got := tc.f.step(tc.state, []Member{{Host: "a", State: Alive, Self: true}})
 			is.New(t).Equal(got.GetState(), tc.want)
 		})
--- a/internal/operator/peers.go
+++ b/internal/operator/peers.go
@@ -41,6 +41,16 @@
 	return resp.GetEvents(), err
 }
 
+// Plans implements Peers.
+func (c PeerClient) Plans(ctx context.Context, m Member, key string) ([]*operatorv1.IssuedPlan, error) {
+	client, err := c.client(m)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.LookupPlans(ctx, &operatorv1.LookupPlansRequest{Key: key})
+	return resp.GetPlans(), err
+}
+
 // Status implements Peers.
 func (c PeerClient) Status(ctx context.Context, m Member) (*operatorv1.HostStatus, error) {
 	client, err := c.client(m)
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -16,7 +17,7 @@
 	"github.com/dapplespindle/dapplespindle/pkg/plan"
 )
 
-// anonymous is the name of an operator who gives none.
+// anonymous stands for the name of an operator who gives none.
 const anonymous = "an unnamed operator"
 
 // PlanService implements operatorv1.OperatorServer.
@@ -107,21 +108,21 @@
 	}
 	p, err := plan.Make(state, req)
 	if err != nil {
-		return nil, toStatus(s.tellConflict(state, err))
+		return nil, toStatus(s.tellConflict(ctx, state, err))
 	}
 	if !p.Unchanged() {
-		s.warnPending(p, operatorName(ctx, opts))
+		s.warnPending(ctx, p, operatorName(ctx, opts))
 	}
 	return planMessage(p), nil
 }
 
 // tellConflict adds to a conflict what changed and who planned it.
-func (s *Server) tellConflict(state *plan.State, err error) error {
+func (s *Server) tellConflict(ctx context.Context, state *plan.State, err error) error {
 	var conflict *plan.ConflictError
 	if !errors.As(err, &conflict) {
 		return err
 	}
-	conflict.By = s.history.plannedBy(conflict.Key, conflict.Actual.Digest)
+	conflict.By = plannedBy(s.issuedPlans(ctx, conflict.Key), conflict.Actual.Digest)
 	old := s.history.find(conflict.Key, conflict.Expected)
 	if old == nil && conflict.Expected != (plan.Base{}) {
 		return conflict
@@ -134,25 +135,26 @@
 	return conflict
 }
 
-// warnPending warns of other plans from the same version.
-func (s *Server) warnPending(p *plan.Plan, by string) {
+// warnPending remembers a plan and warns of other plans from the same version.
+// It remembers first: of two operators at the same time on two hosts, at least
+// one then sees the other's.
+func (s *Server) warnPending(ctx context.Context, p *plan.Plan, by string) {
 	mine := issuedPlan{key: p.Key, base: p.Base, digest: p.Digest, by: by, at: time.Now()}
-	for _, o := range s.history.record(mine) {
+	s.history.record(mine)
+	for _, o := range pending(s.issuedPlans(ctx, p.Key), mine) {
 		p.Warnings = append(p.Warnings, fmt.Sprintf(
 			"%s planned another change of %s from the same revision %d at %s; whichever is published last replaces the other",
-			o.by, p.Key, p.Base.Revision, o.at.UTC().Format(time.TimeOnly)))
+			cmp.Or(o.by, anonymous), p.Key, p.Base.Revision, o.at.UTC().Format(time.TimeOnly)))
 	}
 }
 
-// operatorName is the name in the client's certificate, or the name given.
+// operatorName is the name in the client's certificate, or the name given; it
+// may be empty.
 func operatorName(ctx context.Context, opts *operatorv1.PlanOptions) string {
 	if p, ok := peer.FromContext(ctx); ok {
 		if info, ok := p.AuthInfo.(credentials.TLSInfo); ok && len(info.State.PeerCertificates) > 0 {
 			return info.State.PeerCertificates[0].Subject.CommonName
 		}
 	}
-	if name := opts.GetOperator(); name != "" {
-		return name
-	}
-	return anonymous
+	return opts.GetOperator()
 }
--- a/internal/operator/sources.go
+++ b/internal/operator/sources.go
@@ -79,6 +79,8 @@
 type Peers interface {
 	// Events returns the kept events of a request there.
 	Events(ctx context.Context, m Member, request string) ([]*operatorv1.Event, error)
+	// Plans returns the recent plans of a document that the host answered.
+	Plans(ctx context.Context, m Member, key string) ([]*operatorv1.IssuedPlan, error)
 	// Status returns the host's own state.
 	Status(ctx context.Context, m Member) (*operatorv1.HostStatus, error)
 }
