Join the settings of operators, peers and membership

Cause: two parts brought settings for TLS and traces. Ruled out: keeping both, since one name must mean one thing. Before: the type TLS stood twice and the build failed. After: one TLS type for mutual TLS; flags for TLS towards callers and upstreams are gone until it is built. Conclusion: every flag does something.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,10 +18,6 @@
 	AdminListen string
 	// PeerListen is the IP:port for other entry hosts. Peers reach this host there.
 	PeerListen string
-	// PeerAdvertise is the IP:port at which peers reach this host, if not PeerListen.
-	PeerAdvertise string
-	// OperatorListen is the IP:port for operators.
-	OperatorListen string
 	// FailureDomain is where this host runs.
 	FailureDomain string
 	// Platform is the base URL of the platform's services.
@@ -34,18 +30,18 @@
 	JoinTimeout time.Duration
 	// MaxEntryHosts bounds the entry host processes that can exist at once.
 	MaxEntryHosts int
-	// OTLPEndpoint is the IP:port of a trace collector; empty turns traces off.
-	OTLPEndpoint string
-	// TraceSampleRate is the share of requests whose spans are exported.
-	TraceSampleRate float64
+	// FleetKeyFile holds the keys that authenticate membership datagrams.
+	FleetKeyFile string
 	// Limits bounds what callers may send.
 	Limits Limits
 	// Tickets bounds single execution.
 	Tickets Tickets
 	// Stop holds the times of a planned stop.
 	Stop Stop
-	// CallerTLS, UpstreamTLS and PeerTLS name key files.
-	CallerTLS, UpstreamTLS, PeerTLS TLS
+	// PeerTLS is mutual TLS between entry hosts.
+	PeerTLS TLS
+	// Operators is for operators, events and traces.
+	Operators Operators
 }
 
 // Limits bounds messages and connections.
@@ -82,36 +78,24 @@
 	Timeout time.Duration
 }
 
-// TLS names the files of one role. All empty turns TLS off for the role.
-type TLS struct {
-	// CertFile and KeyFile hold this host's certificate and key, in PEM.
-	CertFile, KeyFile string
-	// CAFile holds the certificates that sign the other side's, in PEM.
-	CAFile string
-}
-
 // Register adds the flags to fs.
 func (e *Entry) Register(fs *pflag.FlagSet) {
 	fs.StringVar(&e.Listen, "listen", "127.0.0.1:8080", "IP:port for callers")
 	fs.StringVar(&e.AdminListen, "admin-listen", "127.0.0.1:8081", "IP:port for health and metrics")
-	fs.StringVar(&e.PeerListen, "peer-listen", "127.0.0.1:8082", "IP:port for other entry hosts")
-	fs.StringVar(&e.PeerAdvertise, "peer-advertise", "", "IP:port at which peers reach this host; empty: peer-listen")
-	fs.StringVar(&e.OperatorListen, "operator-listen", "127.0.0.1:8083", "IP:port for operators")
+	fs.StringVar(&e.PeerListen, "peer-listen", "127.0.0.1:8082", "IP:port for other entry hosts, TCP and UDP")
 	fs.StringVar(&e.FailureDomain, "failure-domain", "", "failure domain of this host (required)")
 	fs.StringVar(&e.Platform, "platform", "", "base URL of the platform, http://IP:port (required)")
 	fs.StringVar(&e.LogLevel, "log-level", "info", "debug, info, warn or error")
 	fs.DurationVar(&e.WatchWait, "watch-wait", 20*time.Second, "time one configuration watch waits")
 	fs.DurationVar(&e.JoinTimeout, "join-timeout", 5*time.Second, "time to wait for peers before serving from the platform alone")
 	fs.IntVar(&e.MaxEntryHosts, "max-entry-hosts", 32, "most entry host processes that can exist at once, those being replaced included")
-	fs.StringVar(&e.OTLPEndpoint, "otlp-endpoint", "", "IP:port of an OTLP gRPC collector; empty: no traces")
-	fs.Float64Var(&e.TraceSampleRate, "trace-sample-rate", 0.01, "share of requests traced, 0 to 1")
+	fs.StringVar(&e.FleetKeyFile, "fleet-key-file", "", "file of the keys that authenticate membership datagrams (default none)")
 	e.Limits.register(fs)
 	e.Tickets.register(fs)
 	fs.DurationVar(&e.Stop.Grace, "stop-grace", 2*time.Second, "time a stopping host still accepts")
 	fs.DurationVar(&e.Stop.Timeout, "stop-timeout", 30*time.Second, "time to finish requests in flight when stopping")
-	e.CallerTLS.register(fs, "caller", "towards callers")
-	e.UpstreamTLS.register(fs, "upstream", "towards upstreams")
-	e.PeerTLS.register(fs, "peer", "between entry hosts and towards operators")
+	e.PeerTLS.Register(fs, "peer-tls", "between entry hosts")
+	e.Operators.Register(fs)
 }
 
 func (l *Limits) register(fs *pflag.FlagSet) {
@@ -128,9 +112,3 @@
 	fs.IntVar(&t.MaxRecords, "ticket-max-records", 100_000, "most execution records held")
 	fs.IntVar(&t.MaxBytes, "ticket-max-bytes", 64<<20, "most bytes of answers held for replay")
 }
-
-func (t *TLS) register(fs *pflag.FlagSet, role, side string) {
-	fs.StringVar(&t.CertFile, role+"-tls-cert", "", "PEM file of this host's certificate "+side+"; empty: no TLS")
-	fs.StringVar(&t.KeyFile, role+"-tls-key", "", "PEM file of this host's key "+side)
-	fs.StringVar(&t.CAFile, role+"-tls-ca", "", "PEM file of the CA that signs the other side "+side)
-}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -38,16 +38,16 @@
 	if e.MaxEntryHosts > maxEntryHostsBound {
 		return errors.Newf("max-entry-hosts: %d is over %d", e.MaxEntryHosts, maxEntryHostsBound)
 	}
-	if e.TraceSampleRate < 0 || e.TraceSampleRate > 1 {
-		return errors.Newf("trace-sample-rate: %v is outside 0 to 1", e.TraceSampleRate)
-	}
 	if err := e.validateCounts(); err != nil {
 		return err
 	}
 	if err := e.validateDurations(); err != nil {
 		return err
 	}
-	return e.validateTLS()
+	if err := e.validateKeys(); err != nil {
+		return err
+	}
+	return e.Operators.Validate()
 }
 
 func (e *Entry) validateAddresses() error {
@@ -55,7 +55,7 @@
 		{"listen", e.Listen},
 		{"admin-listen", e.AdminListen},
 		{"peer-listen", e.PeerListen},
-		{"operator-listen", e.OperatorListen},
+		{"operator-listen", e.Operators.Listen},
 	}
 	seen := make(map[string]string, len(addresses))
 	for _, a := range addresses {
@@ -67,18 +67,6 @@
 		}
 		seen[a.value] = a.name
 	}
-	optional := []struct{ name, value string }{
-		{"peer-advertise", e.PeerAdvertise},
-		{"otlp-endpoint", e.OTLPEndpoint},
-	}
-	for _, o := range optional {
-		if o.value == "" {
-			continue
-		}
-		if err := checkAddress(o.name, o.value); err != nil {
-			return err
-		}
-	}
 	host, ok := strings.CutPrefix(e.Platform, "http://")
 	if !ok {
 		return errors.Newf("platform: %q is not http://IP:port", e.Platform)
@@ -135,68 +123,18 @@
 	return nil
 }
 
-func (e *Entry) validateTLS() error {
-	if err := e.CallerTLS.validate("caller", false); err != nil {
-		return err
-	}
-	if err := e.PeerTLS.validate("peer", true); err != nil {
-		return err
-	}
-	return e.UpstreamTLS.validateClient("upstream")
-}
-
-// Enabled reports whether any file of the role is set.
-func (t TLS) Enabled() bool { return t.CertFile != "" || t.KeyFile != "" || t.CAFile != "" }
-
-// validate checks the files of a role that needs a certificate of its own.
-func (t TLS) validate(role string, mutual bool) error {
-	if !t.Enabled() {
-		return nil
+func (e *Entry) validateKeys() error {
+	if err := e.PeerTLS.Validate(); err != nil {
+		return errors.Wrap(err, "peer-tls")
 	}
-	if t.CertFile == "" || t.KeyFile == "" {
-		return errors.Newf("%s-tls-cert, %s-tls-key: set both", role, role)
+	if e.PeerTLS.Files.Enabled() && e.FleetKeyFile == "" {
+		return errors.New("fleet-key-file: is empty; with peer-tls-cert, membership datagrams need keys too")
 	}
-	if mutual && t.CAFile == "" {
-		return errors.Newf("%s-tls-ca: is empty; both sides show certificates", role)
-	}
-	return t.checkFiles(role)
-}
-
-// validateClient checks the files of a role that may go without a certificate.
-func (t TLS) validateClient(role string) error {
-	if !t.Enabled() {
+	if e.FleetKeyFile == "" {
 		return nil
 	}
-	if t.CAFile == "" {
-		return errors.Newf("%s-tls-ca: is empty; the other side's certificate must be checked", role)
-	}
-	if (t.CertFile == "") != (t.KeyFile == "") {
-		return errors.Newf("%s-tls-cert, %s-tls-key: set both or none", role, role)
-	}
-	return t.checkFiles(role)
-}
-
-func (t TLS) checkFiles(role string) error {
-	files := []struct{ name, path string }{
-		{"cert", t.CertFile},
-		{"key", t.KeyFile},
-		{"ca", t.CAFile},
-	}
-	for _, f := range files {
-		if f.path == "" {
-			continue
-		}
-		if _, err := os.Stat(f.path); err != nil {
-			return errors.Newf("%s-tls-%s: %s", role, f.name, err)
-		}
+	if _, err := os.Stat(e.FleetKeyFile); err != nil {
+		return errors.Wrap(err, "fleet-key-file")
 	}
 	return nil
 }
-
-// PeerAddress returns the IP:port at which peers reach this host.
-func (e *Entry) PeerAddress() string {
-	if e.PeerAdvertise != "" {
-		return e.PeerAdvertise
-	}
-	return e.PeerListen
-}
