Bound extra sends by a budget that first sends fill

Cause: the thin path resends up to max_attempts without looking at how many others do the same. Ruled out: a bucket filled by time, which allows the same number of retries at no load as at full load and bursts after a pause. Before: no bound. After: extra sends are at most the reserve of 10 plus the rule's share of first sends, checked by a property test.

--- /dev/null
+++ b/pkg/retry/budget.go
@@ -0,0 +1,98 @@
+// Package retry decides when a request may be sent again.
+//
+// A Budget bounds the extra sends (retries and hedges) to a share of the first
+// sends, Decide applies every rule to one failed send, and Latency estimates
+// the quantiles from which a hedging delay is taken. Nothing here reads a
+// clock, starts a goroutine or draws randomness. All types are safe for
+// concurrent use.
+package retry
+
+import "sync/atomic"
+
+const (
+	// milli is the number of stored units in one token.
+	milli = 1000
+	// ReserveTokens is what a new budget holds, and the most that it can save
+	// up, in extra sends. It lets a rule with little traffic retry at all.
+	ReserveTokens = 10
+)
+
+// Budget is a token bucket that is filled by first sends instead of by time:
+// each first send adds its share of a token and each extra send takes a whole
+// one. Over any stretch, extra sends are at most ReserveTokens plus the share
+// of the first sends. A nil *Budget grants everything.
+type Budget struct {
+	tokens atomic.Int64
+	share  atomic.Int64
+}
+
+// NewBudget returns a full budget that allows percent extra sends per hundred
+// first sends.
+func NewBudget(percent float64) *Budget {
+	b := &Budget{}
+	b.SetPercent(percent)
+	b.tokens.Store(ReserveTokens * milli)
+	return b
+}
+
+// SetPercent changes the share of extra sends, in percent of first sends. What
+// is saved up stays.
+func (b *Budget) SetPercent(percent float64) {
+	if b == nil {
+		return
+	}
+	b.share.Store(int64(percent * milli / 100))
+}
+
+// First records a first send.
+func (b *Budget) First() {
+	if b == nil {
+		return
+	}
+	b.add(b.share.Load())
+}
+
+// Withdraw takes the token for one extra send. It reports false when the
+// budget is spent.
+func (b *Budget) Withdraw() bool {
+	if b == nil {
+		return true
+	}
+	for {
+		held := b.tokens.Load()
+		if held < milli {
+			return false
+		}
+		if b.tokens.CompareAndSwap(held, held-milli) {
+			return true
+		}
+	}
+}
+
+// Refund gives back the token of an extra send that was not made.
+func (b *Budget) Refund() {
+	if b == nil {
+		return
+	}
+	b.add(milli)
+}
+
+// Left returns the extra sends that are allowed now, in thousandths.
+func (b *Budget) Left() int64 {
+	if b == nil {
+		return ReserveTokens * milli
+	}
+	return b.tokens.Load()
+}
+
+// add puts units into the bucket, up to its size. A full bucket, the usual
+// case, is only read.
+func (b *Budget) add(units int64) {
+	for {
+		held := b.tokens.Load()
+		sum := min(held+units, ReserveTokens*milli)
+		if sum == held || b.tokens.CompareAndSwap(held, sum) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/retry/retry_test.go
@@ -0,0 +1,168 @@
+package retry_test
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/retry"
+)
+
+func ExampleBudget() {
+	budget := retry.NewBudget(10)
+	extra := 0
+	for range 1000 {
+		budget.First()
+		if budget.Withdraw() {
+			extra++
+		}
+	}
+	fmt.Println("extra sends for 1000 first sends:", extra)
+	// Output: extra sends for 1000 first sends: 109
+}
+
+func ExampleDecide() {
+	failed := retry.Attempt{
+		Kind:        errkind.UpstreamBroken,
+		Repeatable:  true,
+		Sent:        1,
+		MaxAttempts: 2,
+		Left:        100 * time.Millisecond,
+	}
+	fmt.Println(retry.Decide(failed, retry.NewBudget(10)))
+	failed.Repeatable = false
+	failed.MayHaveRun = true
+	fmt.Println(retry.Decide(failed, retry.NewBudget(10)))
+	// Output:
+	// allowed
+	// may-have-run
+}
+
+func ExampleLatency() {
+	var latency retry.Latency
+	for i := range 1000 {
+		latency.Observe(time.Duration(i) * time.Millisecond)
+	}
+	fmt.Println(latency.Quantile(0.5).Round(time.Millisecond))
+	// Output: 524ms
+}
+
+func TestBudgetNeverExceedsItsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		percent := rapid.Float64Range(0, 100).Draw(t, "percent")
+		budget := retry.NewBudget(percent)
+		first, extra := 0, 0
+		for _, send := range rapid.SliceOfN(rapid.IntRange(0, 2), 1, 500).Draw(t, "sends") {
+			switch {
+			case send == 0:
+				budget.First()
+				first++
+			case budget.Withdraw():
+				extra++
+			}
+			if bound := retry.ReserveTokens + float64(first)*percent/100; float64(extra) > bound {
+				t.Fatalf("%d extra sends, bound %.2f", extra, bound)
+			}
+		}
+	})
+}
+
+func TestBudgetUnderConcurrency(t *testing.T) {
+	is := is.New(t)
+	budget := retry.NewBudget(10)
+	var extra atomic.Int64
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 1000 {
+				budget.First()
+				if budget.Withdraw() {
+					extra.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	is.True(extra.Load() <= retry.ReserveTokens+800)
+	is.True(extra.Load() >= 800)
+}
+
+func TestDecide(t *testing.T) {
+	ok := retry.Attempt{Kind: errkind.ConnectFailed, Repeatable: true, Sent: 1, MaxAttempts: 2, Left: time.Second}
+	tests := []struct {
+		name string
+		edit func(*retry.Attempt)
+		want retry.Reason
+	}{
+		{"allowed", func(*retry.Attempt) {}, retry.Allowed},
+		{"non-repeatable after a refusal", func(a *retry.Attempt) { a.Repeatable = false; a.Kind = errkind.UpstreamRefused }, retry.Allowed},
+		{"non-repeatable after a broken answer", func(a *retry.Attempt) { a.Repeatable = false; a.Kind = errkind.UpstreamBroken }, retry.DeniedKind},
+		{"non-repeatable that may have run", func(a *retry.Attempt) { a.Repeatable = false; a.MayHaveRun = true }, retry.DeniedRan},
+		{"deadline passed", func(a *retry.Attempt) { a.Kind = errkind.DeadlineAfterSend }, retry.DeniedKind},
+		{"attempts", func(a *retry.Attempt) { a.Sent = 2 }, retry.DeniedAttempts},
+		{"arrived as retry", func(a *retry.Attempt) { a.ArrivedAsRetry = true }, retry.DeniedArrived},
+		{"upstream said no", func(a *retry.Attempt) { a.NoRetry = true }, retry.DeniedUpstream},
+		{"deadline too near", func(a *retry.Attempt) { a.Expected = time.Second }, retry.DeniedDeadline},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			a := ok
+			tt.edit(&a)
+			is.Equal(retry.Decide(a, retry.NewBudget(10)), tt.want)
+		})
+	}
+	is := is.New(t)
+	empty := retry.NewBudget(0)
+	for empty.Withdraw() {
+	}
+	is.Equal(retry.Decide(ok, empty), retry.DeniedBudget)
+}
+
+func TestLatencyNeedsSamplesAndForgets(t *testing.T) {
+	is := is.New(t)
+	var latency retry.Latency
+	is.Equal(latency.Quantile(0.9), time.Duration(0))
+	for range 2000 {
+		latency.Observe(10 * time.Millisecond)
+	}
+	for range 20_000 {
+		latency.Observe(time.Millisecond)
+	}
+	is.True(latency.Quantile(0.95) <= 2*time.Millisecond)
+}
+
+func BenchmarkBudget(b *testing.B) {
+	budget := retry.NewBudget(10)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			budget.First()
+		}
+	})
+}
+
+func BenchmarkLatencyObserve(b *testing.B) {
+	var latency retry.Latency
+	b.ReportAllocs()
+	for i := range b.N {
+		latency.Observe(time.Duration(i%10_000) * time.Microsecond)
+	}
+}
+
+func BenchmarkLatencyQuantile(b *testing.B) {
+	var latency retry.Latency
+	for i := range 2000 {
+		latency.Observe(time.Duration(i) * time.Microsecond)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		latency.Quantile(0.95)
+	}
+}
