Run every request through budget, limit, queue and hedging

Cause: the thin path sent at once, retried up to max_attempts at every level, and let a later refusal hide that an earlier send may have run.

--- /dev/null
+++ b/internal/proxy/answer.go
@@ -0,0 +1,84 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/limit"
+)
+
+// answer passes an upstream's answer on. Where the upstream is itself an entry
+// host, its own word on the outcome stands.
+func (x *exchange) answer(r result) *httpwire.Response {
+	h := r.resp.Header
+	if !declaresOutcome(h) {
+		h[HeaderOutcome] = []string{errkind.Ran.String()}
+	}
+	delete(h, HeaderNotRun)
+	delete(h, HeaderLoad)
+	h[HeaderUpstream] = []string{r.binding.upstream.ID}
+	h[HeaderRequestID] = []string{x.id}
+	x.emit(event.Event{Code: event.RequestAnswered, Upstream: r.binding.upstream.ID, Attempt: r.binding.number, Value: int64(r.resp.Status)})
+	return r.resp
+}
+
+// declaresOutcome reports whether the answer comes from an entry host below
+// that could not give its upstream's answer.
+func declaresOutcome(h http.Header) bool {
+	if h.Get(HeaderError) == "" {
+		return false
+	}
+	outcome := h.Get(HeaderOutcome)
+	return outcome == errkind.NotRun.String() || outcome == errkind.Unknown.String()
+}
+
+// refuse answers with the kind's entry in the error table.
+func (x *exchange) refuse(err *errkind.Error) *httpwire.Response {
+	err = x.certain(err)
+	answer := err.Kind.Answer()
+	code := event.RequestRefused
+	if answer.Outcome == errkind.Unknown {
+		code = event.RequestUnknown
+	}
+	x.emit(event.Event{Code: code, Reason: answer.Name, Detail: err.Error(), Value: int64(answer.Status)})
+	h := http.Header{
+		"Content-Type":  {"text/plain; charset=utf-8"},
+		HeaderOutcome:   {answer.Outcome.String()},
+		HeaderError:     {answer.Name},
+		HeaderRequestID: {x.id},
+	}
+	if answer.Status == http.StatusServiceUnavailable && answer.Outcome == errkind.NotRun {
+		h[HeaderNotRun] = []string{flagSet}
+	}
+	if x.sent > 0 {
+		h[HeaderNoRetry] = []string{flagSet}
+	}
+	if answer.RetryAfter {
+		x.setRetryAfter(h)
+	}
+	return &httpwire.Response{Status: answer.Status, Header: h, Body: []byte(err.Error() + "\n")}
+}
+
+// certain names the failure for what the caller must know: a non-repeatable
+// request that may have run has an unknown outcome, whatever broke.
+func (x *exchange) certain(err *errkind.Error) *errkind.Error {
+	if x.rule == nil || x.repeatable() || err.Kind != errkind.UpstreamBroken {
+		return err
+	}
+	return errkind.Wrap(errkind.OutcomeUnknown, err, "sent once")
+}
+
+// setRetryAfter tells the caller when to come back, spread by the excess.
+func (x *exchange) setRetryAfter(h http.Header) {
+	excess := 0.0
+	if x.state != nil {
+		excess = x.state.group.excess.Ratio()
+	}
+	d := limit.RetryAfter(excess, x.proxy.random())
+	h[HeaderRetryAfter] = []string{strconv.FormatInt(limit.RetryAfterSeconds(d), 10)}
+	h[HeaderRetryAfterMs] = []string{strconv.FormatInt(int64(d/time.Millisecond), 10)}
+}
--- /dev/null
+++ b/internal/proxy/exchange.go
@@ -0,0 +1,63 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/routing"
+)
+
+// exchange is the state of one request on this hop. The goroutine that serves
+// the request owns it; a send on a goroutine of its own only reads the fields
+// set before the first send, and guard.
+type exchange struct {
+	proxy    *Proxy
+	req      *httpwire.Request
+	id       string
+	rule     *routing.Rule
+	state    *ruleState
+	deadline time.Time
+	header   http.Header
+	isRetry  bool
+
+	sent    int
+	tried   []*balancer.Upstream
+	unknown *errkind.Error // the first failure after which the request may have run
+	first   *errkind.Error // the first failure of a send
+	noRetry bool           // an upstream said not to retry
+	guard   guard
+}
+
+// route finds the rule of the request.
+func (x *exchange) route() *errkind.Error {
+	s := x.proxy.state.Load()
+	if s == nil {
+		return errkind.New(errkind.NotReady, "no configuration yet")
+	}
+	x.rule = s.table.Route(x.req.Method, x.req.Host, x.req.Path)
+	if x.rule == nil {
+		return errkind.New(errkind.NoRoute, x.req.Path)
+	}
+	x.state = s.rules[x.rule]
+	return nil
+}
+
+func (x *exchange) repeatable() bool { return x.rule.Config.Repeat == config.Repeatable }
+
+// emit completes and sends a decision event.
+func (x *exchange) emit(e event.Event) {
+	e.At = time.Now()
+	e.EntryHost = x.proxy.host
+	e.Request = x.id
+	e.Elapsed = e.At.Sub(x.req.Received)
+	if x.rule != nil {
+		e.Service = x.rule.Service.Name
+		e.Rule = x.rule.Config.Name
+	}
+	x.proxy.events.Emit(e)
+}
--- /dev/null
+++ b/internal/proxy/overload_test.go
@@ -0,0 +1,271 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/limit"
+)
+
+// measuring skips a measurement unless make measure-overload asks for it.
+func measuring(t *testing.T) {
+	if os.Getenv("MEASURE") == "" {
+		t.Skip("a measurement: run make measure-overload")
+	}
+}
+
+const (
+	testSlots   = 3
+	testService = 5 * time.Millisecond
+	testSpan    = 10 * time.Second // virtual
+	highShare   = 0.4              // of capacity, at every load
+	highTimeout = 250 * time.Millisecond
+	lowTimeout  = 500 * time.Millisecond
+)
+
+// capacity is what the fake upstream can serve, per second.
+var capacity = testSlots / testService.Seconds()
+
+// slottedUpstream serves 3 requests at a time, in order of arrival, with
+// log-normal service times. Cancelled work stops.
+type slottedUpstream struct {
+	slots  chan struct{}
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func newSlottedUpstream(seed uint64) *slottedUpstream {
+	return &slottedUpstream{slots: make(chan struct{}, testSlots), random: rand.New(rand.NewPCG(seed, 11))}
+}
+
+func (u *slottedUpstream) Do(ctx context.Context, address string, _ *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+	select {
+	case u.slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, errkind.Wrap(errkind.DeadlineAfterSend, ctx.Err(), address)
+	}
+	defer func() { <-u.slots }()
+	select {
+	case <-time.After(u.serviceTime()):
+		return ok(), nil
+	case <-ctx.Done():
+		return nil, errkind.Wrap(errkind.DeadlineAfterSend, ctx.Err(), address)
+	}
+}
+
+func (u *slottedUpstream) serviceTime() time.Duration {
+	const sigma = 0.6
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return time.Duration(float64(testService) * math.Exp(u.random.NormFloat64()*sigma-sigma*sigma/2))
+}
+
+// control is which parts are in use.
+type control struct {
+	name   string
+	limits bool
+	groups groupsFunc
+}
+
+var (
+	uncontrolled = control{"none", false, leastOutstanding}
+	limited      = control{"limit and queue", true, leastOutstanding}
+	lateBound    = control{"limit, queue, late binding", true, lateBinding}
+)
+
+// tally is what callers of one priority saw.
+type tally struct {
+	good      int
+	latencies []time.Duration
+	given     []time.Duration // time until a give-up was answered
+	late      int             // deadlines that passed after the send
+	retryMs   []int
+}
+
+// outcome is a run's tallies by priority.
+type outcome struct {
+	high, low tally
+}
+
+func (o *outcome) goodput() float64 {
+	return float64(o.high.good+o.low.good) / testSpan.Seconds() / capacity
+}
+
+func p99(d []time.Duration) time.Duration {
+	if len(d) == 0 {
+		return 0
+	}
+	slices.Sort(d)
+	return d[len(d)*99/100]
+}
+
+// simulate offers load times the capacity for testSpan of virtual time. High
+// is the same at every load; the rest is low.
+func simulate(t *testing.T, load float64, c control, seed uint64) *outcome {
+	out := &outcome{}
+	synctest.Test(t, func(t *testing.T) {
+		high := config.Rule{Name: "high", Methods: []string{"GET"}, Repeat: config.Repeatable, Priority: config.PriorityHigh, Deadline: config.Duration(highTimeout)}
+		low := config.Rule{Name: "low", Methods: []string{"HEAD"}, Repeat: config.Repeatable, Priority: config.PriorityLow, Deadline: config.Duration(lowTimeout)}
+		s := service(1, high, low)
+		p := newProxy(s, c.groups, newSlottedUpstream(seed), event.Discard{})
+		if !c.limits {
+			p.newLimiter = func(int) *limit.Limiter { return nil }
+			p.state.Store(p.nextSnapshot(nil, p.state.Load().table))
+		}
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		random := rand.New(rand.NewPCG(seed, 13))
+		end := time.Now().Add(testSpan)
+		for time.Now().Before(end) {
+			time.Sleep(time.Duration(random.ExpFloat64() / (load * capacity) * float64(time.Second)))
+			method, to := "HEAD", &out.low
+			if random.Float64() < highShare/load {
+				method, to = "GET", &out.high
+			}
+			wg.Go(func() { call(t, p, method, to, &mu) })
+		}
+		wg.Wait()
+	})
+	return out
+}
+
+// call sends one request and tallies what the caller saw.
+func call(t *testing.T, p *Proxy, method string, to *tally, mu *sync.Mutex) {
+	req := request(method)
+	resp := p.Serve(t.Context(), req)
+	took := time.Since(req.Received)
+	mu.Lock()
+	defer mu.Unlock()
+	switch {
+	case resp.Status == http.StatusOK:
+		to.good++
+		to.latencies = append(to.latencies, took)
+	case resp.Header.Get(HeaderError) == errkind.Overloaded.String():
+		ms, err := strconv.Atoi(resp.Header.Get(HeaderRetryAfterMs))
+		if err != nil {
+			t.Errorf("Retry-After: %v", err)
+		}
+		to.retryMs = append(to.retryMs, ms)
+		to.given = append(to.given, took)
+	default:
+		to.late++
+	}
+}
+
+// TestSheddingKeepsGoodput offers twice the capacity, in virtual time.
+func TestSheddingKeepsGoodput(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []control{limited, lateBound} {
+		out := simulate(t, 2, c, 1)
+		calm := simulate(t, 0.8, c, 1)
+		is.True(out.goodput() >= 0.95)                                          // of capacity
+		is.Equal(len(out.high.given)+out.high.late, 0)                          // high is not shed
+		is.True(p99(out.high.latencies) <= calm.high.p99()+10*time.Millisecond) // two service times
+		is.True(len(out.low.given) > 1000)
+		for _, took := range out.low.given {
+			is.True(took <= lowTimeout/2+hintInterval) // never held back until near the deadline
+		}
+	}
+	is.True(simulate(t, 2, uncontrolled, 1).goodput() < 0.95)
+}
+
+func (t *tally) p99() time.Duration { return p99(t.latencies) }
+
+// TestGiveUpIsAnsweredAtOnce fills the only upstream and the queue.
+func TestGiveUpIsAnsweredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		block := senderFunc(func(ctx context.Context, address string, _ *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+			<-ctx.Done()
+			return nil, errkind.Wrap(errkind.DeadlineAfterSend, ctx.Err(), address)
+		})
+		s := service(1, lookup())
+		s.Groups[0].Queue.MaxWaiting = 2
+		events := &recorder{}
+		p := newProxy(s, lateBinding, block, events)
+		var wg sync.WaitGroup
+		for range minFloor + 2 {
+			wg.Go(func() { p.Serve(t.Context(), request("GET")) })
+		}
+		synctest.Wait()
+		start := time.Now()
+		resp := p.Serve(t.Context(), request("GET"))
+		is.Equal(time.Since(start), time.Duration(0))
+		is.Equal(resp.Status, http.StatusServiceUnavailable)
+		is.Equal(resp.Header.Get(HeaderOutcome), "not-run")
+		is.Equal(resp.Header.Get(HeaderNotRun), "1")
+		is.True(resp.Header.Get(HeaderRetryAfter) != "")
+		is.Equal(events.reason(event.RequestShed), "queue-full")
+		wg.Wait()
+		g := p.state.Load().groups[name{"test", "main"}]
+		is.Equal(g.waiting.Load(), int64(0))
+		_, inFlight := g.limiter.Limit()
+		is.Equal(inFlight, 0)
+	})
+}
+
+// TestMeasureOverload prints the table of make measure-overload.
+func TestMeasureOverload(t *testing.T) {
+	measuring(t)
+	fmt.Printf("One upstream, %d slots, mean %s, log-normal; high %.0f %% of capacity at every load; %s virtual; mean of 3 seeds (spread of goodput)\n",
+		testSlots, testService, highShare*percent, testSpan)
+	fmt.Printf("%-28s %5s %16s %9s %9s %9s %9s %9s %9s\n", "control", "load", "goodput", "high p99", "high lost", "low p99", "low lost", "give-up", "back p50")
+	for _, c := range []control{uncontrolled, limited, lateBound} {
+		for _, load := range []float64{0.8, 1, 2, 4} {
+			printRow(t, c, load)
+		}
+	}
+}
+
+func printRow(t *testing.T, c control, load float64) {
+	const seeds = 3
+	var all outcome
+	lowest, highest, sum := math.Inf(1), 0.0, 0.0
+	for seed := range uint64(seeds) {
+		out := simulate(t, load, c, seed+1)
+		lowest, highest = min(lowest, out.goodput()), max(highest, out.goodput())
+		sum += out.goodput()
+		all.high.add(&out.high)
+		all.low.add(&out.low)
+	}
+	slices.Sort(all.low.retryMs)
+	back := 0
+	if n := len(all.low.retryMs); n > 0 {
+		back = all.low.retryMs[n/2]
+	}
+	fmt.Printf("%-28s %4.1fx %6.1f%% (%4.1f%%) %9s %8.1f%% %9s %8.1f%% %9s %7dms\n", c.name, load,
+		sum/seeds*percent, (highest-lowest)*percent,
+		p99(all.high.latencies).Round(100*time.Microsecond), all.high.lost(),
+		p99(all.low.latencies).Round(100*time.Microsecond), all.low.lost(),
+		p99(all.low.given).Round(100*time.Microsecond), back)
+}
+
+func (t *tally) add(o *tally) {
+	t.good += o.good
+	t.late += o.late
+	t.latencies = append(t.latencies, o.latencies...)
+	t.given = append(t.given, o.given...)
+	t.retryMs = append(t.retryMs, o.retryMs...)
+}
+
+// lost is the share of requests without a good answer, in percent.
+func (t *tally) lost() float64 {
+	bad := len(t.given) + t.late
+	return percent * float64(bad) / float64(max(bad+t.good, 1))
+}
--- /dev/null
+++ b/internal/proxy/run.go
@@ -0,0 +1,121 @@
+package proxy
+
+import (
+	"context"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/retry"
+)
+
+// nonRepeatableAttempts bounds the sends of a non-repeatable request, of which
+// all but the last certainly did not run.
+const nonRepeatableAttempts = config.DefaultMaxAttempts
+
+// medianQuantile estimates how long a send usually takes.
+const medianQuantile = 0.5
+
+// run sends the request until it is answered or may not be sent again.
+func (x *exchange) run(ctx context.Context) *httpwire.Response {
+	for {
+		b, err := x.bind(ctx)
+		if err != nil {
+			x.notSent()
+			return x.refuse(x.gravest(err))
+		}
+		x.count()
+		r := x.sendHedged(ctx, b)
+		if r.err == nil {
+			return x.answer(r)
+		}
+		if !x.retry(r) {
+			return x.refuse(x.gravest(r.err))
+		}
+	}
+}
+
+// count records a send. The first fills the budget.
+func (x *exchange) count() {
+	x.sent++
+	if x.sent == 1 {
+		x.state.budget.First()
+	}
+}
+
+// notSent gives back the token of a retry that found no upstream or no slot.
+func (x *exchange) notSent() {
+	if x.sent > 0 {
+		x.state.budget.Refund()
+		x.emit(event.Event{Code: event.RetryDenied, Attempt: x.sent, Reason: string(retry.DeniedNoOther), Value: x.state.budget.Left()})
+	}
+}
+
+// retry decides whether the request is sent again after r failed.
+func (x *exchange) retry(r result) bool {
+	reason := retry.Decide(x.attemptState(r.err.Kind), x.state.budget)
+	code := event.RetryDenied
+	text := string(reason)
+	if reason == retry.Allowed {
+		code = event.RetrySent
+		text = r.err.Kind.String()
+	}
+	x.emit(event.Event{Code: code, Attempt: x.sent, Reason: text, Value: x.state.budget.Left()})
+	return reason == retry.Allowed
+}
+
+// attemptState gathers what pkg/retry decides on.
+func (x *exchange) attemptState(kind errkind.Kind) retry.Attempt {
+	return retry.Attempt{
+		Kind:           kind,
+		Repeatable:     x.repeatable(),
+		MayHaveRun:     x.unknown != nil,
+		Sent:           x.sent,
+		MaxAttempts:    maxAttempts(x.rule.Config),
+		ArrivedAsRetry: x.isRetry,
+		NoRetry:        x.noRetry,
+		Left:           x.left(),
+		Expected:       x.state.latency.Quantile(medianQuantile),
+	}
+}
+
+// failed records the failure of one send.
+func (x *exchange) failed(r result) {
+	x.emit(event.Event{Code: event.AttemptFailed, Upstream: r.binding.upstream.ID, Attempt: r.binding.number, Reason: r.err.Kind.String(), Detail: r.err.Error()})
+	x.noRetry = x.noRetry || r.noRetry
+	if x.first == nil {
+		x.first = r.err
+	}
+	if x.unknown == nil && r.err.Kind.Answer().Outcome != errkind.NotRun {
+		x.unknown = r.err
+	}
+}
+
+// gravest returns the error to answer with: "not run" only when no send at all
+// may have run, and otherwise the first failure of a send before any refusal
+// to send again.
+func (x *exchange) gravest(err *errkind.Error) *errkind.Error {
+	switch {
+	case x.unknown != nil:
+		return x.unknown
+	case x.first != nil:
+		return x.first
+	default:
+		return err
+	}
+}
+
+func maxAttempts(r *config.Rule) int {
+	if r.Repeat != config.Repeatable {
+		return nonRepeatableAttempts
+	}
+	return r.Retry.MaxAttempts
+}
+
+func budgetPercent(r *config.Rule) float64 {
+	if r.Repeat != config.Repeatable {
+		return config.DefaultBudgetPercent
+	}
+	return r.Retry.BudgetPercent
+}
--- /dev/null
+++ b/internal/proxy/wait.go
@@ -0,0 +1,146 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/limit"
+	"github.com/dapplespindle/dapplespindle/pkg/queue"
+)
+
+// hintInterval is how long the queue may stand still before its first request
+// tries again without an answer that frees a slot.
+const hintInterval = 5 * time.Millisecond
+
+// waiter is a request in its group's queue. Exactly one signal follows each
+// time that the queue takes the entry out: Kept hands over a place in the
+// limit, any other reason gives the request up.
+type waiter struct {
+	entry  queue.Entry[*waiter]
+	signal chan queue.Reason
+}
+
+// bind binds the next send to an upstream, and waits for a slot if none is
+// free. The error is final: it is answered at once.
+func (x *exchange) bind(ctx context.Context) (binding, *errkind.Error) {
+	if err := x.expired(ctx); err != nil {
+		return binding{}, err
+	}
+	g := x.state.group
+	ends := g.ends.Load()
+	b, err := x.tryBind(x.sent + 1)
+	switch {
+	case err == nil:
+		x.admitted(true)
+		return b, nil
+	case errors.Is(err, balancer.ErrNoUpstream):
+		return binding{}, errkind.Wrap(errkind.NoUpstream, err, g.current.Load().Config.Name)
+	default:
+		return x.wait(ctx, err, ends)
+	}
+}
+
+// wait lets the request queue until it is bound or given up. Full says what
+// was full, and ends is the group's count of ended sends before that.
+func (x *exchange) wait(ctx context.Context, full error, ends uint64) (binding, *errkind.Error) {
+	g := x.state.group
+	w := x.newWaiter()
+	start := time.Now()
+	if reason := g.push(start, w); reason != queue.Kept {
+		return binding{}, x.shed(reason)
+	}
+	x.emit(event.Event{Code: event.RequestQueued, Attempt: x.sent + 1, Reason: full.Error(), Value: g.waiting.Load()})
+	if g.ends.Load() != ends {
+		g.wake(time.Now(), 1)
+	}
+	b, err := x.awaitSlot(ctx, w)
+	if err == nil {
+		x.admitted(true)
+		x.emit(event.Event{Code: event.QueueLeft, Upstream: b.upstream.ID, Attempt: b.number, Value: time.Since(start).Microseconds()})
+	}
+	return b, err
+}
+
+// awaitSlot picks each time that the request is woken, until it is bound.
+func (x *exchange) awaitSlot(ctx context.Context, w *waiter) (binding, *errkind.Error) {
+	g := x.state.group
+	tick := time.NewTicker(hintInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case reason := <-w.signal:
+			if reason != queue.Kept {
+				return binding{}, x.shed(reason)
+			}
+		case now := <-tick.C:
+			g.hint(now, hintInterval)
+			continue
+		case <-ctx.Done():
+			x.leave(w)
+			return binding{}, x.expired(ctx)
+		}
+		ends := g.ends.Load()
+		b, err := x.pick(x.sent + 1)
+		if err == nil {
+			return b, nil
+		}
+		if errors.Is(err, balancer.ErrNoUpstream) {
+			g.release(time.Now(), feedback{outcome: limit.Ignored, load: noReport})
+			return binding{}, errkind.Wrap(errkind.NoUpstream, err, g.current.Load().Config.Name)
+		}
+		g.limiter.Release(limit.Ignored, 0)
+		g.putBack(w)
+		if g.ends.Load() != ends {
+			g.wake(time.Now(), 1)
+		}
+	}
+}
+
+// leave takes w out of the queue when the request ended. A place in the limit
+// that was handed over meanwhile goes to the next.
+func (x *exchange) leave(w *waiter) {
+	g := x.state.group
+	if g.remove(w) {
+		return
+	}
+	if <-w.signal == queue.Kept {
+		g.release(time.Now(), feedback{outcome: limit.Ignored, load: noReport})
+	}
+}
+
+// shed gives the request up before it was sent.
+func (x *exchange) shed(reason queue.Reason) *errkind.Error {
+	x.admitted(false)
+	x.emit(event.Event{Code: event.RequestShed, Attempt: x.sent + 1, Reason: string(reason), Value: x.state.group.waiting.Load()})
+	return errkind.New(errkind.Overloaded, string(reason))
+}
+
+// admitted records whether a first send found a place.
+func (x *exchange) admitted(ok bool) {
+	if x.sent == 0 {
+		x.state.group.excess.Observe(ok)
+	}
+}
+
+func (x *exchange) newWaiter() *waiter {
+	w := &waiter{signal: make(chan queue.Reason, 1)}
+	w.entry = queue.Entry[*waiter]{Value: w, Priority: priorityOf(x.rule.Config), Deadline: x.deadline}
+	return w
+}
+
+func priorityOf(r *config.Rule) queue.Priority {
+	switch r.Priority {
+	case config.PriorityHigh:
+		return queue.High
+	case config.PriorityLow:
+		return queue.Low
+	default:
+		return queue.Normal
+	}
+}
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -166,4 +166,7 @@
 	BudgetPercent float64 `json:"budget_percent,omitempty"`
 	// HedgeAfter sends a second attempt when no answer came in this time. Default: 0, off.
 	HedgeAfter Duration `json:"hedge_after,omitempty"`
+	// HedgePercentile sends a second attempt when the first took longer than this
+	// percentile of recent latencies, and longer than HedgeAfter. Default: 0, off.
+	HedgePercentile float64 `json:"hedge_percentile,omitempty"`
 }
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -238,6 +238,9 @@
 		if r.Retry.HedgeAfter < 0 {
 			return &FieldError{field + ".retry.hedge_after", "is negative", "write 0 to turn hedging off"}
 		}
+		if r.Retry.HedgePercentile < 0 || r.Retry.HedgePercentile >= 100 {
+			return &FieldError{field + ".retry.hedge_percentile", "is outside 0 to 100", "write for example 95, or 0 to turn it off"}
+		}
 	case NonRepeatable:
 		if r.Retry != (Retry{}) {
 			return &FieldError{field + ".retry", "is set on a non-repeatable rule", "remove it: such a request is sent once"}
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -114,5 +114,8 @@
 	return nil
 }
 
+// Rules returns the compiled rules in the order in which they are tried.
+func (s *Service) Rules() []*Rule { return s.rules }
+
 // Services returns the compiled services in match order.
 func (t *Table) Services() []*Service { return t.services }
