Let upstreams' load reports steer the limit

Each host measures its baseline by halving its own limit; the other hosts keep the queues full, so that each baseline takes the shared queue for normal and the limits grow. Ruled out: the queue's order; high always goes first on its host.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -37,6 +37,16 @@
 	outcome limit.Outcome
 	// load is the upstream's report of requests in flight, or noReport.
 	load int64
+	// slots is the number of requests that the upstream serves at the same time.
+	slots int
+}
+
+// pressure is the reported load per slot, or 0 without a report.
+func (f feedback) pressure() float64 {
+	if f.load == noReport {
+		return 0
+	}
+	return float64(f.load) / float64(max(f.slots, 1))
 }
 
 // pick chooses an upstream for send number n. The place in the limit must be
@@ -101,7 +111,7 @@
 }
 
 func feedbackOf(ctx context.Context, r result, resp *httpwire.Response, latency time.Duration) feedback {
-	f := feedback{latency: latency, outcome: limit.Answered, load: noReport}
+	f := feedback{latency: latency, outcome: limit.Answered, load: noReport, slots: r.binding.upstream.Slots}
 	if resp != nil {
 		f.load = loadReport(resp.Header)
 	}
--- a/internal/proxy/fakes_test.go
+++ b/internal/proxy/fakes_test.go
@@ -91,16 +91,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	err := balancer.ErrNoUpstream
-	for _, u := range p.members {
+	var best *balancer.Upstream
+	for i := range p.members {
+		u := p.members[(int(info.Random>>1)+i)%len(p.members)]
 		if info.Excludes(u) {
 			continue
 		}
-		if u.Outstanding() < int64(u.Slots) {
-			return balancer.Result{Upstream: u, Reason: "free-slot"}, nil
-		}
 		err = balancer.ErrNoSlot
+		if u.Outstanding() < int64(u.Slots) && (best == nil || u.Outstanding() < best.Outstanding()) {
+			best = u
+		}
+	}
+	if best == nil {
+		return balancer.Result{}, err
 	}
-	return balancer.Result{}, err
+	return balancer.Result{Upstream: best, Reason: "free-slot"}, nil
 }
 
 // service returns a document with one upstream group and the given rules.
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -57,7 +57,7 @@
 	if f.outcome == limit.Answered {
 		g.service.Observe(f.latency)
 	}
-	reason := g.limiter.Release(f.outcome, f.latency)
+	reason := g.limiter.Release(limit.Sample{Outcome: f.outcome, Latency: f.latency, Pressure: f.pressure()})
 	g.ends.Add(1)
 	if g.waiting.Load() > 0 {
 		g.wake(now, wakeCount(reason))
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -108,7 +108,7 @@
 	}
 	b, err := x.pick(n)
 	if err != nil {
-		g.limiter.Release(limit.Ignored, 0)
+		g.limiter.Release(limit.Sample{Outcome: limit.Ignored})
 	}
 	return b, err
 }
--- a/internal/proxy/overload_test.go
+++ b/internal/proxy/overload_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +31,22 @@
 	}
 }
 
+// shape is the entry hosts and upstreams of a run.
+type shape struct {
+	hosts, upstreams int
+}
+
+var (
+	single = shape{1, 1}
+	// fleet is the catalogue service behind 15 entry hosts.
+	fleet = shape{15, 10}
+)
+
+// capacity is what the upstreams serve, per second.
+func (s shape) capacity() float64 {
+	return float64(s.upstreams) * testSlots / testService.Seconds()
+}
+
 const (
 	testSlots   = 3
 	testService = 5 * time.Millisecond
@@ -39,13 +56,27 @@
 	lowTimeout  = 500 * time.Millisecond
 )
 
-// capacity is what the fake upstream can serve, per second.
-var capacity = testSlots / testService.Seconds()
+// slottedGroup sends to the slotted upstream of each address.
+type slottedGroup map[string]*slottedUpstream
+
+func newSlottedGroup(n int, seed uint64) slottedGroup {
+	g := make(slottedGroup, n)
+	for i := range n {
+		g["up-"+strconv.Itoa(i+1)] = newSlottedUpstream(seed + uint64(i)<<32)
+	}
+	return g
+}
+
+func (g slottedGroup) Do(ctx context.Context, address string, req *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+	return g[address].Do(ctx, address, req)
+}
 
 // slottedUpstream serves 3 requests at a time, in order of arrival, with
 // log-normal service times. Cancelled work stops.
 type slottedUpstream struct {
 	slots  chan struct{}
+	active atomic.Int64
+	silent bool // sends no load report
 	mu     sync.Mutex
 	random *rand.Rand
 }
@@ -55,6 +86,8 @@
 }
 
 func (u *slottedUpstream) Do(ctx context.Context, address string, _ *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+	u.active.Add(1)
+	defer u.active.Add(-1)
 	select {
 	case u.slots <- struct{}{}:
 	case <-ctx.Done():
@@ -63,12 +96,19 @@
 	defer func() { <-u.slots }()
 	select {
 	case <-time.After(u.serviceTime()):
-		return ok(), nil
+		return u.report(ok()), nil
 	case <-ctx.Done():
 		return nil, errkind.Wrap(errkind.DeadlineAfterSend, ctx.Err(), address)
 	}
 }
 
+func (u *slottedUpstream) report(resp *httpwire.Response) *httpwire.Response {
+	if !u.silent {
+		resp.Header[HeaderLoad] = []string{strconv.FormatInt(u.active.Load(), 10)}
+	}
+	return resp
+}
+
 func (u *slottedUpstream) serviceTime() time.Duration {
 	const sigma = 0.6
 	u.mu.Lock()
@@ -103,8 +143,9 @@
 	high, low tally
 }
 
-func (o *outcome) goodput() float64 {
-	return float64(o.high.good+o.low.good) / testSpan.Seconds() / capacity
+// goodput is the good answers as a share of the capacity.
+func (o *outcome) goodput(s shape) float64 {
+	return float64(o.high.good+o.low.good) / testSpan.Seconds() / s.capacity()
 }
 
 func p99(d []time.Duration) time.Duration {
@@ -117,27 +158,25 @@
 
 // simulate offers load times the capacity for testSpan of virtual time. High
 // is the same at every load; the rest is low.
-func simulate(t *testing.T, load float64, c control, seed uint64) *outcome {
+func simulate(t *testing.T, on shape, load float64, c control, seed uint64) *outcome {
 	out := &outcome{}
 	synctest.Test(t, func(t *testing.T) {
-		high := config.Rule{Name: "high", Methods: []string{"GET"}, Repeat: config.Repeatable, Priority: config.PriorityHigh, Deadline: config.Duration(highTimeout)}
-		low := config.Rule{Name: "low", Methods: []string{"HEAD"}, Repeat: config.Repeatable, Priority: config.PriorityLow, Deadline: config.Duration(lowTimeout)}
-		s := service(1, high, low)
-		p := newProxy(s, c.groups, newSlottedUpstream(seed), event.Discard{})
-		if !c.limits {
-			p.newLimiter = func(int) *limit.Limiter { return nil }
-			p.state.Store(p.nextSnapshot(nil, p.state.Load().table))
+		sender := newSlottedGroup(on.upstreams, seed)
+		var hosts []*Proxy
+		for i := range on.hosts {
+			hosts = append(hosts, c.host(on, sender, seed+uint64(i)))
 		}
 		var mu sync.Mutex
 		var wg sync.WaitGroup
 		random := rand.New(rand.NewPCG(seed, 13))
 		end := time.Now().Add(testSpan)
 		for time.Now().Before(end) {
-			time.Sleep(time.Duration(random.ExpFloat64() / (load * capacity) * float64(time.Second)))
+			time.Sleep(time.Duration(random.ExpFloat64() / (load * on.capacity()) * float64(time.Second)))
 			method, to := "HEAD", &out.low
 			if random.Float64() < highShare/load {
 				method, to = "GET", &out.high
 			}
+			p := hosts[random.IntN(len(hosts))]
 			wg.Go(func() { call(t, p, method, to, &mu) })
 		}
 		wg.Wait()
@@ -145,6 +184,19 @@
 	return out
 }
 
+// host returns one entry host with the parts that c uses.
+func (c control) host(on shape, sender Sender, seed uint64) *Proxy {
+	high := config.Rule{Name: "high", Methods: []string{"GET"}, Repeat: config.Repeatable, Priority: config.PriorityHigh, Deadline: config.Duration(highTimeout)}
+	low := config.Rule{Name: "low", Methods: []string{"HEAD"}, Repeat: config.Repeatable, Priority: config.PriorityLow, Deadline: config.Duration(lowTimeout)}
+	p := newProxy(service(on.upstreams, high, low), c.groups, sender, event.Discard{})
+	p.random = seeded(seed)
+	if !c.limits {
+		p.newLimiter = func(int) *limit.Limiter { return nil }
+		p.state.Store(p.nextSnapshot(nil, p.state.Load().table))
+	}
+	return p
+}
+
 // call sends one request and tallies what the caller saw.
 func call(t *testing.T, p *Proxy, method string, to *tally, mu *sync.Mutex) {
 	req := request(method)
@@ -172,9 +224,9 @@
 func TestSheddingKeepsGoodput(t *testing.T) {
 	is := is.New(t)
 	for _, c := range []control{limited, lateBound} {
-		out := simulate(t, 2, c, 1)
-		calm := simulate(t, 0.8, c, 1)
-		is.True(out.goodput() >= 0.95)                                          // of capacity
+		out := simulate(t, single, 2, c, 1)
+		calm := simulate(t, single, 0.8, c, 1)
+		is.True(out.goodput(single) >= 0.95)                                    // of capacity
 		is.Equal(len(out.high.given)+out.high.late, 0)                          // high is not shed
 		is.True(p99(out.high.latencies) <= calm.high.p99()+10*time.Millisecond) // two service times
 		is.True(len(out.low.given) > 1000)
@@ -182,7 +234,7 @@
 			is.True(took <= lowTimeout/2+hintInterval) // never held back until near the deadline
 		}
 	}
-	is.True(simulate(t, 2, uncontrolled, 1).goodput() < 0.95)
+	is.True(simulate(t, single, 2, uncontrolled, 1).goodput(single) < 0.95)
 }
 
 func (t *tally) p99() time.Duration { return p99(t.latencies) }
@@ -223,24 +275,30 @@
 // TestMeasureOverload prints the table of make measure-overload.
 func TestMeasureOverload(t *testing.T) {
 	measuring(t)
-	fmt.Printf("One upstream, %d slots, mean %s, log-normal; high %.0f %% of capacity at every load; %s virtual; mean of 3 seeds (spread of goodput)\n",
-		testSlots, testService, highShare*percent, testSpan)
+	for _, on := range []shape{single, fleet} {
+		printTable(t, on)
+	}
+}
+
+func printTable(t *testing.T, on shape) {
+	fmt.Printf("%d entry hosts, %d upstreams of %d slots, mean %s, log-normal; high %.0f %% of capacity at every load; %s virtual; mean of 3 seeds (spread of goodput)\n",
+		on.hosts, on.upstreams, testSlots, testService, highShare*percent, testSpan)
 	fmt.Printf("%-28s %5s %16s %9s %9s %9s %9s %9s %9s\n", "control", "load", "goodput", "high p99", "high lost", "low p99", "low lost", "give-up", "back p50")
 	for _, c := range []control{uncontrolled, limited, lateBound} {
 		for _, load := range []float64{0.8, 1, 2, 4} {
-			printRow(t, c, load)
+			printRow(t, on, c, load)
 		}
 	}
 }
 
-func printRow(t *testing.T, c control, load float64) {
+func printRow(t *testing.T, on shape, c control, load float64) {
 	const seeds = 3
 	var all outcome
 	lowest, highest, sum := math.Inf(1), 0.0, 0.0
 	for seed := range uint64(seeds) {
-		out := simulate(t, load, c, seed+1)
-		lowest, highest = min(lowest, out.goodput()), max(highest, out.goodput())
-		sum += out.goodput()
+		out := simulate(t, on, load, c, seed+1)
+		lowest, highest = min(lowest, out.goodput(on)), max(highest, out.goodput(on))
+		sum += out.goodput(on)
 		all.high.add(&out.high)
 		all.low.add(&out.low)
 	}
--- a/internal/proxy/wait.go
+++ b/internal/proxy/wait.go
@@ -94,7 +94,7 @@
 			g.release(time.Now(), feedback{outcome: limit.Ignored, load: noReport})
 			return binding{}, errkind.Wrap(errkind.NoUpstream, err, g.current.Load().Config.Name)
 		}
-		g.limiter.Release(limit.Ignored, 0)
+		g.limiter.Release(limit.Sample{Outcome: limit.Ignored})
 		g.putBack(w)
 		if g.ends.Load() != ends {
 			g.wake(time.Now(), 1)
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -21,6 +21,11 @@
 	WindowSamples = 32
 	// Tolerance is the ratio of mean latency to baseline above which the limit shrinks.
 	Tolerance = 1.5
+	// PressureTolerance is the mean of requests in flight per slot, as upstreams
+	// report it, above which the limit shrinks.
+	PressureTolerance = 1.5
+	// GuardTolerance takes the place of Tolerance where upstreams report.
+	GuardTolerance = 4.0
 	// Backoff is the factor by which the limit shrinks.
 	Backoff = 0.9
 	// Growth is what one window adds to the limit, in requests in flight.
@@ -47,6 +52,17 @@
 	Ignored
 )
 
+// Sample is how one send went.
+type Sample struct {
+	// Outcome says whether the rest counts.
+	Outcome Outcome
+	// Latency is the time of the send, for Answered.
+	Latency time.Duration
+	// Pressure is the upstream's report of requests in flight per slot, for
+	// Answered: 1 is full without a queue. 0 means that it sent no report.
+	Pressure float64
+}
+
 // Reason says what moved the limit. It is a constant text for events.
 type Reason string
 
@@ -58,6 +74,8 @@
 	Grew Reason = "used-and-fast"
 	// ShrankLatency means that latency rose above the baseline.
 	ShrankLatency Reason = "latency-rose"
+	// ShrankPressure means that upstreams reported queues.
+	ShrankPressure Reason = "upstreams-report-queues"
 	// ShrankRefused means that upstreams refused.
 	ShrankRefused Reason = "upstreams-refused"
 	// Relearning means that the limit is lowered for two windows to measure the baseline.
@@ -83,6 +101,7 @@
 	inFlight int
 	baseline time.Duration
 	window   window
+	phase    int     // windows since the baseline began to be measured; 0 when it is not
 	windows  int     // since the baseline was measured anew
 	saved    float64 // the limit before it was lowered to do so; 0 when it is not
 }
@@ -93,8 +112,28 @@
 	refused int
 	sum     time.Duration
 	used    int
+	// reports and pressure count and sum the upstreams' reports.
+	reports  int
+	pressure float64
 }
 
+func (w *window) add(s Sample) {
+	w.samples++
+	w.sum += s.Latency
+	if s.Pressure > 0 {
+		w.reports++
+		w.pressure += s.Pressure
+	}
+}
+
+// reported says whether most answers carried a report.
+func (w *window) reported() bool { return w.reports*2 > w.samples }
+
+func (w *window) meanPressure() float64 { return w.pressure / float64(w.reports) }
+
+// loaded says whether upstreams report that their slots are in use.
+func (w *window) loaded() bool { return w.reported() && w.meanPressure() >= 1 }
+
 // New returns a limiter that starts at the given limit within b.
 func New(initial int, b Bounds) *Limiter {
 	l := &Limiter{limit: float64(initial)}
@@ -129,19 +168,18 @@
 	return true
 }
 
-// Release gives the place back and reports how the send went. Latency is used
-// for Answered only. It returns what moved the limit, if anything.
-func (l *Limiter) Release(outcome Outcome, latency time.Duration) Reason {
+// Release gives the place back and reports how the send went. It returns what
+// moved the limit, if anything.
+func (l *Limiter) Release(s Sample) Reason {
 	if l == nil {
 		return Unchanged
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inFlight--
-	switch outcome {
+	switch s.Outcome {
 	case Answered:
-		l.window.samples++
-		l.window.sum += latency
+		l.window.add(s)
 	case Refused:
 		l.window.refused++
 	case Ignored:
@@ -184,15 +222,15 @@
 		return ShrankRefused
 	}
 	mean := w.sum / time.Duration(w.samples)
-	if l.windows > RelearnEvery {
+	if l.phase > 0 || l.windows > RelearnEvery && !w.loaded() {
 		return l.relearn(mean)
 	}
 	if l.baseline == 0 || mean < l.baseline {
 		l.baseline = mean
 	}
-	if float64(mean) > Tolerance*float64(l.baseline) {
+	if reason := l.pressed(w, mean); reason != Unchanged {
 		l.limit *= Backoff
-		return ShrankLatency
+		return reason
 	}
 	if float64(w.used) < usedShare*float64(int(l.limit)) {
 		return Unchanged
@@ -201,6 +239,23 @@
 	return Grew
 }
 
+// pressed says whether the window shows queues at the upstreams. Their reports
+// decide where most answers carry one; latency then only guards against
+// reports that mislead.
+func (l *Limiter) pressed(w window, mean time.Duration) Reason {
+	tolerance := Tolerance
+	if w.reported() {
+		if w.meanPressure() > PressureTolerance {
+			return ShrankPressure
+		}
+		tolerance = GuardTolerance
+	}
+	if float64(mean) > tolerance*float64(l.baseline) {
+		return ShrankLatency
+	}
+	return Unchanged
+}
+
 // refusedShare is the divisor of the answered sends above which refusals
 // shrink the limit: more than one in sixteen.
 const refusedShare = 16
@@ -209,8 +264,11 @@
 // the next one's latency as the baseline and restores the limit. Without it, a
 // baseline that may only fall never accepts a service that became slower, and
 // one that drifts up takes the queue that the limit itself allows for normal.
+// It waits while upstreams report load: the limit of one entry host alone
+// can't drain the queues of all, and reports do without the baseline.
 func (l *Limiter) relearn(mean time.Duration) Reason {
-	switch l.windows - RelearnEvery {
+	l.phase++
+	switch l.phase {
 	case 1:
 		l.saved = l.limit
 		l.limit /= RelearnShare
@@ -229,7 +287,8 @@
 		l.limit = l.saved
 		l.saved = 0
 	}
-	if l.windows > RelearnEvery {
+	if l.phase > 0 {
+		l.phase = 0
 		l.windows = 0
 	}
 }
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -24,7 +24,7 @@
 func ExampleLimiter() {
 	limiter := limit.New(1, limit.Bounds{Floor: 1, Ceiling: 8})
 	fmt.Println(limiter.Acquire(), limiter.Acquire())
-	limiter.Release(limit.Answered, 4*time.Millisecond)
+	limiter.Release(limit.Sample{Latency: 4 * time.Millisecond})
 	fmt.Println(limiter.Acquire())
 	// Output:
 	// true false
@@ -50,7 +50,7 @@
 			n++
 		}
 		for range n {
-			l.Release(limit.Answered, latency(n))
+			l.Release(limit.Sample{Latency: latency(n)})
 		}
 	}
 }
@@ -90,7 +90,7 @@
 	last := limit.Unchanged
 	for range 100 * limit.WindowSamples {
 		is.True(l.Acquire())
-		if r := l.Release(limit.Refused, 0); r != limit.Unchanged {
+		if r := l.Release(limit.Sample{Outcome: limit.Refused}); r != limit.Unchanged {
 			last = r
 		}
 	}
@@ -100,12 +100,25 @@
 	is.Equal(last, limit.ShrankRefused)
 }
 
+// TestLimitFollowsReports keeps others' queues at the upstream: latency never
+// shows an empty one, the reports do.
+func TestLimitFollowsReports(t *testing.T) {
+	is := is.New(t)
+	l := limit.New(50, limit.Bounds{Floor: 2, Ceiling: 100})
+	for range 100 * limit.WindowSamples {
+		is.True(l.Acquire())
+		l.Release(limit.Sample{Latency: 50 * time.Millisecond, Pressure: 4})
+	}
+	got, _ := l.Limit()
+	is.Equal(got, 2)
+}
+
 func TestLimitDoesNotGrowUnused(t *testing.T) {
 	is := is.New(t)
 	l := limit.New(10, limit.Bounds{Floor: 2, Ceiling: 100})
 	for range 100 * limit.WindowSamples {
 		is.True(l.Acquire())
-		l.Release(limit.Answered, time.Millisecond)
+		l.Release(limit.Sample{Latency: time.Millisecond})
 	}
 	got, _ := l.Limit()
 	is.Equal(got, 10)
@@ -126,7 +139,7 @@
 				}
 			case op > 0 && held > 0:
 				held--
-				l.Release(limit.Outcome(op-1), time.Duration(op)*time.Millisecond)
+				l.Release(limit.Sample{Outcome: limit.Outcome(op - 1), Latency: time.Duration(op) * time.Millisecond})
 			}
 			bound, inFlight := l.Limit()
 			if inFlight != held || bound < b.Floor || bound > b.Ceiling {
@@ -161,7 +174,7 @@
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
 			if l.Acquire() {
-				l.Release(limit.Answered, time.Millisecond)
+				l.Release(limit.Sample{Latency: time.Millisecond})
 			}
 		}
 	})
