--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,8 @@
 measure-overload:
 	@MEASURE=1 go test -count=1 -run 'TestMeasure(Amplification|Hedging|Overload)' -v ./internal/proxy | grep -v '^\(=== RUN\|--- PASS\|PASS\|ok\)'
 	@go test -run '^$$' -bench . -benchtime 200ms -cpu 1,4 ./internal/proxy ./pkg/retry ./pkg/queue ./pkg/limit | grep Benchmark
+
+# Prints what neighbouring values of the constants do; a few minutes.
+.PHONY: measure-overload-constants
+measure-overload-constants:
+	@scripts/overload-neighbours.sh
--- a/internal/proxy/overload_test.go
+++ b/internal/proxy/overload_test.go
@@ -160,6 +160,14 @@
 	return d[len(d)*99/100]
 }
 
+func median(d []time.Duration) time.Duration {
+	if len(d) == 0 {
+		return 0
+	}
+	slices.Sort(d)
+	return d[len(d)/2]
+}
+
 // simulate offers load times the capacity for testSpan of virtual time. High
 // is the same at every load; the rest is low.
 func simulate(t *testing.T, on shape, load float64, c control, seed uint64) *outcome {
@@ -291,7 +299,7 @@
 func printTable(t *testing.T, on shape) {
 	fmt.Printf("%d entry hosts, %d upstreams of %d slots, mean %s, log-normal; high %.0f %% of capacity at every load; %s virtual; mean of 3 seeds (spread of goodput)\n",
 		on.hosts, on.upstreams, testSlots, testService, highShare*percent, on.span)
-	fmt.Printf("%-28s %5s %16s %9s %9s %9s %9s %9s %9s\n", "control", "load", "goodput", "high p99", "high lost", "low p99", "low lost", "give-up", "back p50")
+	fmt.Printf("%-28s %5s %16s %9s %9s %9s %9s %12s %9s %9s\n", "control", "load", "goodput", "high p99", "high lost", "low p99", "low lost", "give-up p50", "p99", "back p50")
 	for _, c := range []control{uncontrolled, limited, unreported, lateBound} {
 		for _, load := range []float64{0.8, 1, 2, 4} {
 			printRow(t, on, c, load)
@@ -323,11 +331,11 @@
 	if n := len(all.low.retryMs); n > 0 {
 		back = all.low.retryMs[n/2]
 	}
-	fmt.Printf("%-28s %4.1fx %6.1f%% (%4.1f%%) %9s %8.1f%% %9s %8.1f%% %9s %7dms\n", c.name, load,
+	fmt.Printf("%-28s %4.1fx %6.1f%% (%4.1f%%) %9s %8.1f%% %9s %8.1f%% %12s %9s %7dms\n", c.name, load,
 		sum/seeds*percent, (highest-lowest)*percent,
 		p99(all.high.latencies).Round(100*time.Microsecond), all.high.lost(),
 		p99(all.low.latencies).Round(100*time.Microsecond), all.low.lost(),
-		p99(all.low.given).Round(100*time.Microsecond), back)
+		median(all.low.given).Round(100*time.Microsecond), p99(all.low.given).Round(100*time.Microsecond), back)
 }
 
 func (t *tally) add(o *tally) {
--- a/scripts/overload-neighbours.sh
+++ b/scripts/overload-neighbours.sh
@@ -5,12 +5,13 @@
 cd "$(dirname "$0")/.."
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
+mkdir "$scratch/base"
+git ls-files -co --exclude-standard -z | xargs -0 cp --parents -t "$scratch/base"
 
 # run FILE CONSTANT VALUE: measures a copy in which CONSTANT has VALUE.
 run() {
   local dir="$scratch/$2-$3"
-  mkdir "$dir"
-  git ls-files -co --exclude-standard -z | xargs -0 cp --parents -t "$dir"
+  cp -r "$scratch/base" "$dir"
   sed -i -E "s/^(\s*(const )?$2\s+= ).*/\1$3/" "$dir/$1"
   grep -qE "^\s*(const )?$2\s+= $3$" "$dir/$1" || { echo "$2 not found" >&2; return 1; }
   (cd "$dir" && MEASURE=1 go test -count=1 -run TestMeasureNeighbours -v ./internal/proxy) \
