--- a/Makefile
+++ b/Makefile
@@ -60,7 +60,7 @@
 
 # Proof and figures of docs/design/02-configuration.md. check-config takes seconds;
 # long-config takes CHECKS random runs of SEED.
-.PHONY: check-config fuzz-config long-config measure-config
+.PHONY: check-config fuzz-config long-config measure-config measure-overload
 CHECKS ?= 5000
 SEED ?= 2026
 FUZZTIME ?= 30s
@@ -78,3 +78,12 @@
 measure-config:
 	CONFIG_MEASURE=1 go test -run Measure -v -timeout 30m ./pkg/configsync ./internal/configfeed
 	go test -run xxx -bench Compile ./internal/configfeed
+
+# Prints the tables of docs/design/06-overload.md: virtual time, fixed seeds.
+measure-overload:
+	@MEASURE=1 go test -count=1 -run 'TestMeasure(Amplification|Hedging|Overload)' -v ./internal/proxy | grep -v '^\(=== RUN\|--- PASS\|PASS\|ok\)'
+	@go test -run '^$$' -bench . -benchtime 200ms -cpu 1,4 ./internal/proxy ./pkg/retry ./pkg/queue ./pkg/limit | grep Benchmark
+
+# Prints what neighbouring values of the constants do; a few minutes.
+measure-overload-constants:
+	@scripts/overload-neighbours.sh
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -242,6 +242,9 @@
 		if r.Retry.HedgeAfter < 0 || r.Retry.HedgeAfter.Std() > maxDeadline {
 			return &FieldError{field + ".retry.hedge_after", "is outside 0 to 5m", "write 0 to turn hedging off"}
 		}
+		if r.Retry.HedgePercentile < 0 || r.Retry.HedgePercentile >= 100 {
+			return &FieldError{field + ".retry.hedge_percentile", "is outside 0 to 100", "write for example 95, or 0 to turn it off"}
+		}
 	case NonRepeatable:
 		if r.Retry != (Retry{}) {
 			return &FieldError{field + ".retry", "is set on a non-repeatable rule", "remove it: such a request is sent once"}
--- a/pkg/event/invariant_events.go
+++ b/pkg/event/invariant_events.go
@@ -21,15 +21,21 @@
 	ConfigFellBack Code = 10201
 )
 
+// Codes 104xx: broken invariants of the request path.
+const (
+	NonRepeatableResend Code = 10401
+)
+
 // invariantEvents describes the codes 10xxx: broken invariants; each stops the request concerned, not the process.
 var invariantEvents = map[Code]Entry{
 	InvariantTicketNeverIssued: {"invariant-ticket-never-issued", Error, "A verified ticket carries a number that this process never issued; it is not run.", "sequence number"},
 	InvariantSecondSend:        {"invariant-second-send", Error, "A second send was asked for while the first may have run; it is not sent.", "sequence number"},
 	InvariantNoRecord:          {"invariant-no-record", Error, "A step of an execution has no record of its start; the answer is unknown.", "sequence number"},
 	InvariantFalseNotRun:       {"invariant-false-not-run", Error, "\"Not run\" was about to be reported for a request that may have run; the answer is unknown.", "sequence number"},
-	InvariantIncarnationBack: {"invariant-incarnation-back", Error, "News about a member would have replaced newer news; it was dropped.", "incarnation"},
-	InvariantSelfOverwritten: {"invariant-self-overwritten", Error, "News from elsewhere would have replaced this host's own entry; it was dropped.", "incarnation"},
-	InvariantDeathUntimed:    {"invariant-death-untimed", Error, "A member would have been declared dead without a suspicion that ran out.", "incarnation"},
-	InvariantWakingJudged:    {"invariant-waking-judged", Error, "A member would have been judged while this process was waking.", "incarnation"},
-	ConfigFellBack: {"config-fell-back", Error, "An older document would have replaced the one in force; it was refused.", "revision"},
+	InvariantIncarnationBack:   {"invariant-incarnation-back", Error, "News about a member would have replaced newer news; it was dropped.", "incarnation"},
+	InvariantSelfOverwritten:   {"invariant-self-overwritten", Error, "News from elsewhere would have replaced this host's own entry; it was dropped.", "incarnation"},
+	InvariantDeathUntimed:      {"invariant-death-untimed", Error, "A member would have been declared dead without a suspicion that ran out.", "incarnation"},
+	InvariantWakingJudged:      {"invariant-waking-judged", Error, "A member would have been judged while this process was waking.", "incarnation"},
+	ConfigFellBack:             {"config-fell-back", Error, "An older document would have replaced the one in force; it was refused.", "revision"},
+	NonRepeatableResend:        {"non-repeatable-resend", Error, "A second send of a non-repeatable request that may have run was stopped.", ""},
 }
