--- /dev/null
+++ b/internal/httpwire/config.go
@@ -0,0 +1,93 @@
+package httpwire
+
+import (
+	"context"
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire/framing"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+)
+
+// Handler serves one request. Serve runs on its own goroutine; ctx ends when
+// the caller's connection closes. Serve must return a response with a status.
+type Handler interface {
+	Serve(ctx context.Context, req *Request) *Response
+}
+
+// Defaults of ServerConfig.
+const (
+	DefaultMaxHeadBytes   = 64 << 10
+	DefaultHeadTimeout    = 10 * time.Second
+	DefaultBodyTimeout    = 30 * time.Second
+	DefaultWriteTimeout   = 30 * time.Second
+	DefaultIdleTimeout    = 120 * time.Second
+	DefaultMaxConnections = 100_000
+)
+
+// ServerConfig configures a Server. A zero limit or timeout takes its default.
+type ServerConfig struct {
+	// Address is the IP:port to listen on.
+	Address string
+	// MaxHeadBytes bounds a request head, in bytes.
+	MaxHeadBytes int
+	// MaxBodyBytes bounds a request body, in bytes.
+	MaxBodyBytes int
+	// MaxConnections bounds the callers' connections; more are closed at once.
+	MaxConnections int
+	// HeadTimeout bounds the time from the first byte of a head to its last.
+	HeadTimeout time.Duration
+	// BodyTimeout bounds the time from the end of the head to the last byte of the body.
+	BodyTimeout time.Duration
+	// WriteTimeout bounds the time until an answer is taken by the caller's side.
+	WriteTimeout time.Duration
+	// IdleTimeout closes a connection without a request.
+	IdleTimeout time.Duration
+	// Handler serves the requests.
+	Handler Handler
+	// Refuse builds the answer to a request that is refused before it reaches
+	// Handler, and may report the refusal. It must not block. If it is nil, a
+	// plain answer is sent.
+	Refuse func(remoteAddr string, err *errkind.Error) *Response
+}
+
+// maxPipelinedBytes bounds what is held back while a request is served. A
+// caller that sends more gets the current answer and then a close.
+const maxPipelinedBytes = 64 << 10
+
+// withDefaults fills in the zero limits.
+func (c ServerConfig) withDefaults() ServerConfig {
+	setDefault(&c.MaxHeadBytes, DefaultMaxHeadBytes)
+	setDefault(&c.MaxConnections, DefaultMaxConnections)
+	setDefault(&c.HeadTimeout, DefaultHeadTimeout)
+	setDefault(&c.BodyTimeout, DefaultBodyTimeout)
+	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	if c.Refuse == nil {
+		c.Refuse = plainRefusal
+	}
+	return c
+}
+
+func setDefault[T int | time.Duration](value *T, byDefault T) {
+	if *value == 0 {
+		*value = byDefault
+	}
+}
+
+func (c *ServerConfig) limits() framing.Limits {
+	return framing.Limits{HeadBytes: c.MaxHeadBytes, BodyBytes: c.MaxBodyBytes}
+}
+
+// plainRefusal answers with the kind's entry in the error table.
+func plainRefusal(_ string, err *errkind.Error) *Response {
+	answer := err.Kind.Answer()
+	return &Response{
+		Status: answer.Status,
+		Header: map[string][]string{
+			"Content-Type":          {"text/plain; charset=utf-8"},
+			"Dapplespindle-Outcome": {answer.Outcome.String()},
+			"Dapplespindle-Error":   {answer.Name},
+		},
+		Body: []byte(err.Error() + "\n"),
+	}
+}
--- /dev/null
+++ b/internal/httpwire/framing/header.go
@@ -0,0 +1,102 @@
+package framing
+
+import "bytes"
+
+// header checks one header line and notes what concerns framing.
+func (s *Scanner) header(line []byte, at span) *Error {
+	colon := bytes.IndexByte(line, ':')
+	if colon <= 0 || !tokenChars.holds(line[:colon]) {
+		return malformed("malformed header name")
+	}
+	value := line[colon+1:]
+	if !valueChars.holds(value) {
+		return malformed("control character in a header value")
+	}
+	value = bytes.Trim(value, " \t")
+	name := line[:colon]
+	switch {
+	case equalFold(name, "content-length"):
+		return s.contentLength(value, at)
+	case equalFold(name, "transfer-encoding"):
+		return s.transferEncoding(value, at)
+	case equalFold(name, "trailer"):
+		s.hidden = append(s.hidden, at)
+	case equalFold(name, "connection"):
+		s.connection(value)
+	case s.kind != kindRequest:
+	case equalFold(name, "host"):
+		return s.host(value)
+	case equalFold(name, "expect"):
+		return s.expect(value)
+	}
+	return nil
+}
+
+// maxLengthDigits keeps a Content-Length inside an int64.
+const maxLengthDigits = 18
+
+func (s *Scanner) contentLength(value []byte, at span) *Error {
+	if s.head.ContentLength >= 0 {
+		return malformed("more than one Content-Length")
+	}
+	if len(value) == 0 || len(value) > maxLengthDigits || !digitChars.holds(value) {
+		return malformed("malformed Content-Length")
+	}
+	n := int64(0)
+	for _, c := range value {
+		n = n*10 + int64(c-'0')
+	}
+	s.head.ContentLength = n
+	s.hideIfBodyless(at)
+	return nil
+}
+
+func (s *Scanner) transferEncoding(value []byte, at span) *Error {
+	if s.head.Chunked {
+		return malformed("more than one Transfer-Encoding")
+	}
+	if !equalFold(value, "chunked") {
+		return malformed("unknown Transfer-Encoding")
+	}
+	s.head.Chunked = true
+	s.hideIfBodyless(at)
+	return nil
+}
+
+// hideIfBodyless keeps a length from the parser, which would wait for a body.
+func (s *Scanner) hideIfBodyless(at span) {
+	if s.bodyless() {
+		s.hidden = append(s.hidden, at)
+	}
+}
+
+func (s *Scanner) connection(value []byte) {
+	for option := range bytes.SplitSeq(value, []byte(",")) {
+		option = bytes.Trim(option, " \t")
+		switch {
+		case equalFold(option, "close"):
+			s.head.Close = true
+		case equalFold(option, "keep-alive"):
+			s.head.KeepAlive = true
+		}
+	}
+}
+
+func (s *Scanner) host(value []byte) *Error {
+	s.head.hosts++
+	if s.head.hosts > 1 {
+		return malformed("more than one Host header")
+	}
+	if len(value) == 0 || !hostChars.holds(value) {
+		return malformed("malformed Host header")
+	}
+	return nil
+}
+
+func (s *Scanner) expect(value []byte) *Error {
+	if !equalFold(value, "100-continue") {
+		return malformed("unknown Expect header")
+	}
+	s.head.ExpectContinue = s.head.Minor == 1
+	return nil
+}
--- /dev/null
+++ b/internal/httpwire/framing/scanner.go
@@ -0,0 +1,230 @@
+package framing
+
+import "bytes"
+
+// stage is the part of a message that comes next.
+type stage uint8
+
+const (
+	stageStartLine stage = iota
+	stageHeader
+	stageSized
+	stageChunkSize
+	stageChunkData
+	stageTrailer
+	stageDone
+)
+
+// Scanner looks for the end of one message. The zero value is not usable; it
+// is not safe for concurrent use.
+type Scanner struct {
+	limits Limits
+	kind   kind
+	stage  stage
+	head   Head
+	// pos is the first byte that was not examined yet.
+	pos int
+	// seen is how far a line feed was looked for.
+	seen int
+	// body counts the decoded body bytes.
+	body int
+	// chunk is the size of the chunk at pos.
+	chunk int
+	// trailer is where the trailer section starts.
+	trailer int
+	// hidden are the parts that the parser must not see.
+	hidden []span
+	// statusLine replaces the status line that the parser would misread.
+	statusLine []byte
+}
+
+// kind is what is being read.
+type kind uint8
+
+const (
+	kindRequest kind = iota
+	kindResponse
+	// kindHeadResponse is an answer to HEAD, which has no body.
+	kindHeadResponse
+)
+
+// span is a part of the message, in byte offsets.
+type span struct{ from, to int }
+
+// ResetRequest prepares s for a request.
+func (s *Scanner) ResetRequest(limits Limits) { s.reset(kindRequest, limits) }
+
+// ResetResponse prepares s for the answer to a request with the given method.
+func (s *Scanner) ResetResponse(method string, limits Limits) {
+	k := kindResponse
+	if method == "HEAD" {
+		k = kindHeadResponse
+	}
+	s.reset(k, limits)
+}
+
+// Restart prepares s for another message of the same kind.
+func (s *Scanner) Restart() { s.reset(s.kind, s.limits) }
+
+func (s *Scanner) reset(k kind, limits Limits) {
+	*s = Scanner{limits: limits, kind: k, hidden: s.hidden[:0]}
+	s.head.ContentLength = -1
+}
+
+// Head returns what the head says; it is complete once HeadDone is true.
+func (s *Scanner) Head() *Head { return &s.head }
+
+// HeadDone reports whether the head is complete.
+func (s *Scanner) HeadDone() bool { return s.stage > stageHeader }
+
+// End returns the size of the message in bytes, once Scan has found it.
+func (s *Scanner) End() int { return s.pos }
+
+// BodyBytes returns the size of the decoded body, once Scan has found the end.
+func (s *Scanner) BodyBytes() int { return s.body }
+
+// Scan examines buf, which holds the message from its first byte and may be
+// longer than at the last call. It reports whether the message is complete.
+func (s *Scanner) Scan(buf []byte) (bool, *Error) {
+	for s.stage != stageDone {
+		more, err := s.step(buf)
+		if err != nil {
+			return false, err
+		}
+		if !more {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
+// step examines one line or one run of body bytes. It returns false when buf
+// ends before that.
+func (s *Scanner) step(buf []byte) (bool, *Error) {
+	switch s.stage {
+	case stageStartLine, stageHeader:
+		return s.headLine(buf)
+	case stageSized:
+		return s.sizedBody(buf), nil
+	case stageChunkSize:
+		return s.chunkLine(buf)
+	case stageChunkData:
+		return s.chunkData(buf)
+	default:
+		return s.trailerLine(buf)
+	}
+}
+
+// line returns the line at pos without its CRLF and moves pos behind it.
+func (s *Scanner) line(buf []byte) ([]byte, bool, *Error) {
+	start := s.pos
+	from := max(start, s.seen)
+	i := bytes.IndexByte(buf[from:], '\n')
+	if i < 0 {
+		s.seen = len(buf)
+		return nil, false, nil
+	}
+	end := from + i
+	if end == start || buf[end-1] != '\r' {
+		return nil, false, malformed("line feed without carriage return")
+	}
+	s.pos = end + 1
+	return buf[start : end-1], true, nil
+}
+
+func (s *Scanner) headLine(buf []byte) (bool, *Error) {
+	start := s.pos
+	line, ok, err := s.line(buf)
+	if err != nil {
+		return false, err
+	}
+	if s.pos > s.limits.HeadBytes || !ok && len(buf) > s.limits.HeadBytes {
+		return false, &Error{HeadTooLarge, "head over the limit"}
+	}
+	if !ok {
+		return false, nil
+	}
+	switch {
+	case s.stage == stageStartLine:
+		s.stage = stageHeader
+		return true, s.startLine(line)
+	case len(line) == 0:
+		s.head.Bytes = s.pos
+		return true, s.endOfHead()
+	default:
+		return true, s.header(line, span{start, s.pos})
+	}
+}
+
+func (s *Scanner) startLine(line []byte) *Error {
+	if s.kind == kindRequest {
+		return s.requestLine(line)
+	}
+	return s.responseLine(line)
+}
+
+// endOfHead decides how the body is framed.
+func (s *Scanner) endOfHead() *Error {
+	if err := s.checkHead(); err != nil {
+		return err
+	}
+	switch {
+	case s.bodyless():
+		s.stage = stageDone
+	case s.head.Chunked:
+		s.stage = stageChunkSize
+	case s.head.ContentLength > 0:
+		s.stage = stageSized
+	case s.head.ContentLength < 0 && s.kind != kindRequest:
+		return malformed("answer whose end is not declared")
+	default:
+		s.stage = stageDone
+	}
+	return nil
+}
+
+func (s *Scanner) checkHead() *Error {
+	h := &s.head
+	switch {
+	case s.kind == kindRequest && h.Minor == 1 && h.hosts == 0:
+		return malformed("no Host header")
+	case h.Chunked && h.ContentLength >= 0:
+		return malformed("Content-Length together with Transfer-Encoding")
+	case h.Chunked && h.Minor == 0:
+		return malformed("Transfer-Encoding in HTTP/1.0")
+	case !s.bodyless() && h.ContentLength > int64(s.limits.BodyBytes):
+		return &Error{BodyTooLarge, "declared body over the limit"}
+	}
+	return nil
+}
+
+// sizedBody moves to the end of a body of declared length.
+func (s *Scanner) sizedBody(buf []byte) bool {
+	end := s.head.Bytes + int(s.head.ContentLength)
+	if len(buf) < end {
+		return false
+	}
+	s.pos = end
+	s.body = int(s.head.ContentLength)
+	s.stage = stageDone
+	return true
+}
+
+// Feed gives the message in buf to the HTTP library's parser, without the
+// parts that the parser misreads. It stops at the first error.
+func (s *Scanner) Feed(buf []byte, parse func([]byte) error) error {
+	from := 0
+	if s.statusLine != nil {
+		if err := parse(s.statusLine); err != nil {
+			return err
+		}
+		from = bytes.IndexByte(buf, '\n') + 1
+	}
+	for _, h := range s.hidden {
+		if err := parse(buf[from:h.from]); err != nil {
+			return err
+		}
+		from = h.to
+	}
+	return parse(buf[from:s.pos])
+}
--- a/internal/httpwire/header.go
+++ b/internal/httpwire/header.go
@@ -1,12 +1,24 @@
 package httpwire
 
-import "strings"
+import (
+	"net/http"
+	"strings"
+)
 
-// splitList splits a comma-separated header value and trims each element.
-func splitList(v string) []string {
-	parts := strings.Split(v, ",")
-	for i := range parts {
-		parts[i] = strings.TrimSpace(parts[i])
+// hopByHop lists the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// RemoveHopByHop deletes the headers that concern one connection only.
+func RemoveHopByHop(h http.Header) {
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
 	}
-	return parts
 }
--- a/internal/httpwire/message.go
+++ b/internal/httpwire/message.go
@@ -1,6 +1,9 @@
-// Package httpwire carries HTTP/1.1 messages between the wire and the proxy.
-// The parser and the event loop are nbhttp's; this package owns what is ours:
-// message types, one request in flight per connection, and strict framing.
+// Package httpwire carries HTTP/1.x messages between the wire and the proxy.
+//
+// The event loop and the parser are nbhttp's. In front of the parser stands a
+// guard: it frames each message strictly (package framing), shows the parser
+// one whole message at a time, and holds back pipelined bytes until the answer
+// is written, so that answers keep the order of their requests.
 package httpwire
 
 import (
@@ -16,11 +19,11 @@
 	Target string
 	// Path is the decoded path of Target.
 	Path string
-	// Host is the Host header.
+	// Host is the Host header; empty if an HTTP/1.0 caller sent none.
 	Host string
 	// Header holds the remaining headers in canonical form.
 	Header http.Header
-	// Body is the whole body.
+	// Body is the whole body. It must not be changed.
 	Body []byte
 	// RemoteAddr is the caller's address.
 	RemoteAddr string
@@ -33,11 +36,11 @@
 
 // Response is a complete answer.
 type Response struct {
-	// Status is the HTTP status code.
+	// Status is the HTTP status code, 200 to 599.
 	Status int
 	// Header holds the headers in canonical form.
 	Header http.Header
-	// Body is the whole body.
+	// Body is the whole body. It must not be changed.
 	Body []byte
 	// ContentLength is the length that a HEAD answer declares, in bytes; -1 if it declares none.
 	ContentLength int64
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -3,59 +3,60 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
-)
-
-// Handler serves one request. Serve runs on its own goroutine; ctx ends when
-// the caller's connection closes. Serve must return a response with a status.
-type Handler interface {
-	Serve(ctx context.Context, req *Request) *Response
-}
 
-// ServerConfig configures a Server.
-type ServerConfig struct {
-	// Address is the IP:port to listen on.
-	Address string
-	// MaxBodyBytes bounds a request body, in bytes.
-	MaxBodyBytes int
-	// IdleTimeout closes a connection without a request.
-	IdleTimeout time.Duration
-	// Handler serves the requests.
-	Handler Handler
-}
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+)
 
 // Server accepts callers' connections.
 type Server struct {
 	conf     ServerConfig
 	engine   *nbhttp.Engine
+	listener *listener
 	inFlight atomic.Int64
+	stopping atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*serverConn]struct{}
 }
 
+// never is an engine timeout that does not fire: the guard has its own timers,
+// which answer before they close.
+const never = 100 * 365 * 24 * time.Hour
+
 // NewServer returns a server that is not yet listening.
 func NewServer(conf ServerConfig) *Server {
-	s := &Server{conf: conf}
+	conf = conf.withDefaults()
+	s := &Server{conf: conf, conns: make(map[*serverConn]struct{})}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:            "callers",
 		Network:         "tcp",
 		Addrs:           []string{conf.Address},
+		Listen:          s.listen,
 		MaxHTTPBodySize: conf.MaxBodyBytes,
-		ReadLimit:       conf.MaxBodyBytes + maxHeadBytes,
-		KeepaliveTime:   conf.IdleTimeout,
-		MaxLoad:         maxConnections,
+		ReadLimit:       conf.MaxBodyBytes + conf.MaxHeadBytes,
+		KeepaliveTime:   never,
+		MaxLoad:         conf.MaxConnections,
 	})
 	s.engine.Engine.OnOpen(s.onOpen)
+	s.engine.OnWrittenSize(onWritten)
 	return s
 }
 
-const (
-	maxHeadBytes   = 64 << 10
-	maxConnections = 100_000
-)
+func (s *Server) listen(network, address string) (net.Listener, error) {
+	ln, err := net.Listen(network, address)
+	if err != nil {
+		return nil, err
+	}
+	s.listener = newListener(ln)
+	return s.listener, nil
+}
 
 // Start opens the listener and begins to serve.
 func (s *Server) Start() error {
@@ -65,31 +66,108 @@
 // Addr returns the address that the server listens on, once started.
 func (s *Server) Addr() string { return s.engine.Addrs[0] }
 
-// InFlight returns the number of requests being served.
+// InFlight returns the number of requests being served, until their answer is
+// written.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
-// Stop closes the listener and every connection.
+// Connections returns the number of open callers' connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Stop closes the listener and every connection, and ends what is in flight.
 func (s *Server) Stop() { s.engine.Stop() }
 
-// onOpen runs on the event loop when a connection was accepted. It puts our
-// own processor in place of the library's, so that a request is answered
-// without holding the connection's executor.
-func (s *Server) onOpen(c *nbio.Conn) {
-	ctx, cancel := context.WithCancel(context.Background())
-	sc := &serverConn{server: s, conn: c, ctx: ctx, cancel: cancel}
-	parser := nbhttp.NewParser(&nbhttp.Conn{Conn: c}, s.engine, sc, false, nil)
-	c.SetSession(parser)
+// stopPoll is how often Shutdown looks whether the work is done.
+const stopPoll = 5 * time.Millisecond
+
+// Shutdown is a planned stop. It stops accepting, answers every request that
+// still arrives with "Connection: close", closes idle connections after grace,
+// and waits for the requests in flight until ctx ends. It returns how many are
+// left. Stop must be called afterwards.
+func (s *Server) Shutdown(ctx context.Context, grace time.Duration) int64 {
+	s.stopping.Store(true)
+	s.listener.stop()
+	graceOver := time.After(grace)
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	closeIdle := false
+	for {
+		select {
+		case <-ctx.Done():
+			return s.InFlight()
+		case <-graceOver:
+			closeIdle = true
+			graceOver = nil
+		case <-ticker.C:
+		}
+		if closeIdle && s.closeIdle() == 0 {
+			return 0
+		}
+	}
+}
+
+// closeIdle closes the connections without a request and returns how many
+// others are left, in which a request is received or served.
+func (s *Server) closeIdle() int {
+	s.mu.Lock()
+	conns := make([]*serverConn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	busy := 0
+	for _, c := range conns {
+		if !c.closeIfIdle() {
+			busy++
+		}
+	}
+	return busy
+}
+
+// onOpen runs when a connection was accepted. It puts the guard in place of
+// the library's parser and executor.
+func (s *Server) onOpen(nc *nbio.Conn) {
+	c := newServerConn(s, nc)
+	nc.SetSession(c)
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+}
+
+func (s *Server) forget(c *serverConn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
 }
 
-func (s *Server) serve(sc *serverConn, req *Request) {
+// serve answers one request and then lets the connection take the next one.
+func (s *Server) serve(c *serverConn, req *Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	resp := s.conf.Handler.Serve(sc.ctx, req)
-	if err := writeResponse(sc.conn, req, resp); err != nil || !req.keepAlive {
-		_ = sc.conn.Close()
+	resp := s.handle(c, req)
+	if !req.keepAlive || s.stopping.Load() || c.overflowed() {
+		req.keepAlive = false
+	}
+	if err := c.writeResponse(req, resp); err != nil {
+		_ = c.conn.Close()
 		return
 	}
-	_ = sc.conn.SetReadDeadline(time.Now().Add(s.conf.IdleTimeout))
+	c.finished(req.keepAlive)
 }
 
-var _ net.Conn = (*nbio.Conn)(nil)
+// handle calls the handler. A panic ends this request, not the process.
+func (s *Server) handle(c *serverConn, req *Request) (resp *Response) {
+	defer func() {
+		if r := recover(); r != nil {
+			resp = s.conf.Refuse(c.remote, errkind.Wrap(errkind.Internal, errors.Newf("%v", r), "panic in handler"))
+		}
+	}()
+	resp = s.conf.Handler.Serve(c.ctx, req)
+	if resp == nil || resp.Status < 200 || resp.Status > 599 {
+		return s.conf.Refuse(c.remote, errkind.New(errkind.Internal, "handler without an answer"))
+	}
+	return resp
+}
--- a/internal/httpwire/serverconn.go
+++ b/internal/httpwire/serverconn.go
@@ -2,98 +2,163 @@
 
 import (
 	"context"
-	"net/http"
-	"net/url"
-	"strings"
+	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire/framing"
 )
 
-// serverConn implements nbhttp.Processor: it gathers one request and starts a
-// goroutine that serves it.
+// connState is what a caller's connection is doing.
+type connState uint8
+
+const (
+	// connIdle waits for the first byte of a request.
+	connIdle connState = iota
+	// connHead has received part of a head.
+	connHead
+	// connBody has received a head and waits for the rest of the body.
+	connBody
+	// connServing has one request in flight.
+	connServing
+	// connClosing has sent its last answer and drops what still arrives.
+	connClosing
+	// connClosed is gone.
+	connClosed
+)
+
+// serverConn is one caller's connection. It implements nbhttp.ParserCloser, so
+// that the event loop hands it the bytes, and holds the library's parser.
+//
+// The library's functions are excluded from the race detector; all state here
+// is guarded by mu, except what is atomic or set once.
 type serverConn struct {
 	server *Server
 	conn   *nbio.Conn
+	parser *nbhttp.Parser
+	remote string
 	ctx    context.Context
 	cancel context.CancelFunc
-	req    *Request
-}
 
-// OnMethod starts a request.
-func (c *serverConn) OnMethod(_ *nbhttp.Parser, method string) {
-	c.req = &Request{Method: method, Header: make(http.Header)}
+	// unwritten counts the bytes of answers that the kernel has not taken yet.
+	unwritten atomic.Int64
+	// drained is signalled when unwritten reaches zero.
+	drained chan struct{}
+
+	mu      sync.Mutex
+	state   connState
+	scanner framing.Scanner
+	// buf holds the message that is being received.
+	buf []byte
+	// held holds the bytes behind the request in flight.
+	held []byte
+	// overflow is true when more was pipelined than is held.
+	overflow bool
+	// dropped counts the bytes that arrived while closing.
+	dropped int
+	alarm   alarm
+	// gathering is the request that the parser is calling back for.
+	gathering gathering
 }
 
-// OnURL stores the request target.
-func (c *serverConn) OnURL(_ *nbhttp.Parser, target string) error {
-	u, err := url.ParseRequestURI(target)
-	if err != nil {
-		return err
+func newServerConn(s *Server, nc *nbio.Conn) *serverConn {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &serverConn{
+		server:  s,
+		conn:    nc,
+		remote:  nc.RemoteAddr().String(),
+		ctx:     ctx,
+		cancel:  cancel,
+		drained: make(chan struct{}, 1),
 	}
-	c.req.Target = target
-	c.req.Path = u.Path
-	return nil
+	c.parser = nbhttp.NewParser(nc, s.engine, &c.gathering, false, nil)
+	c.scanner.ResetRequest(s.conf.limits())
+	c.alarm.set(time.Now(), s.conf.IdleTimeout, c.onAlarm)
+	return c
 }
 
-// OnProto stores the protocol version.
-func (c *serverConn) OnProto(_ *nbhttp.Parser, proto string) error {
-	_, minor, ok := http.ParseHTTPVersion(proto)
-	if !ok {
-		return nbhttp.ErrInvalidHTTPVersion
+// UnderlayerConn implements nbhttp.ParserCloser.
+func (c *serverConn) UnderlayerConn() net.Conn { return c.conn }
+
+// Parse implements nbhttp.ParserCloser; the event loop calls it with the bytes
+// that arrived, which are only valid during the call.
+func (c *serverConn) Parse(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.state {
+	case connServing:
+		c.hold(data)
+	case connClosing:
+		return c.drop(len(data))
+	case connClosed:
+		return net.ErrClosed
+	default:
+		c.receive(data, false)
 	}
-	c.req.minor = minor
 	return nil
 }
 
-// OnStatus is not called for requests.
-func (c *serverConn) OnStatus(*nbhttp.Parser, int, string) {}
+// CloseAndClean implements nbhttp.ParserCloser; it is called once, when the
+// connection has ended. It does not wait behind any work.
+func (c *serverConn) CloseAndClean(err error) {
+	c.cancel()
+	c.server.forget(c)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = connClosed
+	c.alarm.stop()
+	c.buf = nil
+	c.held = nil
+	c.parser.CloseAndClean(err)
+}
 
-// OnHeader stores one header.
-func (c *serverConn) OnHeader(_ *nbhttp.Parser, key, value string) {
-	if key == "Host" {
-		c.req.Host = value
+// hold keeps pipelined bytes up to the bound.
+func (c *serverConn) hold(data []byte) {
+	if c.overflow || len(c.held)+len(data) > maxPipelinedBytes {
+		c.overflow = true
 		return
 	}
-	c.req.Header[key] = append(c.req.Header[key], value)
+	c.held = append(c.held, data...)
 }
 
-// OnContentLength is implied by the body.
-func (c *serverConn) OnContentLength(*nbhttp.Parser, int) {}
-
-// OnBody appends a part of the body.
-func (c *serverConn) OnBody(_ *nbhttp.Parser, data []byte) error {
-	if len(c.req.Body)+len(data) > c.server.conf.MaxBodyBytes {
-		return nbhttp.ErrTooLong
-	}
-	c.req.Body = append(c.req.Body, data...)
-	return nil
+func (c *serverConn) overflowed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.overflow
 }
 
-// OnTrailerHeader drops trailers.
-func (c *serverConn) OnTrailerHeader(*nbhttp.Parser, string, string) {}
-
-// OnComplete serves the request.
-func (c *serverConn) OnComplete(*nbhttp.Parser) {
-	req := c.req
-	c.req = nil
-	req.Received = time.Now()
-	req.RemoteAddr = c.conn.RemoteAddr().String()
-	req.keepAlive = keepsAlive(req)
-	go c.server.serve(c, req)
+// finished is called when the answer is written. It takes up the bytes that
+// were held back, or waits for the next request.
+func (c *serverConn) finished(keepAlive bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != connServing {
+		return
+	}
+	if !keepAlive || c.overflow {
+		c.linger()
+		return
+	}
+	c.state = connIdle
+	if held := c.held; len(held) > 0 {
+		c.held = nil
+		c.receive(held, true)
+		return
+	}
+	c.alarm.set(time.Now(), c.server.conf.IdleTimeout, c.onAlarm)
 }
 
-// Close is called when the connection ends.
-func (c *serverConn) Close(*nbhttp.Parser, error) { c.cancel() }
-
-// Clean is called when the parser is released.
-func (c *serverConn) Clean(*nbhttp.Parser) {}
-
-func keepsAlive(req *Request) bool {
-	connection := strings.ToLower(strings.Join(req.Header["Connection"], ","))
-	if req.minor == 0 {
-		return strings.Contains(connection, "keep-alive")
+// closeIfIdle closes the connection if no request is received or served on it.
+// It reports whether it did, or whether the last answer was sent before.
+func (c *serverConn) closeIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connIdle {
+		c.linger()
 	}
-	return !strings.Contains(connection, "close")
+	return c.state == connClosing || c.state == connClosed
 }
--- a/internal/httpwire/write.go
+++ b/internal/httpwire/write.go
@@ -5,61 +5,81 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lesismal/nbio"
 )
 
 var bufferPool = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// hopByHop lists the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
+// maxJoined is the largest body that is copied behind its head, so that both
+// are written in one call, in bytes.
+const maxJoined = 32 << 10
 
-// writeResponse writes resp in one call, sized, with its connection header.
-func writeResponse(w io.Writer, req *Request, resp *Response) error {
+func newBuffer() *bytes.Buffer {
 	buf := bufferPool.Get().(*bytes.Buffer)
-	defer bufferPool.Put(buf)
 	buf.Reset()
+	return buf
+}
+
+func releaseBuffer(buf *bytes.Buffer) { bufferPool.Put(buf) }
+
+// encodeResponse returns the head of resp, with a small body behind it, and
+// the body if it is large.
+func encodeResponse(req *Request, resp *Response) (*bytes.Buffer, []byte) {
+	buf := newBuffer()
 	buf.WriteString("HTTP/1.1 ")
-	buf.WriteString(strconv.Itoa(resp.Status))
+	buf.Write(strconv.AppendInt(buf.AvailableBuffer(), int64(resp.Status), 10))
 	buf.WriteByte(' ')
 	buf.WriteString(http.StatusText(resp.Status))
 	buf.WriteString("\r\n")
 	writeHeader(buf, resp.Header)
-	if !req.keepAlive {
+	switch {
+	case !req.keepAlive:
 		buf.WriteString("Connection: close\r\n")
+	case req.minor == 0:
+		buf.WriteString("Connection: keep-alive\r\n")
 	}
-	writeLength(buf, req, resp)
-	buf.WriteString("\r\n")
-	if req.Method != http.MethodHead {
-		buf.Write(resp.Body)
+	if resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified {
+		buf.WriteString("\r\n")
+		return buf, nil
 	}
-	_, err := w.Write(buf.Bytes())
-	return err
+	if req.Method == http.MethodHead {
+		writeLength(buf, resp.ContentLength)
+		buf.WriteString("\r\n")
+		return buf, nil
+	}
+	writeLength(buf, int64(len(resp.Body)))
+	buf.WriteString("\r\n")
+	return buf, joinBody(buf, resp.Body)
 }
 
-func writeLength(buf *bytes.Buffer, req *Request, resp *Response) {
-	length := int64(len(resp.Body))
-	switch {
-	case resp.Status == http.StatusNoContent, resp.Status == http.StatusNotModified:
-		return
-	case req.Method == http.MethodHead:
-		length = resp.ContentLength
+// joinBody appends a small body to buf; it returns a large one.
+func joinBody(buf *bytes.Buffer, body []byte) []byte {
+	if len(body) > maxJoined {
+		return body
 	}
+	buf.Write(body)
+	return nil
+}
+
+func writeLength(buf *bytes.Buffer, length int64) {
 	if length < 0 {
 		return
 	}
 	buf.WriteString("Content-Length: ")
-	buf.WriteString(strconv.FormatInt(length, 10))
+	buf.Write(strconv.AppendInt(buf.AvailableBuffer(), length, 10))
 	buf.WriteString("\r\n")
 }
 
-// WriteRequest writes req towards an upstream, without hop-by-hop headers.
-func WriteRequest(w io.Writer, req *Request) error {
-	buf := bufferPool.Get().(*bytes.Buffer)
-	defer bufferPool.Put(buf)
-	buf.Reset()
+// WriteRequest writes req towards an upstream, without hop-by-hop headers. It
+// returns the size of the head in bytes, also with an error.
+func WriteRequest(w io.Writer, req *Request) (int, error) {
+	buf := newBuffer()
+	defer releaseBuffer(buf)
 	buf.WriteString(req.Method)
 	buf.WriteByte(' ')
 	buf.WriteString(req.Target)
@@ -67,23 +87,31 @@
 	buf.WriteString(req.Host)
 	buf.WriteString("\r\n")
 	writeHeader(buf, req.Header)
-	if len(req.Body) > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut {
-		buf.WriteString("Content-Length: ")
-		buf.WriteString(strconv.Itoa(len(req.Body)))
-		buf.WriteString("\r\n")
+	if len(req.Body) > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut || req.Method == http.MethodPatch {
+		writeLength(buf, int64(len(req.Body)))
 	}
 	buf.WriteString("\r\n")
-	buf.Write(req.Body)
-	_, err := w.Write(buf.Bytes())
-	return err
+	head := buf.Len()
+	rest := joinBody(buf, req.Body)
+	if _, err := w.Write(buf.Bytes()); err != nil || len(rest) == 0 {
+		return head, err
+	}
+	_, err := w.Write(rest)
+	return head, err
 }
 
+// writeHeader writes h without the headers that the connection sets itself.
+// A value that would end its line is left out.
 func writeHeader(buf *bytes.Buffer, h http.Header) {
 	for key, values := range h {
-		if key == "Content-Length" {
+		switch key {
+		case "Connection", "Content-Length", "Host", "Transfer-Encoding", "Keep-Alive", "Trailer":
 			continue
 		}
 		for _, v := range values {
+			if strings.ContainsAny(v, "\r\n") {
+				continue
+			}
 			buf.WriteString(key)
 			buf.WriteString(": ")
 			buf.WriteString(v)
@@ -92,14 +120,60 @@
 	}
 }
 
-// RemoveHopByHop deletes the headers that concern one connection only.
-func RemoveHopByHop(h http.Header) {
-	for _, v := range h["Connection"] {
-		for _, name := range splitList(v) {
-			h.Del(name)
-		}
+// writeResponse writes resp and waits until the kernel has taken all of it.
+func (c *serverConn) writeResponse(req *Request, resp *Response) error {
+	head, body := encodeResponse(req, resp)
+	defer releaseBuffer(head)
+	if err := c.write(head.Bytes()); err != nil {
+		return err
+	}
+	if err := c.write(body); err != nil {
+		return err
+	}
+	return c.flush()
+}
+
+// write queues b. The library's vectored write loses bytes on a partial write
+// (it queues only the buffer that was cut), so each buffer has its own call.
+func (c *serverConn) write(b []byte) error {
+	if len(b) == 0 {
+		return nil
+	}
+	c.unwritten.Add(int64(len(b)))
+	_, err := c.conn.Write(b)
+	return err
+}
+
+// onWritten is called by the library whenever the kernel took n bytes.
+func onWritten(nc *nbio.Conn, _ []byte, n int) {
+	c, ok := nc.Session().(*serverConn)
+	if !ok || c.unwritten.Add(int64(-n)) != 0 {
+		return
 	}
-	for _, name := range hopByHop {
-		delete(h, name)
+	select {
+	case c.drained <- struct{}{}:
+	default:
+	}
+}
+
+var errWriteTimeout = errors.New("answer not taken in time")
+
+// flush waits until every byte is with the kernel: a close before that would
+// cut the answer off.
+func (c *serverConn) flush() error {
+	if c.unwritten.Load() == 0 {
+		return nil
+	}
+	timer := time.NewTimer(c.server.conf.WriteTimeout)
+	defer timer.Stop()
+	for c.unwritten.Load() != 0 {
+		select {
+		case <-c.drained:
+		case <-c.ctx.Done():
+			return c.ctx.Err()
+		case <-timer.C:
+			return errWriteTimeout
+		}
 	}
+	return nil
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -1,5 +1,10 @@
 // Package upstream sends requests to upstreams over pooled connections with
 // one request in flight on each.
+//
+// Every failure is classified by what the upstream can have received: a kind
+// whose outcome is "not run" is returned only while the kernel has not taken
+// the whole request head. After that the outcome is unknown unless a whole
+// answer arrives.
 package upstream
 
 import (
@@ -13,89 +18,176 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/internal/httpwire/framing"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 )
 
-// Config configures a Client.
+// Defaults of Config.
+const (
+	DefaultDialTimeout     = time.Second
+	DefaultIdleTimeout     = 30 * time.Second
+	DefaultMaxHeadBytes    = 64 << 10
+	DefaultMaxConnections  = 200
+	DefaultIdlePerUpstream = 64
+)
+
+// Config configures a Client. A zero limit or timeout takes its default.
 type Config struct {
 	// DialTimeout bounds making a connection.
 	DialTimeout time.Duration
+	// IdleTimeout closes a connection that carried no request for that long.
+	IdleTimeout time.Duration
 	// IdlePerUpstream bounds the idle connections kept to one upstream.
 	IdlePerUpstream int
-	// MaxResponseBytes bounds an answer, head and body, in bytes.
+	// MaxConnections bounds the connections to one upstream, unless SetLimits
+	// gives another bound for it.
+	MaxConnections int
+	// MaxHeadBytes bounds the head of an answer, in bytes.
+	MaxHeadBytes int
+	// MaxResponseBytes bounds the body of an answer, in bytes.
 	MaxResponseBytes int
 }
 
+func (c Config) withDefaults() Config {
+	setDefault(&c.DialTimeout, DefaultDialTimeout)
+	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&c.IdlePerUpstream, DefaultIdlePerUpstream)
+	setDefault(&c.MaxConnections, DefaultMaxConnections)
+	setDefault(&c.MaxHeadBytes, DefaultMaxHeadBytes)
+	return c
+}
+
+func setDefault[T int | time.Duration](value *T, byDefault T) {
+	if *value == 0 {
+		*value = byDefault
+	}
+}
+
 // Client holds the connections of one process to all its upstreams.
 type Client struct {
 	conf   Config
 	engine *nbhttp.Engine
-	mu     sync.Mutex
-	idle   map[string][]*conn
+	stop   chan struct{}
+
+	mu     sync.RWMutex
+	pools  map[string]*pool
+	limits map[string]int
 }
 
+// readBufferBytes is the size of one read of the event loop.
+const readBufferBytes = 64 << 10
+
 // New returns a client; Start must be called before Do.
 func New(conf Config) *Client {
-	engine := nbhttp.NewEngine(nbhttp.Config{
+	conf = conf.withDefaults()
+	c := &Client{conf: conf, stop: make(chan struct{}), pools: make(map[string]*pool)}
+	c.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:            "upstreams",
 		MaxHTTPBodySize: conf.MaxResponseBytes,
-		ReadLimit:       conf.MaxResponseBytes,
+		ReadLimit:       conf.MaxResponseBytes + conf.MaxHeadBytes,
+		ReadBufferSize:  readBufferBytes,
+		// The loop closes a connection as soon as the other side has, even with
+		// bytes unread; so it must read a whole answer before it looks.
+		MaxConnReadTimesPerEventLoop: 2*(conf.MaxResponseBytes+conf.MaxHeadBytes)/readBufferBytes + 2,
 	})
-	return &Client{conf: conf, engine: engine, idle: make(map[string][]*conn)}
+	c.engine.OnWrittenSize(onWritten)
+	return c
 }
 
 // Start starts the event loop.
-func (c *Client) Start() error { return errors.Wrap(c.engine.Start(), "start upstream engine") }
+func (c *Client) Start() error {
+	if err := c.engine.Start(); err != nil {
+		return errors.Wrap(err, "start upstream engine")
+	}
+	go c.sweep()
+	return nil
+}
+
+// Stop closes every connection. It must be called once, after Start.
+func (c *Client) Stop() {
+	close(c.stop)
+	c.engine.Stop()
+}
+
+// SetLimits bounds the connections to each address in limits: this entry
+// host's share. An address without an entry has Config.MaxConnections. A lower
+// bound takes effect as connections are given back. The map must not be
+// changed afterwards.
+func (c *Client) SetLimits(limits map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits = limits
+	for address, p := range c.pools {
+		p.setLimit(c.limit(address))
+	}
+}
 
-// Stop closes every connection.
-func (c *Client) Stop() { c.engine.Stop() }
+// CloseIdle closes the idle connections to address, for an upstream that
+// leaves.
+func (c *Client) CloseIdle(address string) {
+	if p := c.knownPool(address); p != nil {
+		p.closeIdle(time.Now())
+	}
+}
 
 // Do sends req to address and waits for the whole answer. The error is an
 // *errkind.Error; its kind says whether the request can have run. When ctx
 // ends the connection is closed, so that the upstream can stop its work.
 func (c *Client) Do(ctx context.Context, address string, req *httpwire.Request) (*httpwire.Response, *errkind.Error) {
-	cn := c.takeIdle(address)
-	if cn == nil {
-		var err error
-		if cn, err = c.dial(ctx, address); err != nil {
-			return nil, errkind.Wrap(errkind.ConnectFailed, err, address)
+	p := c.pool(address)
+	for {
+		cn, err := c.acquire(ctx, p)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := cn.roundTrip(ctx, req)
+		if err == nil {
+			return resp, nil
+		}
+		// A pooled connection that ended before it took a byte proves nothing
+		// about the upstream: the next connection is tried.
+		if err.Kind == errkind.SendFailed && cn.reused && cn.sent.Load() == 0 {
+			continue
 		}
-	}
-	resp, err := cn.roundTrip(ctx, req)
-	if err != nil {
-		cn.close()
 		return nil, err
 	}
-	c.putIdle(cn)
-	return resp, nil
 }
 
-func (c *Client) takeIdle(address string) *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for list := c.idle[address]; len(list) > 0; list = c.idle[address] {
-		cn := list[len(list)-1]
-		c.idle[address] = list[:len(list)-1]
-		if !cn.isClosed() {
-			return cn
-		}
+// acquire takes an idle connection or makes one.
+func (c *Client) acquire(ctx context.Context, p *pool) (*conn, *errkind.Error) {
+	if ctx.Err() != nil {
+		return nil, endedBeforeSend(ctx, p.address)
 	}
-	return nil
+	cn, ok := p.take()
+	if cn != nil {
+		return cn, nil
+	}
+	if !ok {
+		return nil, errkind.New(errkind.Overloaded, "connection bound of "+p.address)
+	}
+	cn, err := c.dial(ctx, p)
+	if err == nil {
+		return cn, nil
+	}
+	p.release()
+	if ctx.Err() != nil {
+		return nil, endedBeforeSend(ctx, p.address)
+	}
+	return nil, errkind.Wrap(errkind.ConnectFailed, err, p.address)
 }
 
-func (c *Client) putIdle(cn *conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.idle[cn.address]) >= c.conf.IdlePerUpstream {
-		cn.close()
-		return
+// endedBeforeSend is the error for a context that ended with nothing sent.
+func endedBeforeSend(ctx context.Context, address string) *errkind.Error {
+	kind := errkind.DeadlineBeforeSend
+	if errors.Is(ctx.Err(), context.Canceled) {
+		kind = errkind.CallerGone
 	}
-	c.idle[cn.address] = append(c.idle[cn.address], cn)
+	return errkind.Wrap(kind, ctx.Err(), address)
 }
 
-func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+func (c *Client) dial(ctx context.Context, p *pool) (*conn, error) {
 	d := net.Dialer{Timeout: c.conf.DialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", address)
+	nc, err := d.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, err
 	}
@@ -104,8 +196,14 @@
 		_ = nc.Close()
 		return nil, err
 	}
-	cn := &conn{address: address, nbc: nbc, result: make(chan result, 1)}
-	nbc.SetSession(nbhttp.NewParser(nbc, c.engine, cn, true, nil))
+	cn := &conn{
+		pool:   p,
+		nbc:    nbc,
+		result: make(chan result, 1),
+		limits: framing.Limits{HeadBytes: c.conf.MaxHeadBytes, BodyBytes: c.conf.MaxResponseBytes},
+	}
+	cn.parser = nbhttp.NewParser(nbc, c.engine, &cn.gathering, true, nil)
+	nbc.SetSession(cn)
 	nbc.OnData(c.engine.DataHandler)
 	if _, err := c.engine.AddConn(nbc); err != nil {
 		_ = nbc.Close()
@@ -113,3 +211,19 @@
 	}
 	return cn, nil
 }
+
+// sweep closes connections that have been idle for too long.
+func (c *Client) sweep() {
+	ticker := time.NewTicker(c.conf.IdleTimeout / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.stop:
+			return
+		case now := <-ticker.C:
+			for _, p := range c.allPools() {
+				p.closeIdle(now.Add(-c.conf.IdleTimeout))
+			}
+		}
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,126 +2,187 @@
 
 import (
 	"context"
-	"net/http"
+	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/internal/httpwire/framing"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 )
 
 type result struct {
 	resp *httpwire.Response
-	err  error
+	// reusable is true when the connection may carry another request.
+	reusable bool
+	err      error
 }
 
 // conn is one connection with at most one request in flight. It implements
-// nbhttp.Processor.
+// nbhttp.ParserCloser, so that the event loop hands it the bytes, and holds
+// the library's parser.
+//
+// The library's functions are excluded from the race detector; all state here
+// is guarded by mu, except what is atomic, set once, or the pool's.
 type conn struct {
-	address string
-	nbc     *nbio.Conn
-	result  chan result
-
-	mu     sync.Mutex
-	busy   bool
-	closed bool
-	resp   *httpwire.Response
+	pool   *pool
+	nbc    *nbio.Conn
+	parser *nbhttp.Parser
+	limits framing.Limits
+	result chan result
+
+	// reused and idleSince belong to the goroutine that holds the connection,
+	// or to the pool while it is idle.
+	reused    bool
+	idleSince time.Time
+
+	// sent counts the bytes of the request that the kernel has taken.
+	sent atomic.Int64
+
+	mu      sync.Mutex
+	busy    bool
+	closed  bool
+	interim int
+	scanner framing.Scanner
+	buf     []byte
+	// gathering is the answer that the parser is calling back for.
+	gathering gathering
 }
 
+var (
+	errClosed     = errors.New("connection closed before the answer was whole")
+	errLateBytes  = errors.New("bytes before the request was sent")
+	errTooInterim = errors.New("too many interim answers")
+)
+
+// roundTrip sends one request and waits for its answer. Afterwards the
+// connection is back in the pool or closed and released.
 func (c *conn) roundTrip(ctx context.Context, req *httpwire.Request) (*httpwire.Response, *errkind.Error) {
-	if !c.begin() {
-		return nil, errkind.New(errkind.ConnectFailed, "connection closed before use")
+	if !c.begin(req.Method) {
+		return nil, c.fail(ctx, 1, errClosed)
 	}
-	if err := httpwire.WriteRequest(c.nbc, req); err != nil {
-		return nil, errkind.Wrap(errkind.UpstreamBroken, err, c.address)
+	head, err := httpwire.WriteRequest(c.nbc, req)
+	if err != nil {
+		return nil, c.fail(ctx, head, err)
 	}
+	var r result
 	select {
-	case r := <-c.result:
-		if r.err != nil {
-			return nil, errkind.Wrap(errkind.UpstreamBroken, r.err, c.address)
-		}
-		return r.resp, nil
+	case r = <-c.result:
 	case <-ctx.Done():
-		return nil, errkind.Wrap(errkind.DeadlineAfterSend, ctx.Err(), c.address)
+		return nil, c.fail(ctx, head, ctx.Err())
+	}
+	if r.err != nil {
+		return nil, c.fail(ctx, head, r.err)
 	}
+	// An answer that came before the whole request was sent is passed on, but
+	// what is left of the request must not follow on this connection.
+	whole := c.sent.Load() == int64(head+len(req.Body))
+	c.giveBack(r.reusable && whole)
+	return r.resp, nil
 }
 
-func (c *conn) begin() bool {
+func (c *conn) begin(method string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.busy {
+	c.sent.Store(0)
+	if c.closed {
 		return false
 	}
 	c.busy = true
+	c.interim = 0
+	c.scanner.ResetResponse(method, c.limits)
 	return true
 }
 
-func (c *conn) isClosed() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closed
+func (c *conn) giveBack(reusable bool) {
+	if reusable {
+		c.pool.put(c)
+		return
+	}
+	c.close()
+	c.pool.release()
 }
 
-func (c *conn) close() { _ = c.nbc.Close() }
-
-// OnMethod is not called for responses.
-func (c *conn) OnMethod(*nbhttp.Parser, string) {}
-
-// OnURL is not called for responses.
-func (c *conn) OnURL(*nbhttp.Parser, string) error { return nil }
-
-// OnProto starts a response.
-func (c *conn) OnProto(*nbhttp.Parser, string) error {
-	c.resp = &httpwire.Response{Header: make(http.Header)}
-	return nil
+// fail closes the connection and then classifies: only after the close is it
+// certain that no queued byte goes out any more. An upstream may act on the
+// head alone, so "not run" needs a head that was not wholly taken.
+func (c *conn) fail(ctx context.Context, head int, cause error) *errkind.Error {
+	c.close()
+	c.pool.release()
+	incomplete := c.sent.Load() < int64(head)
+	kind := errkind.UpstreamBroken
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		kind = errkind.CallerGone
+	case ctx.Err() != nil && incomplete:
+		kind = errkind.DeadlineBeforeSend
+	case ctx.Err() != nil:
+		kind = errkind.DeadlineAfterSend
+	case incomplete:
+		kind = errkind.SendFailed
+	}
+	return errkind.Wrap(kind, cause, c.pool.address)
 }
 
-// OnStatus stores the status code.
-func (c *conn) OnStatus(_ *nbhttp.Parser, code int, _ string) { c.resp.Status = code }
-
-// OnHeader stores one header.
-func (c *conn) OnHeader(_ *nbhttp.Parser, key, value string) {
-	c.resp.Header[key] = append(c.resp.Header[key], value)
+// onWritten is called by the library whenever the kernel took n bytes.
+func onWritten(nbc *nbio.Conn, _ []byte, n int) {
+	if c, ok := nbc.Session().(*conn); ok {
+		c.sent.Add(int64(n))
+	}
 }
 
-// OnContentLength stores the declared length.
-func (c *conn) OnContentLength(_ *nbhttp.Parser, n int) { c.resp.ContentLength = int64(n) }
-
-// OnBody appends a part of the body.
-func (c *conn) OnBody(_ *nbhttp.Parser, data []byte) error {
-	c.resp.Body = append(c.resp.Body, data...)
-	return nil
-}
+func (c *conn) close() { _ = c.nbc.Close() }
 
-// OnTrailerHeader drops trailers.
-func (c *conn) OnTrailerHeader(*nbhttp.Parser, string, string) {}
+// UnderlayerConn implements nbhttp.ParserCloser.
+func (c *conn) UnderlayerConn() net.Conn { return c.nbc }
 
-// OnComplete hands the response to the waiting request.
-func (c *conn) OnComplete(*nbhttp.Parser) {
+// Parse implements nbhttp.ParserCloser; the event loop calls it with the bytes
+// that arrived, which are only valid during the call. An error closes the
+// connection.
+func (c *conn) Parse(data []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.busy {
-		c.closed = true
-		go c.close()
-		return
+	if c.closed {
+		return net.ErrClosed
 	}
-	c.busy = false
-	c.result <- result{resp: c.resp}
-	c.resp = nil
+	if !c.busy || c.sent.Load() == 0 {
+		return c.end(errLateBytes)
+	}
+	if err := c.receive(data); err != nil {
+		return c.end(err)
+	}
+	return nil
 }
 
-// Close is called when the connection ends.
-func (c *conn) Close(_ *nbhttp.Parser, err error) {
+// CloseAndClean implements nbhttp.ParserCloser; it is called once, when the
+// connection has ended.
+func (c *conn) CloseAndClean(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closed = true
-	if c.busy {
-		c.busy = false
-		c.result <- result{err: err}
+	if !c.closed {
+		_ = c.end(errors.CombineErrors(errClosed, err))
 	}
+	c.parser.CloseAndClean(err)
 }
 
-// Clean is called when the parser is released.
-func (c *conn) Clean(*nbhttp.Parser) {}
+// end fails the request in flight, if any, and returns err.
+func (c *conn) end(err error) error {
+	c.closed = true
+	c.buf = nil
+	c.finish(result{err: err})
+	return err
+}
+
+// finish hands r to the request in flight.
+func (c *conn) finish(r result) {
+	if !c.busy {
+		return
+	}
+	c.busy = false
+	c.result <- r
+}
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -52,6 +52,8 @@
 	CallerGone
 	// Internal is a broken invariant inside the process.
 	Internal
+	// SendFailed is a connection that ended before an upstream can have had the whole head.
+	SendFailed
 
 	numKinds
 )
@@ -106,6 +108,7 @@
 	KeyRequired:        {"key-required", http.StatusBadRequest, NotRun, false},
 	CallerGone:         {"caller-gone", 499, Unknown, false},
 	Internal:           {"internal", http.StatusInternalServerError, Unknown, false},
+	SendFailed:         {"send-failed", http.StatusBadGateway, NotRun, true},
 }
 
 // Answer returns the reply for k. An out-of-range kind answers as Internal.
