Close descriptors on the event loop only

Cause: a run of the new upstream tests with -race hung in Engine.Stop with one poller spinning in EpollWait: the loop had lost a connection. nbio handles events in batches by descriptor; closing one from another goroutine lets a new connection take its number while a stale event waits, and the error branch of addConn then clears the entry of a live connection. This chain is read from the source; the hang is what was seen (once in 5 counts).

Ends are now shutdowns, which the loop turns into a close; the first write goes to the kernel under the connection's lock, so that a reset during a write does not close the descriptor on our goroutine either. Only the rest of a partial write still goes through the library.

The session is set under the connection's lock, which orders its fields before the loop's first call; before, the race detector reported them. The first idle timeout is set under the guard's lock for the same reason.

Before: hang, and reports in newServerConn and the test's own flag.

--- a/internal/httpwire/guard.go
+++ b/internal/httpwire/guard.go
@@ -2,12 +2,12 @@
 
 import (
 	"bytes"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/dapplespindle/dapplespindle/internal/httpwire/framing"
+	"github.com/dapplespindle/dapplespindle/internal/httpwire/socket"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 )
 
@@ -139,13 +139,7 @@
 	c.state = connClosing
 	c.buf = nil
 	c.held = nil
-	c.conn.Lock()
-	if closed, _ := c.conn.IsClosed(); !closed {
-		if raw, err := c.conn.SyscallConn(); err == nil {
-			_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
-		}
-	}
-	c.conn.Unlock()
+	socket.EndWrite(c.conn)
 	c.alarm.set(time.Now(), lingerTimeout, c.onAlarm)
 }
 
@@ -172,6 +166,6 @@
 	case connBody:
 		c.refuse(errkind.New(errkind.RequestTimeout, "body not complete in time"))
 	case connIdle, connClosing:
-		_ = c.conn.Close()
+		socket.End(c.conn)
 	}
 }
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -11,6 +11,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"github.com/dapplespindle/dapplespindle/internal/httpwire/socket"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 )
 
@@ -45,7 +46,7 @@
 		MaxLoad:         conf.MaxConnections,
 	})
 	s.engine.Engine.OnOpen(s.onOpen)
-	s.engine.OnWrittenSize(onWritten)
+	s.engine.OnWrittenSize(socket.OnWritten)
 	return s
 }
 
@@ -131,7 +132,7 @@
 // the library's parser and executor.
 func (s *Server) onOpen(nc *nbio.Conn) {
 	c := newServerConn(s, nc)
-	nc.SetSession(c)
+	socket.SetSession(nc, c)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
@@ -152,7 +153,7 @@
 		req.keepAlive = false
 	}
 	if err := c.writeResponse(req, resp); err != nil {
-		_ = c.conn.Close()
+		socket.End(c.conn)
 		return
 	}
 	c.finished(req.keepAlive)
--- a/internal/httpwire/serverconn.go
+++ b/internal/httpwire/serverconn.go
@@ -77,6 +77,8 @@
 	}
 	c.parser = nbhttp.NewParser(nc, s.engine, &c.gathering, false, nil)
 	c.scanner.ResetRequest(s.conf.limits())
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.alarm.set(time.Now(), s.conf.IdleTimeout, c.onAlarm)
 	return c
 }
--- a/internal/httpwire/write.go
+++ b/internal/httpwire/write.go
@@ -10,7 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/lesismal/nbio"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire/socket"
 )
 
 var bufferPool = sync.Pool{New: func() any { return new(bytes.Buffer) }}
@@ -133,21 +134,20 @@
 	return c.flush()
 }
 
-// write queues b. The library's vectored write loses bytes on a partial write
-// (it queues only the buffer that was cut), so each buffer has its own call.
+// write sends b or queues it. The library's vectored write loses bytes on a
+// partial write (it queues only the buffer that was cut), so each buffer has
+// its own call.
 func (c *serverConn) write(b []byte) error {
 	if len(b) == 0 {
 		return nil
 	}
-	c.unwritten.Add(int64(len(b)))
-	_, err := c.conn.Write(b)
-	return err
+	queued := c.unwritten.Add(int64(len(b))) != int64(len(b))
+	return socket.Write(c.conn, b, queued, c)
 }
 
-// onWritten is called by the library whenever the kernel took n bytes.
-func onWritten(nc *nbio.Conn, _ []byte, n int) {
-	c, ok := nc.Session().(*serverConn)
-	if !ok || c.unwritten.Add(int64(-n)) != 0 {
+// Taken implements socket.Counter.
+func (c *serverConn) Taken(n int) {
+	if c.unwritten.Add(int64(-n)) != 0 {
 		return
 	}
 	select {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -18,7 +18,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
-	"github.com/dapplespindle/dapplespindle/internal/httpwire/framing"
+	"github.com/dapplespindle/dapplespindle/internal/httpwire/socket"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 )
 
@@ -90,7 +90,7 @@
 		// bytes unread; so it must read a whole answer before it looks.
 		MaxConnReadTimesPerEventLoop: 2*(conf.MaxResponseBytes+conf.MaxHeadBytes)/readBufferBytes + 2,
 	})
-	c.engine.OnWrittenSize(onWritten)
+	c.engine.OnWrittenSize(socket.OnWritten)
 	return c
 }
 
@@ -196,14 +196,8 @@
 		_ = nc.Close()
 		return nil, err
 	}
-	cn := &conn{
-		pool:   p,
-		nbc:    nbc,
-		result: make(chan result, 1),
-		limits: framing.Limits{HeadBytes: c.conf.MaxHeadBytes, BodyBytes: c.conf.MaxResponseBytes},
-	}
-	cn.parser = nbhttp.NewParser(nbc, c.engine, &cn.gathering, true, nil)
-	nbc.SetSession(cn)
+	cn := newConn(c, p, nbc)
+	socket.SetSession(nbc, cn)
 	nbc.OnData(c.engine.DataHandler)
 	if _, err := c.engine.AddConn(nbc); err != nil {
 		_ = nbc.Close()
--- /dev/null
+++ b/internal/upstream/client_test.go
@@ -0,0 +1,389 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+)
+
+const (
+	testMaxBody = 8 << 20
+	testWait    = 10 * time.Second
+)
+
+// script is what an upstream does on its n-th connection, from 0. The
+// connection is closed afterwards.
+type script func(n int, c net.Conn, r *bufio.Reader)
+
+func startUpstream(t *testing.T, s script) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				s(n, conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func startClient(t *testing.T, conf Config) *Client {
+	t.Helper()
+	conf.MaxResponseBytes = testMaxBody
+	c := New(conf)
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Stop)
+	return c
+}
+
+func request(method string, body []byte) *httpwire.Request {
+	return &httpwire.Request{Method: method, Target: "/", Host: "a", Header: make(http.Header), Body: body}
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// readRequest reads one whole request; it returns false at the end.
+func readRequest(r *bufio.Reader) bool {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return err == nil
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func TestAnswersPassed(t *testing.T) {
+	for name, test := range map[string]struct {
+		method, answer string
+		status         int
+		body           string
+		length         int64
+	}{
+		"sized":             {"GET", okAnswer, 200, "ok", 2},
+		"empty":             {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 200, "", 0},
+		"no reason":         {"GET", "HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok", 200, "ok", 2},
+		"numeric reason":    {"GET", "HTTP/1.1 200 1\r\nContent-Length: 2\r\n\r\nok", 200, "ok", 2},
+		"chunked":           {"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n", 200, "ok", -1},
+		"trailers":          {"GET", "HTTP/1.1 200 OK\r\nTrailer: X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: y\r\n\r\n", 200, "ok", -1},
+		"head":              {"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", 200, "", 9},
+		"head chunked":      {"HEAD", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", 200, "", -1},
+		"no content":        {"GET", "HTTP/1.1 204 No Content\r\n\r\n", 204, "", -1},
+		"not modified":      {"GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", 304, "", 9},
+		"interim":           {"GET", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" + okAnswer, 200, "ok", 2},
+		"error with a body": {"GET", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno", 500, "no", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			connections := 0
+			address := startUpstream(t, func(n int, c net.Conn, r *bufio.Reader) {
+				connections = n + 1
+				for readRequest(r) {
+					for _, b := range []byte(test.answer) {
+						_, _ = c.Write([]byte{b})
+					}
+				}
+			})
+			client := startClient(t, Config{})
+			for range 3 {
+				resp, err := client.Do(testContext(t), address, request(test.method, nil))
+				is.True(err == nil)
+				is.Equal(resp.Status, test.status)
+				is.Equal(string(resp.Body), test.body)
+				is.Equal(resp.ContentLength, test.length)
+			}
+			is.Equal(connections, 1)
+		})
+	}
+}
+
+func TestAnswersRefused(t *testing.T) {
+	for name, answer := range map[string]string{
+		"closed without an answer": "",
+		"short head":               "HTTP/1.1 200 OK\r\nContent-Le",
+		"short body":               "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok",
+		"short chunk":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nok",
+		"no last chunk":            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+		"undeclared end":           "HTTP/1.1 200 OK\r\n\r\nok",
+		"undeclared end, 1.0":      "HTTP/1.0 200 OK\r\n\r\nok",
+		"two lengths":              "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+		"length and encoding":      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nok",
+		"bare line feeds":          "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+		"switching protocols":      "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+		"interim only":             strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", maxInterim+1),
+		"body over the limit":      "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(testMaxBody+1) + "\r\n\r\n",
+		"not HTTP":                 "SSH-2.0-x\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := startUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, _ = io.WriteString(c, answer)
+			})
+			_, err := startClient(t, Config{}).Do(testContext(t), address, request("GET", nil))
+			is.True(err != nil)
+			is.Equal(err.Kind, errkind.UpstreamBroken)
+		})
+	}
+}
+
+// TestExtraBytesNeverReachTheNextRequest sends bytes behind an answer, with it
+// and late, and an answer that nobody asked for.
+func TestExtraBytesNeverReachTheNextRequest(t *testing.T) {
+	const stray = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
+	for name, parts := range map[string][]string{
+		"with the answer":     {okAnswer + stray},
+		"part of another":     {okAnswer + "H"},
+		"after the answer":    {okAnswer, stray},
+		"close in the answer": {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok" + stray},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			late := make(chan struct{})
+			address := startUpstream(t, func(n int, c net.Conn, r *bufio.Reader) {
+				if n > 0 {
+					for readRequest(r) {
+						_, _ = io.WriteString(c, okAnswer)
+					}
+					return
+				}
+				readRequest(r)
+				_, _ = io.WriteString(c, parts[0])
+				<-late
+				_, _ = io.WriteString(c, strings.Join(parts[1:], ""))
+				readRequest(r)
+			})
+			client := startClient(t, Config{})
+			for i := range 3 {
+				resp, err := client.Do(testContext(t), address, request("GET", nil))
+				is.True(err == nil)
+				is.Equal(string(resp.Body), "ok")
+				if i == 0 {
+					close(late)
+					waitUnusable(t, client, address)
+				}
+			}
+		})
+	}
+}
+
+// waitUnusable waits until no idle connection can be used.
+func waitUnusable(t *testing.T, c *Client, address string) {
+	t.Helper()
+	p := c.knownPool(address)
+	for end := time.Now().Add(testWait); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		p.mu.Lock()
+		usable := len(p.idle) > 0 && p.idle[0].usable()
+		p.mu.Unlock()
+		if !usable {
+			return
+		}
+	}
+	t.Fatal("connection still usable")
+}
+
+func TestBytesBeforeTheRequestAreNotItsAnswer(t *testing.T) {
+	is := is.New(t)
+	address := startUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, okAnswer)
+		readRequest(r)
+	})
+	client := startClient(t, Config{})
+	_, err := client.Do(testContext(t), address, request("GET", nil))
+	is.True(err == nil)
+	cn := client.knownPool(address).idle[0]
+	is.True(cn.begin("GET"))
+	is.Equal(cn.Parse([]byte(okAnswer)), errLateBytes)
+	r := <-cn.result
+	is.Equal(r.err, errLateBytes)
+}
+
+func TestStaleConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	address := startUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, okAnswer)
+	})
+	client := startClient(t, Config{})
+	for range 5 {
+		resp, err := client.Do(testContext(t), address, request("POST", []byte("x")))
+		is.True(err == nil)
+		is.Equal(resp.Status, 200)
+		waitUnusable(t, client, address)
+	}
+}
+
+func TestBigBodiesBothWays(t *testing.T) {
+	is := is.New(t)
+	body := bytes.Repeat([]byte("0123456789abcdef"), testMaxBody/16)
+	var connClose atomic.Bool
+	address := startUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			got, _ := io.ReadAll(req.Body)
+			resp := http.Response{StatusCode: 200, ProtoMajor: 1, ProtoMinor: 1, Close: connClose.Load(), Body: io.NopCloser(bytes.NewReader(got)), ContentLength: int64(len(got))}
+			_ = resp.Write(c)
+			if connClose.Load() {
+				return
+			}
+		}
+	})
+	client := startClient(t, Config{})
+	for _, last := range []bool{false, false, true, true} {
+		connClose.Store(last)
+		resp, err := client.Do(testContext(t), address, request("PUT", body))
+		is.True(err == nil)
+		is.True(bytes.Equal(resp.Body, body))
+	}
+}
+
+func TestConnectFailed(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	_ = ln.Close()
+	_, failure := startClient(t, Config{}).Do(testContext(t), ln.Addr().String(), request("GET", nil))
+	is.Equal(failure.Kind, errkind.ConnectFailed)
+}
+
+// TestEndOfContext checks that the kind says what the upstream can have.
+func TestEndOfContext(t *testing.T) {
+	received := make(chan struct{}, 1)
+	closed := make(chan struct{}, 1)
+	address := startUpstream(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		received <- struct{}{}
+		_, _ = r.ReadByte()
+		closed <- struct{}{}
+	})
+	client := startClient(t, Config{})
+	t.Run("before", func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithDeadline(context.Background(), time.Unix(0, 0))
+		defer cancel()
+		_, err := client.Do(ctx, address, request("POST", nil))
+		is.Equal(err.Kind, errkind.DeadlineBeforeSend)
+	})
+	t.Run("after", func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err := client.Do(ctx, address, request("POST", nil))
+		is.Equal(err.Kind, errkind.DeadlineAfterSend)
+		<-received
+		<-closed
+	})
+	t.Run("canceled", func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			<-received
+			cancel()
+		}()
+		_, err := client.Do(ctx, address, request("POST", nil))
+		is.Equal(err.Kind, errkind.CallerGone)
+		<-closed
+	})
+}
+
+// TestUnsentRequest checks the classification by the bytes that the kernel
+// took: an upstream that has part of the body may have acted on the head.
+func TestUnsentRequest(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan struct{})
+	address := startUpstream(t, func(_ int, c net.Conn, _ *bufio.Reader) { <-gone })
+	client := startClient(t, Config{})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := client.Do(ctx, address, request("POST", make([]byte, 64<<20)))
+	is.Equal(err.Kind, errkind.DeadlineAfterSend)
+	close(gone)
+
+	nbc, dialErr := nbio.Dial("tcp", address)
+	is.NoErr(dialErr)
+	cn := &conn{pool: &pool{}, nbc: nbc}
+	cn.sent.Store(9)
+	is.Equal(cn.fail(context.Background(), 10, errClosed).Kind, errkind.SendFailed)
+	cn.sent.Store(10)
+	is.Equal(cn.fail(context.Background(), 10, errClosed).Kind, errkind.UpstreamBroken)
+}
+
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	is := is.New(t)
+	hold := make(chan struct{})
+	defer close(hold)
+	address := startUpstream(t, func(n int, c net.Conn, r *bufio.Reader) {
+		_, _ = r.ReadString('\n')
+		_, _ = io.WriteString(c, okAnswer)
+		<-hold
+	})
+	client := startClient(t, Config{})
+	_, err := client.Do(testContext(t), address, request("POST", make([]byte, 64<<20)))
+	is.True(err == nil)
+	is.Equal(client.knownPool(address).open, 0)
+}
+
+func TestConnectionBound(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	started := make(chan struct{}, 2)
+	address := startUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) {
+			started <- struct{}{}
+			<-release
+			_, _ = io.WriteString(c, okAnswer)
+		}
+	})
+	client := startClient(t, Config{})
+	client.SetLimits(map[string]int{address: 1})
+	done := make(chan *errkind.Error)
+	go func() {
+		_, err := client.Do(testContext(t), address, request("GET", nil))
+		done <- err
+	}()
+	<-started
+	_, err := client.Do(testContext(t), address, request("GET", nil))
+	is.Equal(err.Kind, errkind.Overloaded)
+	client.SetLimits(nil)
+	close(release)
+	_, err = client.Do(testContext(t), address, request("GET", nil))
+	is.True(err == nil)
+	is.True(<-done == nil)
+	client.CloseIdle(address)
+	is.Equal(client.knownPool(address).open, 0)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -13,6 +13,7 @@
 
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire/framing"
+	"github.com/dapplespindle/dapplespindle/internal/httpwire/socket"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 )
 
@@ -41,6 +42,9 @@
 	reused    bool
 	idleSince time.Time
 
+	// queued counts the bytes of the request that were written; the goroutine
+	// that holds the connection owns it.
+	queued int64
 	// sent counts the bytes of the request that the kernel has taken.
 	sent atomic.Int64
 
@@ -60,13 +64,24 @@
 	errTooInterim = errors.New("too many interim answers")
 )
 
+func newConn(c *Client, p *pool, nbc *nbio.Conn) *conn {
+	cn := &conn{
+		pool:   p,
+		nbc:    nbc,
+		result: make(chan result, 1),
+		limits: framing.Limits{HeadBytes: c.conf.MaxHeadBytes, BodyBytes: c.conf.MaxResponseBytes},
+	}
+	cn.parser = nbhttp.NewParser(nbc, c.engine, &cn.gathering, true, nil)
+	return cn
+}
+
 // roundTrip sends one request and waits for its answer. Afterwards the
 // connection is back in the pool or closed and released.
 func (c *conn) roundTrip(ctx context.Context, req *httpwire.Request) (*httpwire.Response, *errkind.Error) {
 	if !c.begin(req.Method) {
 		return nil, c.fail(ctx, 1, errClosed)
 	}
-	head, err := httpwire.WriteRequest(c.nbc, req)
+	head, err := httpwire.WriteRequest(c, req)
 	if err != nil {
 		return nil, c.fail(ctx, head, err)
 	}
@@ -90,6 +105,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent.Store(0)
+	c.queued = 0
 	if c.closed {
 		return false
 	}
@@ -129,14 +145,18 @@
 	return errkind.Wrap(kind, cause, c.pool.address)
 }
 
-// onWritten is called by the library whenever the kernel took n bytes.
-func onWritten(nbc *nbio.Conn, _ []byte, n int) {
-	if c, ok := nbc.Session().(*conn); ok {
-		c.sent.Add(int64(n))
-	}
+// Write implements io.Writer for the request.
+func (c *conn) Write(b []byte) (int, error) {
+	queued := c.sent.Load() != c.queued
+	c.queued += int64(len(b))
+	return len(b), socket.Write(c.nbc, b, queued, c)
 }
 
-func (c *conn) close() { _ = c.nbc.Close() }
+// Taken implements socket.Counter.
+func (c *conn) Taken(n int) { c.sent.Add(int64(n)) }
+
+// close ends the connection; the event loop then calls CloseAndClean.
+func (c *conn) close() { socket.End(c.nbc) }
 
 // UnderlayerConn implements nbhttp.ParserCloser.
 func (c *conn) UnderlayerConn() net.Conn { return c.nbc }
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"net/http"
 	"strings"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/internal/httpwire/socket"
 )
 
 const (
@@ -88,32 +88,12 @@
 	return g.resp, nil
 }
 
-// usable reports whether an idle connection may carry a request: it is open
-// and the kernel holds neither a byte nor an end from the upstream that the
-// event loop has not seen yet.
+// usable reports whether an idle connection may carry a request.
 func (c *conn) usable() bool {
 	c.mu.Lock()
 	closed := c.closed
 	c.mu.Unlock()
-	if closed {
-		return false
-	}
-	c.nbc.Lock()
-	defer c.nbc.Unlock()
-	if closed, _ := c.nbc.IsClosed(); closed {
-		return false
-	}
-	raw, err := c.nbc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	_ = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-	})
-	return quiet
+	return !closed && socket.Quiet(c.nbc)
 }
 
 // gathering implements nbhttp.Processor: it collects the answer that the
