Measure what one entry host adds to a request

make bench-wire starts one upstream without service time and one entry host, and sends requests directly and through it, interleaved at random in one run, at shares of saturation, with CPU time and memory of the entry host.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Commands for developers. `make test` is what CI runs; measurements are apart.
 BINARIES := spindled spindle-standin spindle-load
 
-.PHONY: build demo test unit lint ldd
+.PHONY: build demo test unit lint ldd bench-wire fuzz-wire
 
 build:
 	@mkdir -p bin
@@ -23,3 +23,14 @@
 # Every binary is linked to the C library, as the platform expects.
 ldd: build
 	@for b in $(BINARIES); do ldd bin/$$b | grep -q libc.so || { echo "$$b is not linked to libc"; exit 1; }; done
+
+# What one entry host adds to a request, and what a request costs it.
+bench-wire:
+	@scripts/bench-wire.sh
+	go test -run '^$$' -bench . -benchmem ./internal/httpwire
+
+# A longer look for messages that the guard and net/http frame differently.
+FUZZTIME ?= 60s
+fuzz-wire:
+	go test -run '^$$' -fuzz FuzzRequest -fuzztime $(FUZZTIME) -parallel 2 ./internal/httpwire/framing
+	go test -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME) -parallel 2 ./internal/httpwire/framing
