--- a/cmd/spindle-load/compare.go
+++ b/cmd/spindle-load/compare.go
@@ -22,14 +22,15 @@
 		Use:   "compare",
 		Short: "Compare direct requests with requests through one entry host",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			sat, levels, err := loadgen.Compare(cmd.Context(), conf)
-			if err != nil {
+			// Memory first: a load leaves free memory that would hide the growth.
+			if err := printIdle(conf, idle); err != nil {
 				return err
 			}
-			if err := printComparison(sat, levels); err != nil {
+			sat, levels, err := loadgen.Compare(cmd.Context(), conf)
+			if err != nil {
 				return err
 			}
-			return printIdle(conf, idle)
+			return printComparison(sat, levels)
 		},
 	}
 	f := cmd.Flags()
