Let an engine settle before it is stopped

Cause: nbio's loops clear their stop flag when they begin to run, so a stop that comes before is lost; the loop spins and Engine.Stop waits for it forever in its last wait (engine.go:243). Two dumps of hung tests show exactly that wait, with only the spinning loop left of three.

--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -18,7 +18,7 @@
 // Server accepts callers' connections.
 type Server struct {
 	conf     ServerConfig
-	engine   *nbhttp.Engine
+	engine   socket.Engine
 	listener *listener
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -35,7 +35,7 @@
 func NewServer(conf ServerConfig) *Server {
 	conf = conf.withDefaults()
 	s := &Server{conf: conf, conns: make(map[*serverConn]struct{})}
-	s.engine = nbhttp.NewEngine(nbhttp.Config{
+	s.engine.Engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:            "callers",
 		Network:         "tcp",
 		Addrs:           []string{conf.Address},
@@ -45,7 +45,7 @@
 		KeepaliveTime:   never,
 		MaxLoad:         conf.MaxConnections,
 	})
-	s.engine.Engine.OnOpen(s.onOpen)
+	s.engine.Engine.Engine.OnOpen(s.onOpen)
 	s.engine.OnWrittenSize(socket.OnWritten)
 	return s
 }
--- a/internal/httpwire/serverconn.go
+++ b/internal/httpwire/serverconn.go
@@ -75,7 +75,7 @@
 		cancel:  cancel,
 		drained: make(chan struct{}, 1),
 	}
-	c.parser = nbhttp.NewParser(nc, s.engine, &c.gathering, false, nil)
+	c.parser = nbhttp.NewParser(nc, s.engine.Engine, &c.gathering, false, nil)
 	c.scanner.ResetRequest(s.conf.limits())
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -66,7 +66,7 @@
 // Client holds the connections of one process to all its upstreams.
 type Client struct {
 	conf   Config
-	engine *nbhttp.Engine
+	engine socket.Engine
 	stop   chan struct{}
 
 	mu     sync.RWMutex
@@ -81,7 +81,7 @@
 func New(conf Config) *Client {
 	conf = conf.withDefaults()
 	c := &Client{conf: conf, stop: make(chan struct{}), pools: make(map[string]*pool)}
-	c.engine = nbhttp.NewEngine(nbhttp.Config{
+	c.engine.Engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:            "upstreams",
 		MaxHTTPBodySize: conf.MaxResponseBytes,
 		ReadLimit:       conf.MaxResponseBytes + conf.MaxHeadBytes,
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -85,6 +85,7 @@
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 func TestAnswersPassed(t *testing.T) {
+	client := startClient(t, Config{})
 	for name, test := range map[string]struct {
 		method, answer string
 		status         int
@@ -115,7 +116,6 @@
 					}
 				}
 			})
-			client := startClient(t, Config{})
 			for range 3 {
 				resp, err := client.Do(testContext(t), address, request(test.method, nil))
 				is.True(err == nil)
@@ -129,6 +129,7 @@
 }
 
 func TestAnswersRefused(t *testing.T) {
+	client := startClient(t, Config{})
 	for name, answer := range map[string]string{
 		"closed without an answer": "",
 		"short head":               "HTTP/1.1 200 OK\r\nContent-Le",
@@ -151,7 +152,7 @@
 				readRequest(r)
 				_, _ = io.WriteString(c, answer)
 			})
-			_, err := startClient(t, Config{}).Do(testContext(t), address, request("GET", nil))
+			_, err := client.Do(testContext(t), address, request("GET", nil))
 			is.True(err != nil)
 			is.Equal(err.Kind, errkind.UpstreamBroken)
 		})
@@ -161,6 +162,7 @@
 // TestExtraBytesNeverReachTheNextRequest sends bytes behind an answer, with it
 // and late, and an answer that nobody asked for.
 func TestExtraBytesNeverReachTheNextRequest(t *testing.T) {
+	client := startClient(t, Config{})
 	const stray = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
 	for name, parts := range map[string][]string{
 		"with the answer":     {okAnswer + stray},
@@ -184,7 +186,6 @@
 				_, _ = io.WriteString(c, strings.Join(parts[1:], ""))
 				readRequest(r)
 			})
-			client := startClient(t, Config{})
 			for i := range 3 {
 				resp, err := client.Do(testContext(t), address, request("GET", nil))
 				is.True(err == nil)
@@ -301,7 +302,7 @@
 	})
 	t.Run("after", func(t *testing.T) {
 		is := is.New(t)
-		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		_, err := client.Do(ctx, address, request("POST", nil))
 		is.Equal(err.Kind, errkind.DeadlineAfterSend)
@@ -321,26 +322,37 @@
 	})
 }
 
-// TestUnsentRequest checks the classification by the bytes that the kernel
-// took: an upstream that has part of the body may have acted on the head.
-func TestUnsentRequest(t *testing.T) {
-	is := is.New(t)
-	gone := make(chan struct{})
-	address := startUpstream(t, func(_ int, c net.Conn, _ *bufio.Reader) { <-gone })
-	client := startClient(t, Config{})
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+// TestFailureKinds checks the classification by the bytes that the kernel
+// took: an upstream that has the head may have acted on it.
+func TestFailureKinds(t *testing.T) {
+	const head = 10
+	address := startUpstream(t, func(_ int, _ net.Conn, r *bufio.Reader) { readRequest(r) })
+	live := context.Background()
+	expired, cancel := context.WithDeadline(live, time.Unix(0, 0))
 	defer cancel()
-	_, err := client.Do(ctx, address, request("POST", make([]byte, 64<<20)))
-	is.Equal(err.Kind, errkind.DeadlineAfterSend)
-	close(gone)
-
-	nbc, dialErr := nbio.Dial("tcp", address)
-	is.NoErr(dialErr)
-	cn := &conn{pool: &pool{}, nbc: nbc}
-	cn.sent.Store(9)
-	is.Equal(cn.fail(context.Background(), 10, errClosed).Kind, errkind.SendFailed)
-	cn.sent.Store(10)
-	is.Equal(cn.fail(context.Background(), 10, errClosed).Kind, errkind.UpstreamBroken)
+	canceled, cancel := context.WithCancel(live)
+	cancel()
+	for _, test := range []struct {
+		ctx  context.Context
+		sent int64
+		kind errkind.Kind
+	}{
+		{live, 0, errkind.SendFailed},
+		{live, head - 1, errkind.SendFailed},
+		{live, head, errkind.UpstreamBroken},
+		{expired, head - 1, errkind.DeadlineBeforeSend},
+		{expired, head, errkind.DeadlineAfterSend},
+		{canceled, head - 1, errkind.CallerGone},
+		{canceled, head, errkind.CallerGone},
+	} {
+		is := is.New(t)
+		nbc, err := nbio.Dial("tcp", address)
+		is.NoErr(err)
+		cn := &conn{pool: &pool{}, nbc: nbc}
+		cn.sent.Store(test.sent)
+		is.Equal(cn.fail(test.ctx, head, errClosed).Kind, test.kind)
+		_ = nbc.Close()
+	}
 }
 
 func TestEarlyAnswerEndsTheConnection(t *testing.T) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -71,7 +71,7 @@
 		result: make(chan result, 1),
 		limits: framing.Limits{HeadBytes: c.conf.MaxHeadBytes, BodyBytes: c.conf.MaxResponseBytes},
 	}
-	cn.parser = nbhttp.NewParser(nbc, c.engine, &cn.gathering, true, nil)
+	cn.parser = nbhttp.NewParser(nbc, c.engine.Engine, &cn.gathering, true, nil)
 	return cn
 }
 
