Let a request run before the event loop sleeps

Cause: the loop's goroutine starts the request's goroutine and goes into EpollWait, a system call. The request then sits on the processor that the loop still holds, until another thread steals it; the profile shows futex and system calls, not parsing. The loop now yields after it began a request.

--- a/internal/httpwire/serverconn.go
+++ b/internal/httpwire/serverconn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -89,19 +90,31 @@
 // Parse implements nbhttp.ParserCloser; the event loop calls it with the bytes
 // that arrived, which are only valid during the call.
 func (c *serverConn) Parse(data []byte) error {
+	began, err := c.take(data)
+	if began {
+		// The loop goes into a system call next and would hold the processor on
+		// which the request was queued; let the request have it first.
+		runtime.Gosched()
+	}
+	return err
+}
+
+// take handles the bytes that arrived. It reports whether a request began.
+func (c *serverConn) take(data []byte) (bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch c.state {
 	case connServing:
 		c.hold(data)
 	case connClosing:
-		return c.drop(len(data))
+		return false, c.drop(len(data))
 	case connClosed:
-		return net.ErrClosed
+		return false, net.ErrClosed
 	default:
 		c.receive(data, false)
+		return c.state == connServing, nil
 	}
-	return nil
+	return false, nil
 }
 
 // CloseAndClean implements nbhttp.ParserCloser; it is called once, when the
