--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -165,18 +166,30 @@
 // that arrived, which are only valid during the call. An error closes the
 // connection.
 func (c *conn) Parse(data []byte) error {
+	answered, err := c.take(data)
+	if answered {
+		// The loop goes into a system call next and would hold the processor on
+		// which the waiting request was queued; let it run first.
+		runtime.Gosched()
+	}
+	return err
+}
+
+// take handles the bytes that arrived. It reports whether they completed the
+// answer.
+func (c *conn) take(data []byte) (bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		return net.ErrClosed
+		return false, net.ErrClosed
 	}
 	if !c.busy || c.sent.Load() == 0 {
-		return c.end(errLateBytes)
+		return false, c.end(errLateBytes)
 	}
 	if err := c.receive(data); err != nil {
-		return c.end(err)
+		return false, c.end(err)
 	}
-	return nil
+	return !c.busy, nil
 }
 
 // CloseAndClean implements nbhttp.ParserCloser; it is called once, when the
