--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Commands for developers. `make test` is what CI runs; measurements are apart.
 BINARIES := spindled spindlectl spindle-standin spindle-load
 
-.PHONY: build demo test unit lint ldd charts check-leaving measure-lifecycle spec long-execution measure-membership long-membership
+.PHONY: build demo test unit lint ldd charts check-leaving measure-lifecycle spec long-execution measure-membership long-membership bench-wire fuzz-wire
 
 build:
 	@mkdir -p bin
@@ -87,3 +87,14 @@
 # Prints what neighbouring values of the constants do; a few minutes.
 measure-overload-constants:
 	@scripts/overload-neighbours.sh
+
+# What one entry host adds to a request, and what a request costs it.
+bench-wire:
+	@scripts/bench-wire.sh
+	go test -run '^$$' -bench . -benchmem ./internal/httpwire
+
+# A longer look for messages that the guard and net/http frame differently.
+FUZZTIME ?= 60s
+fuzz-wire:
+	go test -run '^$$' -fuzz FuzzRequest -fuzztime $(FUZZTIME) -parallel 2 ./internal/httpwire/framing
+	go test -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME) -parallel 2 ./internal/httpwire/framing
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -67,6 +67,8 @@
 	IssuerGone
 	// AnswerNotKept is a request that ran and whose answer is no longer held.
 	AnswerNotKept
+	// SendFailed is a connection that ended before an upstream can have had the whole head.
+	SendFailed
 
 	numKinds
 )
@@ -128,6 +130,7 @@
 	IssuerNotAsked:     {"issuer-not-asked", http.StatusServiceUnavailable, Unknown, true},
 	IssuerGone:         {"issuer-gone", http.StatusGone, Unknown, false},
 	AnswerNotKept:      {"answer-not-kept", http.StatusGone, Ran, false},
+	SendFailed:         {"send-failed", http.StatusBadGateway, NotRun, true},
 }
 
 // Answer returns the reply for k. An out-of-range kind answers as Internal.
