Widen the balancer's interface and compare the baselines in virtual time

Cause: a picker saw only the requests outstanding on its own entry host, learned nothing from answers, and nothing measured one choice against another. Ruled out: a callback object per send, since it allocates; policy records keyed by upstream in a map, since they would need a lock on the call path. Before: one policy, no figure. The first cut of the product's own policy is in the tree as a starting point.

--- /dev/null
+++ b/cmd/spindle-lab/main.go
@@ -0,0 +1,16 @@
+// Command spindle-lab compares balancer policies in virtual time.
+package main
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	root := &cobra.Command{Use: "spindle-lab", Short: "Compare balancer policies in virtual time", SilenceUsage: true}
+	root.AddCommand(tableCommand())
+	if err := root.Execute(); err != nil {
+		os.Exit(1)
+	}
+}
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -2,7 +2,8 @@
 
 import (
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
-	"github.com/dapplespindle/dapplespindle/pkg/balancer/leastoutstanding"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer/registry"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer/spindle"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/routing"
 )
@@ -35,7 +36,7 @@
 	if st == nil || st.policyName != g.Policy {
 		st = &groupState{
 			policyName: g.Policy,
-			policy:     leastoutstanding.Builder{}.Build(),
+			policy:     buildPolicy(g),
 			upstreams:  make(map[string]*balancer.Upstream),
 		}
 		s.groups[key] = st
@@ -43,6 +44,18 @@
 	return &routing.Group{Config: g, Picker: st.policy.Update(st.members(g))}
 }
 
+// buildPolicy returns the policy that the group names. A name that this
+// version does not know falls back to the product's own policy: the document
+// was accepted, so its upstreams must be served.
+func buildPolicy(g *config.Group) balancer.Policy {
+	options := balancer.Options{SlowStart: g.SlowStart.Std()}
+	b, err := registry.Lookup(g.Policy)
+	if err != nil {
+		b = spindle.Builder{}
+	}
+	return b.Build(options)
+}
+
 // members returns the records of the upstreams that take new requests, and
 // forgets those that are no longer configured.
 func (st *groupState) members(g *config.Group) []*balancer.Upstream {
@@ -53,10 +66,11 @@
 		u := st.upstreams[cu.ID]
 		if u == nil || u.Address != cu.Address {
 			u = &balancer.Upstream{
-				ID:            cu.ID,
-				Address:       cu.Address,
-				FailureDomain: cu.FailureDomain,
-				Slots:         cu.Slots,
+				ID:             cu.ID,
+				Address:        cu.Address,
+				FailureDomain:  cu.FailureDomain,
+				Slots:          cu.Slots,
+				MaxConnections: cu.MaxConnections,
 			}
 		}
 		known[cu.ID] = u
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,68 @@
+package lab
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/pkg/balancer/registry"
+)
+
+func runOnce(t *testing.T, policy string, seed uint64, f Fault) *Result {
+	t.Helper()
+	b, err := registry.Lookup(policy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Run{Workload: Workloads[0], Fault: f, Builder: b, ProbePercent: 2, Duration: time.Second, Seed: seed}.Do()
+}
+
+func TestRunIsDeterminedBySeed(t *testing.T) {
+	for _, name := range registry.Names() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := runOnce(t, name, 7, Faults[1])
+			b := runOnce(t, name, 7, Faults[1])
+			c := runOnce(t, name, 8, Faults[1])
+			is.True(a.Latency.Equals(b.Latency))  // same seed, same latencies
+			is.True(!a.Latency.Equals(c.Latency)) // another seed differs
+		})
+	}
+}
+
+func TestEveryRequestEnds(t *testing.T) {
+	for _, f := range Faults {
+		for _, name := range registry.Names() {
+			t.Run(f.Name+"/"+name, func(t *testing.T) {
+				is := is.New(t)
+				r := runOnce(t, name, 3, f)
+				ended := r.Good + r.GivenUp
+				is.True(ended <= r.Offered)                                     // none ends twice
+				is.True(f.Windowed || float64(ended) > 0.75*float64(r.Offered)) // the rest is in flight at the end
+				is.True(r.ProbeShare <= 2.1)                                    // within the budget
+			})
+		}
+	}
+}
+
+func TestCentralQueueIsBelowEveryPolicy(t *testing.T) {
+	is := is.New(t)
+	ref := Run{Workload: Workloads[0], Fault: Faults[0], Duration: 2 * time.Second, Seed: 1}.Do()
+	for _, name := range registry.Names() {
+		r := runOnce(t, name, 1, Faults[0])
+		is.True(ref.Millis(50) < r.Millis(50)) // name
+	}
+}
+
+func TestClockRunsEventsInOrder(t *testing.T) {
+	is := is.New(t)
+	var c Clock
+	var got []int
+	c.After(2, func() { got = append(got, 3) })
+	c.After(1, func() { got = append(got, 1) })
+	c.After(1, func() { got = append(got, 2) })
+	c.run(5)
+	is.Equal(got, []int{1, 2, 3})
+	is.Equal(c.Elapsed(), time.Duration(5))
+}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -6,10 +6,20 @@
 // published Picker at the same time; a Picker's membership never changes, and
 // Pick takes no lock. What moves between snapshots (requests outstanding,
 // latency, reports) lives in atomics of Upstream, which outlive a snapshot.
+//
+// One request goes through these steps on a traffic goroutine:
+//
+//  1. Pick returns an upstream. On ErrNoSlot the request stays in the entry
+//     host's local queue: the queue calls Pick again for its first request
+//     after each Finish of the same group, and when Result.RetryAfter has
+//     elapsed, whichever comes first. No picker wakes a request by itself.
+//  2. Upstream.Begin records the send.
+//  3. Finish records the end with its latency, outcome and load report.
+//
+// The package reads no clock, starts no goroutine and draws no randomness.
 package balancer
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,33 +29,10 @@
 var ErrNoUpstream = errors.New("no eligible upstream")
 
 // ErrNoSlot means every eligible upstream is believed to be full; the caller
-// may keep the request in its local queue and pick again when Done was called.
+// may keep the request in its local queue and pick again after a Finish or
+// when Result.RetryAfter has elapsed.
 var ErrNoSlot = errors.New("no free slot")
 
-// Upstream is one server as seen by one entry host. Identity fields are
-// immutable; the rest is updated by traffic goroutines.
-type Upstream struct {
-	// ID identifies the upstream.
-	ID string
-	// Address is "IP:port".
-	Address string
-	// FailureDomain is where it runs.
-	FailureDomain string
-	// Slots is the number of requests it serves at the same time.
-	Slots int
-
-	outstanding atomic.Int64
-}
-
-// Outstanding returns the requests that this entry host has in flight there.
-func (u *Upstream) Outstanding() int64 { return u.outstanding.Load() }
-
-// Start records a request sent to u.
-func (u *Upstream) Start() { u.outstanding.Add(1) }
-
-// Done records the end of a request sent to u.
-func (u *Upstream) Done() { u.outstanding.Add(-1) }
-
 // PickInfo is what a policy may use for one choice.
 type PickInfo struct {
 	// Now is the time of the choice, from the caller's clock.
@@ -54,6 +41,8 @@
 	Random uint64
 	// Exclude lists upstreams that this request already tried.
 	Exclude []*Upstream
+	// Waited is how long the request has been in the local queue.
+	Waited time.Duration
 }
 
 // Excludes reports whether u was already tried.
@@ -68,19 +57,38 @@
 
 // Result is a choice and its ground.
 type Result struct {
-	// Upstream is the chosen server.
+	// Upstream is the chosen server; nil when Pick returns an error.
 	Upstream *Upstream
 	// Reason is a short constant text for the decision event.
 	Reason string
+	// RetryAfter accompanies ErrNoSlot: pick again after this time even if no
+	// request finished.
+	RetryAfter time.Duration
 }
 
-// Picker chooses an upstream. It is an immutable snapshot, safe for
-// concurrent use, and must not block or perform I/O.
+// Picker chooses an upstream. Its membership is an immutable snapshot. It is
+// safe for concurrent use, and must not block, lock or perform I/O.
 type Picker interface {
-	// Pick returns a choice, ErrNoUpstream or ErrNoSlot.
+	// Pick returns a choice, ErrNoUpstream or ErrNoSlot. Traffic goroutines
+	// call it once for each send. It must not keep PickInfo.Exclude.
 	Pick(PickInfo) (Result, error)
 }
 
+// Observer is a Picker that learns more from feedback than Upstream records.
+type Observer interface {
+	// Observe is called by traffic goroutines, through Finish and FinishProbe,
+	// after the record of u was updated. It must not block.
+	Observe(u *Upstream, f Feedback)
+}
+
+// Prober is a Picker that asks for probes. It must work when none is sent.
+type Prober interface {
+	// Probe names an upstream to be probed now, or nil. The entry host calls it
+	// after each Pick; it sends the probe only if the measuring budget allows,
+	// and reports the answer with FinishProbe.
+	Probe(now time.Time, random uint64) *Upstream
+}
+
 // Policy builds pickers for one group. Its methods are called by the control
 // goroutine only.
 type Policy interface {
@@ -88,10 +96,23 @@
 	Update([]*Upstream) Picker
 }
 
+// Options are what a policy is told of the group and the entry host it works for.
+type Options struct {
+	// Self is the entry host's number among the live entry hosts, from 0.
+	Self int
+	// EntryHosts is the number of live entry hosts; 0 counts as 1.
+	EntryHosts int
+	// FailureDomain is where the entry host runs.
+	FailureDomain string
+	// SlowStart is the time over which a new upstream's share grows to full; 0 is off.
+	SlowStart time.Duration
+}
+
 // Builder creates policies by name.
 type Builder interface {
 	// Name is the name in configuration documents.
 	Name() string
-	// Build returns a policy for one group.
-	Build() Policy
+	// Build returns a policy for one group. The control goroutine calls it when
+	// a group appears or its policy's name changes.
+	Build(Options) Policy
 }
--- /dev/null
+++ b/pkg/balancer/ewma.go
@@ -0,0 +1,51 @@
+package balancer
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// ewma is a moving average over time. Concurrent samples may lose one another,
+// which only weakens the average.
+type ewma struct {
+	mean atomic.Int64 // ns
+	at   atomic.Int64 // Unix time in ns of the last sample, 0 if none
+}
+
+func (e *ewma) add(now time.Time, sample time.Duration) {
+	e.blend(now, sample)
+}
+
+// addPeak takes a sample above the decayed average at full weight.
+func (e *ewma) addPeak(now time.Time, sample time.Duration) {
+	mean, age := e.value(now)
+	if float64(sample) > float64(mean)*weight(age) {
+		e.mean.Store(int64(sample))
+		e.at.Store(now.UnixNano())
+		return
+	}
+	e.blend(now, sample)
+}
+
+func (e *ewma) blend(now time.Time, sample time.Duration) {
+	mean, age := e.value(now)
+	if e.at.Load() == 0 {
+		mean = sample
+	}
+	w := weight(age)
+	e.mean.Store(int64(float64(mean)*w + float64(sample)*(1-w)))
+	e.at.Store(now.UnixNano())
+}
+
+func (e *ewma) value(now time.Time) (mean, age time.Duration) {
+	at := e.at.Load()
+	if at == 0 {
+		return 0, 0
+	}
+	return time.Duration(e.mean.Load()), max(time.Duration(now.UnixNano()-at), 0)
+}
+
+func weight(age time.Duration) float64 {
+	return math.Exp(-float64(age) / float64(LatencyDecay))
+}
--- /dev/null
+++ b/pkg/balancer/feedback.go
@@ -0,0 +1,68 @@
+package balancer
+
+import "time"
+
+// Outcome says how a send ended, as far as a policy cares.
+type Outcome uint8
+
+const (
+	// Answered is a whole answer.
+	Answered Outcome = iota
+	// Refused is an upstream that declared it did not run the request.
+	Refused
+	// Failed is an error of the upstream or of the connection to it.
+	Failed
+	// Cancelled is a send that the entry host gave up; it says nothing on the upstream.
+	Cancelled
+)
+
+// Report is the load that an upstream stated in an answer or a probe.
+type Report struct {
+	// Valid is false when the answer carried no report.
+	Valid bool
+	// InFlight is the number of requests at the upstream, over all entry hosts.
+	InFlight int
+	// Age is the time between the sampling of InFlight and the answer's arrival.
+	Age time.Duration
+}
+
+// Feedback is the end of one send or one probe.
+type Feedback struct {
+	// Now is the time of the end, from the caller's clock.
+	Now time.Time
+	// Latency is the time since the send.
+	Latency time.Duration
+	// Outcome says how it ended.
+	Outcome Outcome
+	// Report is the load report that came with the answer.
+	Report Report
+}
+
+// Call is one request in flight. It belongs to the goroutine that sent it.
+type Call struct {
+	// Upstream is where it was sent.
+	Upstream *Upstream
+	// Started is the time of the send.
+	Started time.Time
+
+	cell int
+}
+
+// Finish records the end of a call and passes the feedback to the picker.
+// Traffic goroutines call it exactly once for each Begin; the picker is the
+// one in force now, which may be newer than the one that chose.
+func Finish(p Picker, c Call, f Feedback) {
+	c.Upstream.end(c, f)
+	if o, ok := p.(Observer); ok {
+		o.Observe(c.Upstream, f)
+	}
+}
+
+// FinishProbe records the answer of a probe. Its latency does not count as a
+// request's.
+func FinishProbe(p Picker, u *Upstream, f Feedback) {
+	u.learnReport(f)
+	if o, ok := p.(Observer); ok {
+		o.Observe(u, f)
+	}
+}
--- a/pkg/balancer/leastoutstanding/leastoutstanding.go
+++ b/pkg/balancer/leastoutstanding/leastoutstanding.go
@@ -14,7 +14,7 @@
 func (Builder) Name() string { return Name }
 
 // Build implements balancer.Builder.
-func (Builder) Build() balancer.Policy { return policy{} }
+func (Builder) Build(balancer.Options) balancer.Policy { return policy{} }
 
 type policy struct{}
 
--- /dev/null
+++ b/pkg/balancer/random/random.go
@@ -0,0 +1,36 @@
+// Package random chooses an upstream with equal chance. It is a baseline.
+package random
+
+import "github.com/dapplespindle/dapplespindle/pkg/balancer"
+
+// Name is the name in configuration documents.
+const Name = "random"
+
+// Builder creates policies.
+type Builder struct{}
+
+// Name implements balancer.Builder.
+func (Builder) Name() string { return Name }
+
+// Build implements balancer.Builder.
+func (Builder) Build(balancer.Options) balancer.Policy { return policy{} }
+
+type policy struct{}
+
+// Update implements balancer.Policy.
+func (policy) Update(members []*balancer.Upstream) balancer.Picker {
+	return &picker{members: append([]*balancer.Upstream(nil), members...)}
+}
+
+type picker struct {
+	members []*balancer.Upstream
+}
+
+// Pick takes the first member from a random start that was not tried.
+func (p *picker) Pick(info balancer.PickInfo) (balancer.Result, error) {
+	u := balancer.FirstFrom(p.members, info.Random, info)
+	if u == nil {
+		return balancer.Result{}, balancer.ErrNoUpstream
+	}
+	return balancer.Result{Upstream: u, Reason: Name}, nil
+}
--- /dev/null
+++ b/pkg/balancer/upstream.go
@@ -0,0 +1,148 @@
+package balancer
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// LatencyDecay is the time after which a latency sample has lost 63% of its weight.
+	LatencyDecay = 100 * time.Millisecond
+	// maxTracked is the number of sends whose start is known, per upstream.
+	maxTracked = 8
+	// untracked marks a call whose start has no cell.
+	untracked = -1
+
+	reportTimeBits = 52
+	maxReported    = 1<<(64-reportTimeBits) - 1
+)
+
+// Upstream is one server as seen by one entry host. Identity fields are
+// immutable; the rest is updated by traffic goroutines through atomics.
+type Upstream struct {
+	// ID identifies the upstream.
+	ID string
+	// Address is "IP:port".
+	Address string
+	// FailureDomain is where it runs.
+	FailureDomain string
+	// Slots is the number of requests it serves at the same time.
+	Slots int
+	// MaxConnections bounds the connections over all entry hosts; 0 is no bound.
+	MaxConnections int
+	// Added is when it joined the group; zero if it was there at the start.
+	Added time.Time
+
+	outstanding atomic.Int64
+	started     [maxTracked]atomic.Int64 // Unix time in ns, 0 if free
+	latency     ewma
+	peak        ewma
+	report      atomic.Uint64 // others in flight and Unix time in µs
+	failures    atomic.Int64
+	failedAt    atomic.Int64 // Unix time in ns
+}
+
+// Outstanding returns the requests that this entry host has in flight there.
+func (u *Upstream) Outstanding() int64 { return u.outstanding.Load() }
+
+// Start records a request sent to u without its time. Prefer Begin.
+func (u *Upstream) Start() { u.outstanding.Add(1) }
+
+// Done records the end of a request that was recorded with Start.
+func (u *Upstream) Done() { u.outstanding.Add(-1) }
+
+// Begin records a request sent to u. Finish must be called once for the result.
+func (u *Upstream) Begin(now time.Time) Call {
+	u.outstanding.Add(1)
+	c := Call{Upstream: u, Started: now, cell: untracked}
+	for i := range u.started {
+		if u.started[i].CompareAndSwap(0, now.UnixNano()) {
+			c.cell = i
+			break
+		}
+	}
+	return c
+}
+
+func (u *Upstream) end(c Call, f Feedback) {
+	u.learnReport(f)
+	u.outstanding.Add(-1)
+	if c.cell != untracked {
+		u.started[c.cell].Store(0)
+	}
+	switch f.Outcome {
+	case Answered:
+		u.failures.Store(0)
+		u.latency.add(f.Now, f.Latency)
+		u.peak.addPeak(f.Now, f.Latency)
+	case Failed:
+		u.failedAt.Store(f.Now.UnixNano())
+		u.failures.Add(1)
+	case Refused, Cancelled:
+	}
+}
+
+// learnReport keeps the share of other entry hosts: what was reported less
+// what this host has in flight itself. An older sample does not replace a newer.
+func (u *Upstream) learnReport(f Feedback) {
+	if !f.Report.Valid {
+		return
+	}
+	others := min(max(int64(f.Report.InFlight)-u.Outstanding(), 0), maxReported)
+	sampled := uint64(f.Now.Add(-f.Report.Age).UnixMicro())
+	next := uint64(others)<<reportTimeBits | sampled&(1<<reportTimeBits-1)
+	for {
+		old := u.report.Load()
+		if old&(1<<reportTimeBits-1) > sampled || u.report.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// Others returns the requests that other entry hosts had in flight there by
+// the newest report, and the report's age at the given time. It is false if
+// there was none.
+func (u *Upstream) Others(now time.Time) (count int64, age time.Duration, ok bool) {
+	r := u.report.Load()
+	if r == 0 {
+		return 0, 0, false
+	}
+	sampled := int64(r & (1<<reportTimeBits - 1))
+	age = time.Duration(now.UnixMicro()-sampled) * time.Microsecond
+	return int64(r >> reportTimeBits), max(age, 0), true
+}
+
+// OldestAge returns how long the oldest request in flight has been waiting for
+// its answer. At most eight sends are tracked.
+func (u *Upstream) OldestAge(now time.Time) time.Duration {
+	oldest := int64(math.MaxInt64)
+	for i := range u.started {
+		if at := u.started[i].Load(); at != 0 {
+			oldest = min(oldest, at)
+		}
+	}
+	if oldest == math.MaxInt64 {
+		return 0
+	}
+	return max(time.Duration(now.UnixNano()-oldest), 0)
+}
+
+// Latency returns the moving average of answers and the time since the last;
+// zero if there was none.
+func (u *Upstream) Latency(now time.Time) (mean, age time.Duration) {
+	return u.latency.value(now)
+}
+
+// PeakLatency returns a moving average that follows a rise at once and decays
+// slowly; zero if there was no answer.
+func (u *Upstream) PeakLatency(now time.Time) time.Duration {
+	v, age := u.peak.value(now)
+	return time.Duration(float64(v) * math.Exp(-float64(age)/float64(LatencyDecay)))
+}
+
+// Failures returns the failures since the last answer and the time since the
+// last failure.
+func (u *Upstream) Failures(now time.Time) (count int64, age time.Duration) {
+	return u.failures.Load(), time.Duration(now.UnixNano() - u.failedAt.Load())
+}
