Let the lab draw request sizes, cancel sends and hedge overdue ones

After: a service time is a factor of the request times a factor of the server (log-normal, 0.7 and 0.714); Env.Send returns a cancel function; Result.OverdueAfter carries what the policy thinks overdue; the reference bounds its queue. Conclusion: hedging is a separate row (spindle+hedge), never part of a policy's.

--- a/internal/lab/central.go
+++ b/internal/lab/central.go
@@ -14,10 +14,19 @@
 
 // Arrive implements Host.
 func (h *centralHost) Arrive(r *Request) {
+	if len(h.waiting) >= h.maxWaiting() {
+		h.env.Finish(r, false)
+		return
+	}
 	h.waiting = append(h.waiting, r)
 	h.drain()
 }
 
+// maxWaiting is the number of requests that are served in half a deadline.
+func (h *centralHost) maxWaiting() int {
+	return int(h.env.world.run.Workload.capacity() * requestDeadline.Seconds() / 2)
+}
+
 func (h *centralHost) drain() {
 	for len(h.waiting) > 0 {
 		r := h.waiting[0]
@@ -37,7 +46,7 @@
 
 func (h *centralHost) send(r *Request, u *upstream) {
 	r.Attempts++
-	u.submit(job{service: u.serviceTime(), done: func(o balancer.Outcome) {
+	u.submit(&job{service: u.serviceTime(r.size), done: func(o balancer.Outcome) {
 		h.env.world.clock.After(2*sameDomainDelay, func() {
 			now := h.env.world.clock.Now()
 			h.env.Finish(r, o == balancer.Answered && !now.After(r.Deadline))
--- a/internal/lab/contenders.go
+++ b/internal/lab/contenders.go
@@ -28,6 +28,7 @@
 		}
 		all = append(all, c)
 	}
+	all = append(all, Contender{Name: spindle.Name + "+hedge", Builder: spindle.Builder{}, NewHost: NewHedgingHost})
 	return append(all, Contender{Name: ReferenceName})
 }
 
--- a/internal/lab/host.go
+++ b/internal/lab/host.go
@@ -18,6 +18,9 @@
 	// Tried lists the upstreams of earlier sends.
 	Tried []*balancer.Upstream
 
+	size     float64 // factor on the service time
+	sending  int     // sends without an end
+	cancels  []func()
 	finished bool
 }
 
@@ -37,8 +40,9 @@
 	// Picker is the picker in force.
 	Picker() balancer.Picker
 	// Send sends the request to u. Done is called with the end of the send,
-	// after the picker learned of it.
-	Send(r *Request, u *balancer.Upstream, done func(balancer.Feedback))
+	// after the picker learned of it. The returned function cancels the send at
+	// the upstream, which still ends in done.
+	Send(r *Request, u *balancer.Upstream, done func(balancer.Feedback)) (cancel func())
 	// Finish ends a request. Only the first call counts; ok is false if it was
 	// given up.
 	Finish(r *Request, ok bool)
@@ -57,6 +61,7 @@
 	env     Env
 	waiting []*Request
 	timer   bool
+	sent    func(*Request, time.Duration) // told of each send; may be nil
 }
 
 // NewBasicHost returns the default Host.
@@ -98,7 +103,7 @@
 	})
 	switch err {
 	case nil:
-		h.send(r, res.Upstream)
+		h.send(r, res)
 		return true
 	case balancer.ErrNoSlot:
 		h.wake(res.RetryAfter)
@@ -120,17 +125,40 @@
 	})
 }
 
-func (h *basicHost) send(r *Request, u *balancer.Upstream) {
-	r.Tried = append(r.Tried, u)
-	h.env.Send(r, u, func(f balancer.Feedback) {
-		switch {
-		case f.Outcome == balancer.Answered:
-			h.env.Finish(r, !f.Now.After(r.Deadline))
-		case r.Attempts < maxAttempts:
-			h.waiting = append([]*Request{r}, h.waiting...)
-		default:
-			h.env.Finish(r, false)
-		}
+func (h *basicHost) send(r *Request, res balancer.Result) {
+	r.Tried = append(r.Tried, res.Upstream)
+	r.sending++
+	cancel := h.env.Send(r, res.Upstream, func(f balancer.Feedback) {
+		r.sending--
+		h.ended(r, f)
 		h.drain()
 	})
+	r.cancels = append(r.cancels, cancel)
+	if h.sent != nil {
+		h.sent(r, res.OverdueAfter)
+	}
+}
+
+// ended finishes a request, or puts it first in the queue for another attempt.
+func (h *basicHost) ended(r *Request, f balancer.Feedback) {
+	switch {
+	case f.Outcome == balancer.Answered:
+		h.env.Finish(r, !f.Now.After(r.Deadline))
+		r.cancelOthers()
+	case r.finished || r.sending > 0:
+	case r.Attempts < maxAttempts:
+		h.waiting = append([]*Request{r}, h.waiting...)
+	default:
+		h.env.Finish(r, false)
+	}
+}
+
+// cancelOthers cancels the sends that are still in flight.
+func (r *Request) cancelOthers() {
+	if r.sending == 0 {
+		return
+	}
+	for _, cancel := range r.cancels {
+		cancel()
+	}
 }
--- a/internal/lab/hostenv.go
+++ b/internal/lab/hostenv.go
@@ -84,15 +84,16 @@
 func (h *hostEnv) Picker() balancer.Picker { return h.picker }
 
 // Send implements Env.
-func (h *hostEnv) Send(r *Request, u *balancer.Upstream, done func(balancer.Feedback)) {
+func (h *hostEnv) Send(r *Request, u *balancer.Upstream, done func(balancer.Feedback)) (cancel func()) {
 	r.Attempts++
 	fake := h.fakes[u]
 	call := u.Begin(h.world.clock.Now())
-	h.world.sendJob(h, fake, fake.serviceTime(), func(f balancer.Feedback) {
+	cancel = h.world.sendJob(h, fake, fake.serviceTime(r.size), func(f balancer.Feedback) {
 		balancer.Finish(h.picker, call, f)
 		done(f)
 	})
 	h.probe()
+	return cancel
 }
 
 // Finish implements Env.
--- a/internal/lab/upstream.go
+++ b/internal/lab/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
@@ -15,8 +16,19 @@
 type job struct {
 	service time.Duration
 	done    func(balancer.Outcome)
+	state   jobState
 }
 
+// jobState says how far a job has come.
+type jobState uint8
+
+const (
+	jobNew jobState = iota
+	jobQueued
+	jobRunning
+	jobEnded
+)
+
 // upstream is a fake server: slots, a queue, and a report that lags.
 type upstream struct {
 	clock  *Clock
@@ -26,11 +38,10 @@
 
 	slots     int
 	busy      int
-	queue     []job
+	queue     []*job
 	shedLimit int
 
 	mean     time.Duration
-	sigma    float64
 	slowness float64
 	coldAt   time.Duration
 	cold     float64
@@ -44,10 +55,14 @@
 
 func (u *upstream) inFlight() int { return u.busy + len(u.queue) }
 
-// serviceTime draws from a log-normal distribution with the given mean.
-func (u *upstream) serviceTime() time.Duration {
-	factor := math.Exp(u.random.NormFloat64()*u.sigma - u.sigma*u.sigma/2)
-	return time.Duration(float64(u.mean) * factor)
+// serviceTime draws the service time of a request with the given size.
+func (u *upstream) serviceTime(size float64) time.Duration {
+	return time.Duration(float64(u.mean) * size * logNormal(u.random, serverSigma))
+}
+
+// logNormal draws from a log-normal distribution with the mean 1.
+func logNormal(random *rand.Rand, sigma float64) float64 {
+	return math.Exp(random.NormFloat64()*sigma - sigma*sigma/2)
 }
 
 // speed is the factor on service times now.
@@ -61,9 +76,11 @@
 }
 
 // submit takes a request. An upstream that sheds or fails answers at once.
-func (u *upstream) submit(j job) {
+func (u *upstream) submit(j *job) {
 	u.tick()
 	switch {
+	case j.state == jobEnded:
+		j.done(balancer.Cancelled)
 	case u.failFast:
 		u.clock.After(failFastTime, func() { j.done(balancer.Failed) })
 	case u.inFlight() >= u.shedLimit:
@@ -71,17 +88,29 @@
 	case u.busy < u.slots:
 		u.start(j)
 	default:
+		j.state = jobQueued
 		u.queue = append(u.queue, j)
 	}
 }
 
-func (u *upstream) start(j job) {
+func (u *upstream) start(j *job) {
+	j.state = jobRunning
 	u.busy++
 	d := time.Duration(float64(j.service) * u.speed())
 	u.clock.After(d, func() { u.finish(j) })
 }
 
-func (u *upstream) finish(j job) {
+func (u *upstream) finish(j *job) {
+	if j.state == jobEnded {
+		return
+	}
+	j.state = jobEnded
+	u.release()
+	j.done(balancer.Answered)
+}
+
+// release frees a slot for the next job in the queue.
+func (u *upstream) release() {
 	u.tick()
 	u.busy--
 	if len(u.queue) > 0 {
@@ -89,7 +118,22 @@
 		u.queue = u.queue[1:]
 		u.start(next)
 	}
-	j.done(balancer.Answered)
+}
+
+// cancel ends a job early. A job that has not arrived is refused on arrival.
+func (u *upstream) cancel(j *job) {
+	was := j.state
+	j.state = jobEnded
+	switch was {
+	case jobQueued:
+		u.tick()
+		u.queue = slices.DeleteFunc(u.queue, func(q *job) bool { return q == j })
+		j.done(balancer.Cancelled)
+	case jobRunning:
+		u.release()
+		j.done(balancer.Cancelled)
+	case jobNew, jobEnded:
+	}
 }
 
 // tick takes the sample of the newest reporting instant that has passed.
--- a/internal/lab/workload.go
+++ b/internal/lab/workload.go
@@ -16,9 +16,12 @@
 	coldTime = 500 * time.Millisecond
 
 	slotsPerUpstream = 3
-	// serviceSigma is the shape of the log-normal service times; its 99th
-	// percentile is 6.2 times the mean.
-	serviceSigma = 1.0
+	// requestSigma and serverSigma are the shapes of two log-normal factors of a
+	// service time: one belongs to the request and is the same for every send of
+	// it, one is drawn anew by each server. Together their shape is 1, and the
+	// 99th percentile is 6.2 times the mean.
+	requestSigma = 0.7
+	serverSigma  = 0.714
 	// shedLimit is the number of requests at an upstream over which it refuses.
 	shedLimit = 24
 	// requestDeadline is when a request is given up.
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -52,7 +52,6 @@
 		slots:       slotsPerUpstream,
 		shedLimit:   shedLimit,
 		mean:        w.run.Workload.Mean,
-		sigma:       serviceSigma,
 		reportEvery: w.run.Fault.ReportEvery,
 	}
 	if w.run.Fault.ShedLimit > 0 {
@@ -84,7 +83,11 @@
 func (w *world) accept() {
 	h := w.hosts[w.arrivals.IntN(len(w.hosts))]
 	now := w.clock.Now()
-	r := &Request{Arrived: now, Deadline: now.Add(requestDeadline)}
+	r := &Request{
+		Arrived:  now,
+		Deadline: now.Add(requestDeadline),
+		size:     logNormal(w.arrivals, requestSigma),
+	}
 	if w.counts() {
 		w.result.Offered++
 	}
@@ -119,22 +122,24 @@
 	return crossDomainDelay
 }
 
-// sendJob carries a job to u and its end back to h.
-func (w *world) sendJob(h *hostEnv, u *upstream, service time.Duration, done func(balancer.Feedback)) {
+// sendJob carries a job to u and its end back to h. The returned function
+// cancels it after the same delay.
+func (w *world) sendJob(h *hostEnv, u *upstream, service time.Duration, done func(balancer.Feedback)) (cancel func()) {
 	sent := w.clock.now
 	d := w.delay(h, u)
-	w.clock.After(d, func() {
-		u.submit(job{service: service, done: func(o balancer.Outcome) {
-			report := u.report()
-			w.clock.After(d, func() {
-				report.Age += d
-				done(balancer.Feedback{
-					Now:     w.clock.Now(),
-					Latency: w.clock.now - sent,
-					Outcome: o,
-					Report:  report,
-				})
+	j := &job{service: service}
+	j.done = func(o balancer.Outcome) {
+		report := u.report()
+		w.clock.After(d, func() {
+			report.Age += d
+			done(balancer.Feedback{
+				Now:     w.clock.Now(),
+				Latency: w.clock.now - sent,
+				Outcome: o,
+				Report:  report,
 			})
-		}})
-	})
+		})
+	}
+	w.clock.After(d, func() { u.submit(j) })
+	return func() { w.clock.After(d, func() { u.cancel(j) }) }
 }
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -64,6 +64,10 @@
 	// RetryAfter accompanies ErrNoSlot: pick again after this time even if no
 	// request finished.
 	RetryAfter time.Duration
+	// OverdueAfter is the time from the send after which an answer is later than
+	// this policy expects; a caller that hedges repeatable requests may send
+	// another attempt then. 0 means that the policy has no opinion.
+	OverdueAfter time.Duration
 }
 
 // Picker chooses an upstream. Its membership is an immutable snapshot. It is
--- a/pkg/balancer/upstream.go
+++ b/pkg/balancer/upstream.go
@@ -41,6 +41,7 @@
 	report      atomic.Uint64 // others in flight and Unix time in µs
 	failures    atomic.Int64
 	failedAt    atomic.Int64 // Unix time in ns
+	refusedAt   atomic.Int64 // Unix time in ns, 0 if never
 }
 
 // Outstanding returns the requests that this entry host has in flight there.
@@ -79,7 +80,9 @@
 	case Failed:
 		u.failedAt.Store(f.Now.UnixNano())
 		u.failures.Add(1)
-	case Refused, Cancelled:
+	case Refused:
+		u.refusedAt.Store(f.Now.UnixNano())
+	case Cancelled:
 	}
 }
 
@@ -146,3 +149,10 @@
 func (u *Upstream) Failures(now time.Time) (count int64, age time.Duration) {
 	return u.failures.Load(), time.Duration(now.UnixNano() - u.failedAt.Load())
 }
+
+// Refused returns the time since the upstream last refused a request; it is
+// false if it never did.
+func (u *Upstream) Refused(now time.Time) (age time.Duration, ok bool) {
+	at := u.refusedAt.Load()
+	return time.Duration(now.UnixNano() - at), at != 0
+}
