--- a/pkg/balancer/spindle/constants.go
+++ b/pkg/balancer/spindle/constants.go
@@ -5,7 +5,10 @@
 // Constants are the tuning constants. docs/design/05-choosing.md names the run
 // that chose each.
 type Constants struct {
-	// ReportDecay is the age, in expected answer times, at which a report has
+	// Sample is the number of upstreams drawn for one choice, at most 32. It
+	// bounds the share of requests that an upstream with a low report attracts.
+	Sample float64
+	// ReportDecay is the age, in expected service times, at which a report has
 	// lost 63% of its weight against the mean of the group.
 	ReportDecay float64
 	// NearEqual is the difference in cost, as a share of the expected answer
@@ -14,7 +17,7 @@
 	// BindSlack is the estimated load above the slots, in requests, up to which
 	// a request is still bound.
 	BindSlack float64
-	// MaxHold is the longest wait for a slot, in expected answer times.
+	// MaxHold is the longest wait for a slot, in expected service times.
 	MaxHold float64
 	// SlowRatio is the latency of an upstream, relative to the group, above
 	// which it counts as slow.
@@ -22,8 +25,22 @@
 	// SlowAge is the age of the oldest request in flight, in expected answer
 	// times, above which an upstream counts as slow.
 	SlowAge float64
+	// HomeSize is the number of upstreams that an entry host prefers.
+	HomeSize float64
+	// AwayCost is the cost of an upstream that is not preferred, in expected
+	// service times.
+	AwayCost float64
 	// DomainCost is the round trip to another failure domain.
 	DomainCost time.Duration
+	// ColdFactor is the extra cost of an upstream that has just joined, in
+	// expected service times; it falls to 0 over the slow start.
+	ColdFactor float64
+	// RefusedHold is the time, in expected service times, for which an upstream
+	// that refused a request counts as full.
+	RefusedHold float64
+	// OverdueAfter is the time after which an answer is overdue, in expected
+	// service times.
+	OverdueAfter float64
 	// EjectFailures is the number of failures in a row that ejects an upstream.
 	EjectFailures int64
 	// EjectTime is how long an ejected upstream stays out after its last failure.
@@ -34,13 +51,19 @@
 
 // Defaults are the constants in force.
 var Defaults = Constants{
-	ReportDecay:   4,
-	NearEqual:     0.1,
-	BindSlack:     1,
+	Sample:        32,
+	ReportDecay:   0.6,
+	NearEqual:     0.05,
+	BindSlack:     3,
 	MaxHold:       4,
-	SlowRatio:     2,
-	SlowAge:       3,
+	SlowRatio:     3,
+	SlowAge:       1.5,
+	HomeSize:      4,
+	AwayCost:      0.4,
 	DomainCost:    3 * time.Millisecond,
+	ColdFactor:    2,
+	RefusedHold:   1,
+	OverdueAfter:  3,
 	EjectFailures: 1,
 	EjectTime:     200 * time.Millisecond,
 	EjectFloor:    0.5,
--- a/pkg/balancer/spindle/picker.go
+++ b/pkg/balancer/spindle/picker.go
@@ -7,6 +7,23 @@
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 )
 
+// maxCandidates bounds the upstreams that one choice looks at.
+const maxCandidates = 32
+
+// Reasons of a choice, for the decision event.
+const (
+	// ReasonFree is an upstream where a slot is believed free.
+	ReasonFree = "free-slot"
+	// ReasonShortQueue is an upstream whose queue is believed short.
+	ReasonShortQueue = "short-queue"
+	// ReasonWaited is a request that waited long enough.
+	ReasonWaited = "waited"
+	// ReasonPanic is a choice among all members, since most look bad.
+	ReasonPanic = "panic"
+	// ReasonFull is a request that is held, since every upstream is believed full.
+	ReasonFull = "all-full"
+)
+
 // picker is one snapshot of the group's membership.
 type picker struct {
 	policy  *policy
@@ -18,16 +35,6 @@
 	p.policy.group.observe(u, f, p.policy.rtt(u))
 }
 
-// maxCandidates bounds the upstreams that one choice looks at.
-const maxCandidates = 32
-
-// candidate is an upstream under consideration.
-type candidate struct {
-	upstream *balancer.Upstream
-	load     float64 // estimated requests there
-	cost     float64 // estimated time to the answer, ns
-}
-
 // Pick takes one of the cheapest upstreams, or holds the request when all are
 // believed full.
 func (p *picker) Pick(info balancer.PickInfo) (balancer.Result, error) {
@@ -36,95 +43,110 @@
 	if len(cands) == 0 {
 		return balancer.Result{}, balancer.ErrNoUpstream
 	}
+	cands, panicking := p.eligible(cands)
 	c := p.policy.constants
-	expected := p.policy.group.expected()
-	best, cost := drawCheapest(cands, c.NearEqual*expected, info.Random)
-	if best.load < float64(best.upstream.Slots)+c.BindSlack || float64(info.Waited) > c.MaxHold*expected {
-		return balancer.Result{Upstream: best.upstream, Reason: "free-slot"}, nil
+	service := p.policy.group.service()
+	best, ok := drawCheapest(cands, c.NearEqual*service, info.Random)
+	if !ok {
+		return hold(service), balancer.ErrNoSlot
 	}
-	_ = cost
-	hold := time.Duration(expected / float64(best.upstream.Slots))
-	return balancer.Result{RetryAfter: hold, Reason: "all-full"}, balancer.ErrNoSlot
+	reason := p.reason(best, info, service, panicking)
+	if reason == ReasonFull {
+		return hold(service / float64(best.member.Slots)), balancer.ErrNoSlot
+	}
+	overdue := time.Duration(c.OverdueAfter*service + best.member.rtt)
+	return balancer.Result{Upstream: best.member.Upstream, Reason: reason, OverdueAfter: overdue}, nil
 }
 
-// drawCheapest draws among the candidates whose cost is near the lowest.
-func drawCheapest(cands []candidate, near float64, random uint64) (candidate, float64) {
-	lowest := math.Inf(1)
-	for i := range cands {
-		lowest = min(lowest, cands[i].cost)
-	}
-	var chosen candidate
-	seen := uint64(0)
-	for i := range cands {
-		if cands[i].cost > lowest+near {
-			continue
-		}
-		seen++
-		random = balancer.Mix(random)
-		if random%seen == 0 {
-			chosen = cands[i]
-		}
+func hold(ns float64) balancer.Result {
+	return balancer.Result{Reason: ReasonFull, RetryAfter: time.Duration(max(ns, 1))}
+}
+
+// reason decides whether a request is bound to the best candidate.
+func (p *picker) reason(best candidate, info balancer.PickInfo, service float64, panicking bool) string {
+	c := p.policy.constants
+	slots := float64(best.member.Slots)
+	switch {
+	case panicking:
+		return ReasonPanic
+	case best.load < slots:
+		return ReasonFree
+	case best.load < slots+c.BindSlack:
+		return ReasonShortQueue
+	case float64(info.Waited) > c.MaxHold*service:
+		return ReasonWaited
+	default:
+		return ReasonFull
 	}
-	return chosen, lowest
 }
 
-// candidates estimates the members that were not tried.
+// candidates estimates a sample of the members that were not tried: a walk
+// over the members in an order that the random number determines.
 func (p *picker) candidates(out []candidate, info balancer.PickInfo) []candidate {
 	n := uint64(len(p.members))
 	if n == 0 {
 		return out
 	}
-	start := info.Random >> 32 % n
-	for i := range n {
-		m := &p.members[(start+i)%n]
+	want := min(int(p.policy.constants.Sample), maxCandidates)
+	w := newWalk(n, info.Random)
+	for range n {
+		m := &p.members[w.next()]
 		if info.Excludes(m.Upstream) {
 			continue
 		}
 		out = append(out, p.estimate(m, info.Now))
-		if len(out) == maxCandidates {
+		if len(out) == want {
 			break
 		}
 	}
 	return out
 }
 
-// estimate predicts load and time to the answer at m.
-func (p *picker) estimate(m *member, now time.Time) candidate {
-	expected := p.policy.group.expected()
-	load := float64(m.Outstanding()) + p.others(m, now)
-	slots := float64(m.Slots)
-	queue := max(load+1-slots, 0) / slots
-	slow := p.slowness(m, now, expected)
-	return candidate{
-		upstream: m.Upstream,
-		load:     load,
-		cost:     m.rtt + expected*slow*(1+queue),
+// eligible drops the ejected candidates. When more than the floor allows are
+// ejected, their failures say little on single upstreams, and all are kept.
+func (p *picker) eligible(cands []candidate) (kept []candidate, panicking bool) {
+	ejected := 0
+	for i := range cands {
+		if cands[i].ejected {
+			ejected++
+		}
 	}
-}
-
-// others estimates the requests of other entry hosts: the newest report, which
-// loses weight against the group's mean as it ages.
-func (p *picker) others(m *member, now time.Time) float64 {
-	mean := p.policy.group.others.load()
-	n, age, ok := m.Others(now)
-	if !ok {
-		return mean
+	if ejected == 0 {
+		return cands, false
 	}
-	w := math.Exp(-float64(age) / (p.policy.constants.ReportDecay * p.policy.group.expected()))
-	return w*float64(n) + (1-w)*mean
+	if float64(len(cands)-ejected) < p.policy.constants.EjectFloor*float64(len(cands)) {
+		return cands, true
+	}
+	kept = cands[:0]
+	for i := range cands {
+		if !cands[i].ejected {
+			kept = append(kept, cands[i])
+		}
+	}
+	return kept, false
 }
 
-// slowness is the factor by which m is slower than the group.
-func (p *picker) slowness(m *member, now time.Time, expected float64) float64 {
-	c := p.policy.constants
-	factor := 1.0
-	if oldest := float64(m.OldestAge(now)) - m.rtt; oldest > c.SlowAge*expected {
-		factor = oldest / expected
+// drawCheapest draws among the candidates whose cost is near the lowest. It is
+// false if none has a connection left.
+func drawCheapest(cands []candidate, near float64, random uint64) (candidate, bool) {
+	lowest := math.Inf(1)
+	for i := range cands {
+		lowest = min(lowest, cands[i].cost)
+	}
+	var chosen candidate
+	if math.IsInf(lowest, 1) {
+		return chosen, false
 	}
-	mean, age := m.Latency(now)
-	recent := math.Exp(-float64(age) / float64(balancer.LatencyDecay))
-	if ratio := (float64(mean) - m.rtt) / expected * recent; ratio > c.SlowRatio {
-		factor = max(factor, ratio)
+	seen := uint64(0)
+	for i := range cands {
+		if cands[i].cost > lowest+near {
+			continue
+		}
+		seen++
+		random = balancer.Mix(random)
+		if random%seen == 0 {
+			chosen = cands[i]
+		}
 	}
-	return factor
+	return chosen, true
 }
--- a/pkg/balancer/spindle/policy.go
+++ b/pkg/balancer/spindle/policy.go
@@ -1,6 +1,8 @@
 package spindle
 
 import (
+	"math"
+
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 )
 
@@ -15,8 +17,9 @@
 func (p *policy) Update(members []*balancer.Upstream) balancer.Picker {
 	pk := &picker{policy: p}
 	for _, u := range members {
-		pk.members = append(pk.members, member{Upstream: u, rtt: p.rtt(u)})
+		pk.members = append(pk.members, member{Upstream: u, rtt: p.rtt(u), share: p.share(u)})
 	}
+	p.markHome(pk.members)
 	return pk
 }
 
@@ -28,8 +31,18 @@
 	return float64(p.constants.DomainCost)
 }
 
+// share is this entry host's part of the connections to u.
+func (p *policy) share(u *balancer.Upstream) int64 {
+	if u.MaxConnections == 0 {
+		return math.MaxInt64
+	}
+	return int64(max(u.MaxConnections/max(p.options.EntryHosts, 1), 1))
+}
+
 // member is an upstream with what the snapshot knows of it.
 type member struct {
 	*balancer.Upstream
-	rtt float64
+	rtt   float64 // cost of the way, ns
+	home  bool    // preferred by this entry host
+	share int64   // connections that this entry host may use
 }
