--- a/pkg/balancer/spindle/constants.go
+++ b/pkg/balancer/spindle/constants.go
@@ -5,8 +5,8 @@
 // Constants are the tuning constants. docs/design/05-choosing.md names the run
 // that chose each.
 type Constants struct {
-	// Sample is the number of upstreams drawn for one choice, at most 32. It
-	// bounds the share of requests that an upstream with a low report attracts.
+	// Sample is the number of upstreams that one choice looks at, at most 32:
+	// the preferred ones and others drawn at random.
 	Sample float64
 	// ReportDecay is the age, in expected service times, at which a report has
 	// lost 63% of its weight against the mean of the group.
@@ -51,7 +51,7 @@
 
 // Defaults are the constants in force.
 var Defaults = Constants{
-	Sample:        32,
+	Sample:        12,
 	ReportDecay:   0.6,
 	NearEqual:     0.05,
 	BindSlack:     3,
--- a/pkg/balancer/spindle/estimate.go
+++ b/pkg/balancer/spindle/estimate.go
@@ -16,8 +16,7 @@
 }
 
 // estimate predicts load and time to the answer at m.
-func (p *picker) estimate(m *member, now time.Time) candidate {
-	service := p.policy.group.service()
+func (p *picker) estimate(m *member, now time.Time, service float64) candidate {
 	load := float64(m.Outstanding()) + p.others(m, now, service)
 	slots := float64(m.Slots)
 	queue := max(load+1-slots, 0) / slots
@@ -47,7 +46,7 @@
 	if !ok {
 		return mean
 	}
-	w := math.Exp(-float64(age) / (c.ReportDecay * service))
+	w := decay(float64(age), c.ReportDecay*service)
 	return w*float64(n) + (1-w)*mean
 }
 
@@ -75,17 +74,33 @@
 func (p *picker) slowness(m *member, now time.Time, service float64) float64 {
 	c := p.policy.constants
 	factor := 1.0
-	if oldest := float64(m.OldestAge(now)) - m.rtt; oldest > c.SlowAge*service {
-		factor = oldest / service
+	if m.Outstanding() > 0 {
+		if oldest := float64(m.OldestAge(now)) - m.rtt; oldest > c.SlowAge*service {
+			factor = oldest / service
+		}
 	}
 	mean, age := m.Latency(now)
-	recent := math.Exp(-float64(age) / float64(balancer.LatencyDecay))
-	if ratio := (float64(mean) - m.rtt) / service * recent; ratio > c.SlowRatio {
+	ratio := (float64(mean) - m.rtt) / service
+	if ratio <= c.SlowRatio {
+		return factor
+	}
+	if ratio *= decay(float64(age), float64(balancer.LatencyDecay)); ratio > c.SlowRatio {
 		factor = max(factor, ratio)
 	}
 	return factor
 }
 
+// negligibleAge is the age, in time constants, at which a weight counts as 0.
+const negligibleAge = 8
+
+// decay is the weight left at an age.
+func decay(age, timeConstant float64) float64 {
+	if age > negligibleAge*timeConstant {
+		return 0
+	}
+	return math.Exp(-age / timeConstant)
+}
+
 // maxEjectSteps bounds the growth of the ejection time.
 const maxEjectSteps = 8
 
--- a/pkg/balancer/spindle/home.go
+++ b/pkg/balancer/spindle/home.go
@@ -8,25 +8,21 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// markHome marks the members that this entry host prefers: those of its own
-// failure domain first, in an order that differs from host to host
-// (rendezvous hashing), so that a change of membership moves few preferences.
-func (p *policy) markHome(members []member) {
-	size := int(p.constants.HomeSize)
-	if size >= len(members) {
-		size = len(members)
-	}
-	order := make([]int, len(members))
-	score := make([]uint64, len(members))
+// preferHome puts the members that this entry host prefers first and returns
+// their number: those of its own failure domain, in an order that differs from
+// host to host (rendezvous hashing), so that a change of membership moves few
+// preferences.
+func (p *policy) preferHome(members []member) int {
 	self := strconv.Itoa(p.options.Self) + "/"
 	for i := range members {
-		order[i] = i
-		score[i] = xxhash.Sum64String(self + members[i].ID)
+		members[i].rank = xxhash.Sum64String(self + members[i].ID)
 	}
-	slices.SortFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(members[a].rtt, members[b].rtt), cmp.Compare(score[a], score[b]))
+	slices.SortFunc(members, func(a, b member) int {
+		return cmp.Or(cmp.Compare(a.rtt, b.rtt), cmp.Compare(a.rank, b.rank))
 	})
-	for _, i := range order[:size] {
+	home := min(int(p.constants.HomeSize), len(members))
+	for i := range home {
 		members[i].home = true
 	}
+	return home
 }
--- a/pkg/balancer/spindle/picker.go
+++ b/pkg/balancer/spindle/picker.go
@@ -27,7 +27,8 @@
 // picker is one snapshot of the group's membership.
 type picker struct {
 	policy  *policy
-	members []member
+	members []member // the preferred ones first
+	home    int      // number of preferred members
 }
 
 // Observe implements balancer.Observer.
@@ -39,13 +40,13 @@
 // believed full.
 func (p *picker) Pick(info balancer.PickInfo) (balancer.Result, error) {
 	var buf [maxCandidates]candidate
-	cands := p.candidates(buf[:0], info)
+	service := p.policy.group.service()
+	cands := p.candidates(buf[:0], info, service)
 	if len(cands) == 0 {
 		return balancer.Result{}, balancer.ErrNoUpstream
 	}
 	cands, panicking := p.eligible(cands)
 	c := p.policy.constants
-	service := p.policy.group.service()
 	best, ok := drawCheapest(cands, c.NearEqual*service, info.Random)
 	if !ok {
 		return hold(service), balancer.ErrNoSlot
@@ -80,28 +81,35 @@
 	}
 }
 
-// candidates estimates a sample of the members that were not tried: a walk
-// over the members in an order that the random number determines.
-func (p *picker) candidates(out []candidate, info balancer.PickInfo) []candidate {
-	n := uint64(len(p.members))
-	if n == 0 {
+// candidates estimates the preferred members and a sample of the others, as
+// far as they were not tried. Its work does not grow with the group.
+func (p *picker) candidates(out []candidate, info balancer.PickInfo, service float64) []candidate {
+	for i := range p.home {
+		out = p.consider(out, &p.members[i], info, service)
+	}
+	others := p.members[p.home:]
+	if len(others) == 0 {
 		return out
 	}
 	want := min(int(p.policy.constants.Sample), maxCandidates)
-	w := newWalk(n, info.Random)
-	for range n {
-		m := &p.members[w.next()]
-		if info.Excludes(m.Upstream) {
-			continue
-		}
-		out = append(out, p.estimate(m, info.Now))
-		if len(out) == want {
+	w := newWalk(uint64(len(others)), info.Random)
+	for range others {
+		if len(out) >= want {
 			break
 		}
+		out = p.consider(out, &others[w.next()], info, service)
 	}
 	return out
 }
 
+// consider appends the estimate of m unless it was tried.
+func (p *picker) consider(out []candidate, m *member, info balancer.PickInfo, service float64) []candidate {
+	if info.Excludes(m.Upstream) {
+		return out
+	}
+	return append(out, p.estimate(m, info.Now, service))
+}
+
 // eligible drops the ejected candidates. When more than the floor allows are
 // ejected, their failures say little on single upstreams, and all are kept.
 func (p *picker) eligible(cands []candidate) (kept []candidate, panicking bool) {
--- a/pkg/balancer/spindle/policy.go
+++ b/pkg/balancer/spindle/policy.go
@@ -19,7 +19,7 @@
 	for _, u := range members {
 		pk.members = append(pk.members, member{Upstream: u, rtt: p.rtt(u), share: p.share(u)})
 	}
-	p.markHome(pk.members)
+	pk.home = p.preferHome(pk.members)
 	return pk
 }
 
@@ -44,5 +44,6 @@
 	*balancer.Upstream
 	rtt   float64 // cost of the way, ns
 	home  bool    // preferred by this entry host
+	rank  uint64  // order among members of one domain
 	share int64   // connections that this entry host may use
 }
