Hold a request only on evidence, and take queueing out of the service time

Cause, found by the new tests: one report of a queue became the group's mean, so that every upstream of an idle group counted as full; and a preferred upstream that was full was held for although others had free slots. Ruled out: ageing the mean, since the hold would still rest on a guess. Also: spindle-lab goals, and a row for least outstanding with a hedge after a fixed delay.

--- a/cmd/spindle-lab/main.go
+++ b/cmd/spindle-lab/main.go
@@ -9,7 +9,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "spindle-lab", Short: "Compare balancer policies in virtual time", SilenceUsage: true}
-	root.AddCommand(tableCommand(), sweepCommand(), ablateCommand(), plotCommand())
+	root.AddCommand(tableCommand(), sweepCommand(), ablateCommand(), plotCommand(), goalsCommand())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
--- a/internal/lab/contenders.go
+++ b/internal/lab/contenders.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer/leastoutstanding"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/registry"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/spindle"
 )
@@ -9,6 +10,9 @@
 // ReferenceName is the row of the central queue.
 const ReferenceName = "central-queue"
 
+// HedgeSuffix marks the rows of a host that hedges.
+const HedgeSuffix = "+hedge"
+
 // Contenders returns every policy of the tree and the reference. The policies
 // that ask for probes get the budget in percent of slot time; the product's
 // own also runs without probes.
@@ -28,8 +32,11 @@
 		}
 		all = append(all, c)
 	}
-	all = append(all, Contender{Name: spindle.Name + "+hedge", Builder: spindle.Builder{}, NewHost: NewHedgingHost})
-	return append(all, Contender{Name: ReferenceName})
+	return append(all,
+		Contender{Name: leastoutstanding.Name + HedgeSuffix, Builder: leastoutstanding.Builder{}, NewHost: NewFixedHedgingHost},
+		Contender{Name: spindle.Name + HedgeSuffix, Builder: spindle.Builder{}, NewHost: NewHedgingHost},
+		Contender{Name: ReferenceName},
+	)
 }
 
 func isProber(b balancer.Builder) bool {
--- a/internal/lab/hedge.go
+++ b/internal/lab/hedge.go
@@ -20,6 +20,7 @@
 type hedgingHost struct {
 	*basicHost
 	tokens float64
+	fixed  time.Duration // replaces the policy's opinion; 0 keeps it
 }
 
 // NewHedgingHost returns a Host that hedges every request.
@@ -29,8 +30,22 @@
 	return h
 }
 
+// fixedHedge is the delay, in mean service times, of a host that hedges
+// without a policy's opinion. No real host knows the mean this well.
+const fixedHedge = 3
+
+// NewFixedHedgingHost returns a Host that hedges after a fixed delay.
+func NewFixedHedgingHost(env Env) Host {
+	h := NewHedgingHost(env).(*hedgingHost)
+	h.fixed = fixedHedge * env.(*hostEnv).world.run.Workload.Mean
+	return h
+}
+
 // watch starts the timer of a first send.
 func (h *hedgingHost) watch(r *Request, overdue time.Duration) {
+	if h.fixed > 0 {
+		overdue = h.fixed
+	}
 	if overdue <= 0 || r.Attempts > 1 {
 		return
 	}
--- a/internal/lab/host.go
+++ b/internal/lab/host.go
@@ -55,8 +55,9 @@
 	maxAttempts = 2
 )
 
-// basicHost queues while no slot is believed free, and sends a request that
-// was refused or failed once more.
+// basicHost queues while no slot is believed free, drops a request that has
+// less time left than the policy expects an answer to take, and sends a request
+// that was refused or failed once more.
 type basicHost struct {
 	env     Env
 	waiting []*Request
@@ -103,6 +104,10 @@
 	})
 	switch err {
 	case nil:
+		if r.Deadline.Sub(now) < res.OverdueAfter {
+			h.env.Finish(r, false) // the answer would likely be too late
+			return true
+		}
 		h.send(r, res)
 		return true
 	case balancer.ErrNoSlot:
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -66,7 +66,8 @@
 	RetryAfter time.Duration
 	// OverdueAfter is the time from the send after which an answer is later than
 	// this policy expects; a caller that hedges repeatable requests may send
-	// another attempt then. 0 means that the policy has no opinion.
+	// another attempt then, and a queue may drop a request that has less time
+	// left. 0 means that the policy has no opinion.
 	OverdueAfter time.Duration
 }
 
--- a/pkg/balancer/spindle/averages.go
+++ b/pkg/balancer/spindle/averages.go
@@ -38,13 +38,22 @@
 
 func (a *averages) observe(u *balancer.Upstream, f balancer.Feedback, rtt float64) {
 	if f.Outcome == balancer.Answered && f.Latency > 0 {
-		a.quick.track(max(float64(f.Latency)-rtt, 1))
+		a.quick.track(max(float64(f.Latency)-rtt, 1) / queued(u, f.Report))
 	}
 	if n, _, ok := u.Others(f.Now); ok && f.Report.Valid {
 		a.others.blend(float64(n))
 	}
 }
 
+// queued is the factor by which the reported queue lengthens an answer. It
+// keeps overload from passing for a long service time.
+func queued(u *balancer.Upstream, r balancer.Report) float64 {
+	if !r.Valid || u.Slots <= 0 {
+		return 1
+	}
+	return 1 + max(float64(r.InFlight+1-u.Slots), 0)/float64(u.Slots)
+}
+
 // atomicFloat is a float64 that goroutines share. A lost sample is harmless.
 type atomicFloat struct{ bits atomic.Uint64 }
 
--- a/pkg/balancer/spindle/constants.go
+++ b/pkg/balancer/spindle/constants.go
@@ -54,7 +54,7 @@
 	Sample:        12,
 	ReportDecay:   0.6,
 	NearEqual:     0.05,
-	BindSlack:     3,
+	BindSlack:     2,
 	MaxHold:       4,
 	SlowRatio:     3,
 	SlowAge:       1.5,
--- a/pkg/balancer/spindle/estimate.go
+++ b/pkg/balancer/spindle/estimate.go
@@ -11,19 +11,23 @@
 type candidate struct {
 	member  *member
 	load    float64 // estimated requests there, of all entry hosts
+	full    bool    // what is known, without the group's mean, fills it
 	cost    float64 // estimated time to the answer, ns; +Inf without a connection
 	ejected bool
 }
 
 // estimate predicts load and time to the answer at m.
 func (p *picker) estimate(m *member, now time.Time, service float64) candidate {
-	load := float64(m.Outstanding()) + p.others(m, now, service)
+	own := float64(m.Outstanding())
+	reported, mean := p.others(m, now, service)
+	load := own + reported + mean
 	slots := float64(m.Slots)
 	queue := max(load+1-slots, 0) / slots
 	slow := p.slowness(m, now, service)
 	c := candidate{
 		member:  m,
 		load:    load,
+		full:    own+reported >= slots+p.policy.constants.BindSlack,
 		cost:    m.rtt + service*(slow*(1+queue)+p.away(m)+p.cold(m, now)),
 		ejected: p.ejected(m, now),
 	}
@@ -33,21 +37,21 @@
 	return c
 }
 
-// others estimates the requests of other entry hosts: the newest report, which
-// loses weight against the group's mean as it ages. An upstream that has just
-// refused a request is full.
-func (p *picker) others(m *member, now time.Time, service float64) float64 {
+// others estimates the requests of other entry hosts as the sum of two parts:
+// the newest report, which loses weight as it ages, and the group's mean, which
+// takes that weight. An upstream that has just refused a request is full.
+func (p *picker) others(m *member, now time.Time, service float64) (reported, mean float64) {
 	c := p.policy.constants
 	if age, ok := m.Refused(now); ok && float64(age) < c.RefusedHold*service {
-		return float64(m.Slots) + c.BindSlack
+		return float64(m.Slots) + c.BindSlack, 0
 	}
-	mean := p.policy.group.others.load()
+	mean = p.policy.group.others.load()
 	n, age, ok := m.Others(now)
 	if !ok {
-		return mean
+		return 0, mean
 	}
 	w := decay(float64(age), c.ReportDecay*service)
-	return w*float64(n) + (1-w)*mean
+	return w * float64(n), (1 - w) * mean
 }
 
 // away is the extra cost of an upstream that this entry host does not prefer,
--- a/pkg/balancer/spindle/picker.go
+++ b/pkg/balancer/spindle/picker.go
@@ -47,37 +47,31 @@
 	}
 	cands, panicking := p.eligible(cands)
 	c := p.policy.constants
-	best, ok := drawCheapest(cands, c.NearEqual*service, info.Random)
+	near := c.NearEqual * service
+	waited := float64(info.Waited) > c.MaxHold*service
+	best, ok := drawCheapest(cands, near, info.Random, panicking || waited)
 	if !ok {
-		return hold(service), balancer.ErrNoSlot
+		hold := time.Duration(max(service/float64(cands[0].member.Slots), 1))
+		return balancer.Result{Reason: ReasonFull, RetryAfter: hold}, balancer.ErrNoSlot
 	}
-	reason := p.reason(best, info, service, panicking)
-	if reason == ReasonFull {
-		return hold(service / float64(best.member.Slots)), balancer.ErrNoSlot
-	}
-	overdue := time.Duration(c.OverdueAfter*service + best.member.rtt)
-	return balancer.Result{Upstream: best.member.Upstream, Reason: reason, OverdueAfter: overdue}, nil
-}
-
-func hold(ns float64) balancer.Result {
-	return balancer.Result{Reason: ReasonFull, RetryAfter: time.Duration(max(ns, 1))}
+	return balancer.Result{
+		Upstream:     best.member.Upstream,
+		Reason:       best.reason(panicking),
+		OverdueAfter: time.Duration(c.OverdueAfter*service + best.member.rtt),
+	}, nil
 }
 
-// reason decides whether a request is bound to the best candidate.
-func (p *picker) reason(best candidate, info balancer.PickInfo, service float64, panicking bool) string {
-	c := p.policy.constants
-	slots := float64(best.member.Slots)
+// reason names the ground of a choice.
+func (c candidate) reason(panicking bool) string {
 	switch {
 	case panicking:
 		return ReasonPanic
-	case best.load < slots:
-		return ReasonFree
-	case best.load < slots+c.BindSlack:
-		return ReasonShortQueue
-	case float64(info.Waited) > c.MaxHold*service:
+	case c.full:
 		return ReasonWaited
+	case c.load < float64(c.member.Slots):
+		return ReasonFree
 	default:
-		return ReasonFull
+		return ReasonShortQueue
 	}
 }
 
@@ -134,12 +128,14 @@
 	return kept, false
 }
 
-// drawCheapest draws among the candidates whose cost is near the lowest. It is
-// false if none has a connection left.
-func drawCheapest(cands []candidate, near float64, random uint64) (candidate, bool) {
+// drawCheapest draws among the candidates whose cost is near the lowest. Full
+// ones count only when full is set. It is false if no candidate is left.
+func drawCheapest(cands []candidate, near float64, random uint64, full bool) (candidate, bool) {
 	lowest := math.Inf(1)
 	for i := range cands {
-		lowest = min(lowest, cands[i].cost)
+		if full || !cands[i].full {
+			lowest = min(lowest, cands[i].cost)
+		}
 	}
 	var chosen candidate
 	if math.IsInf(lowest, 1) {
@@ -147,7 +143,7 @@
 	}
 	seen := uint64(0)
 	for i := range cands {
-		if cands[i].cost > lowest+near {
+		if cands[i].cost > lowest+near || cands[i].full && !full {
 			continue
 		}
 		seen++
