--- a/cmd/spindle-lab/ablate.go
+++ b/cmd/spindle-lab/ablate.go
@@ -23,7 +23,7 @@
 	{"no age", func(c *spindle.Constants) { c.SlowAge = math.Inf(1) }},
 	{"no latency", func(c *spindle.Constants) { c.SlowRatio = math.Inf(1) }},
 	{"no late binding", func(c *spindle.Constants) { c.BindSlack = math.Inf(1) }},
-	{"no ejection", func(c *spindle.Constants) { c.EjectFailures = math.MaxInt64 }},
+	{"no ejection", func(c *spindle.Constants) { c.EjectFailures = math.Inf(1) }},
 	{"no slow start", func(c *spindle.Constants) { c.ColdFactor = 0 }},
 }
 
--- a/pkg/balancer/spindle/constants.go
+++ b/pkg/balancer/spindle/constants.go
@@ -41,8 +41,18 @@
 	// OverdueAfter is the time after which an answer is overdue, in expected
 	// service times.
 	OverdueAfter float64
+	// ServiceQuantile is the quantile of the answer times that is tracked: a low
+	// one, since quick answers did not wait.
+	ServiceQuantile float64
+	// ServiceScale relates that quantile to the mean service time: 3.2 for the
+	// first quartile of a log-normal distribution with shape 1.
+	ServiceScale float64
+	// QuantileStep is the relative change of the tracked quantile by one answer.
+	QuantileStep float64
+	// AverageSamples is the number of reports over which the group's mean decays.
+	AverageSamples float64
 	// EjectFailures is the number of failures in a row that ejects an upstream.
-	EjectFailures int64
+	EjectFailures float64
 	// EjectTime is how long an ejected upstream stays out after its last failure.
 	EjectTime time.Duration
 	// EjectFloor is the share of the group below which nothing is ejected.
@@ -51,20 +61,24 @@
 
 // Defaults are the constants in force.
 var Defaults = Constants{
-	Sample:        12,
-	ReportDecay:   0.6,
-	NearEqual:     0.05,
-	BindSlack:     2,
-	MaxHold:       4,
-	SlowRatio:     3,
-	SlowAge:       1.5,
-	HomeSize:      4,
-	AwayCost:      0.4,
-	DomainCost:    3 * time.Millisecond,
-	ColdFactor:    2,
-	RefusedHold:   1,
-	OverdueAfter:  3,
-	EjectFailures: 1,
-	EjectTime:     200 * time.Millisecond,
-	EjectFloor:    0.5,
+	Sample:          12,
+	ReportDecay:     0.6,
+	NearEqual:       0.05,
+	BindSlack:       2,
+	MaxHold:         4,
+	SlowRatio:       3,
+	SlowAge:         1.5,
+	HomeSize:        4,
+	AwayCost:        0.4,
+	DomainCost:      3 * time.Millisecond,
+	ColdFactor:      2,
+	RefusedHold:     1,
+	OverdueAfter:    3,
+	ServiceQuantile: 0.25,
+	ServiceScale:    3.2,
+	QuantileStep:    0.05,
+	AverageSamples:  64,
+	EjectFailures:   1,
+	EjectTime:       200 * time.Millisecond,
+	EjectFloor:      0.5,
 }
--- a/pkg/balancer/spindle/estimate.go
+++ b/pkg/balancer/spindle/estimate.go
@@ -113,9 +113,9 @@
 func (p *picker) ejected(m *member, now time.Time) bool {
 	c := p.policy.constants
 	n, age := m.Failures(now)
-	if n < c.EjectFailures {
+	if float64(n) < c.EjectFailures {
 		return false
 	}
-	steps := min(n-c.EjectFailures+1, maxEjectSteps)
-	return age < time.Duration(steps)*c.EjectTime || m.Outstanding() > 0
+	steps := min(float64(n)-c.EjectFailures+1, maxEjectSteps)
+	return float64(age) < steps*float64(c.EjectTime) || m.Outstanding() > 0
 }
--- a/pkg/balancer/spindle/spindle.go
+++ b/pkg/balancer/spindle/spindle.go
@@ -23,5 +23,7 @@
 	if b.Constants != nil {
 		c = *b.Constants
 	}
-	return &policy{constants: c, options: o}
+	p := &policy{constants: c, options: o}
+	p.group.constants = &p.constants
+	return p
 }
--- a/pkg/balancer/spindle/tunables.go
+++ b/pkg/balancer/spindle/tunables.go
@@ -29,6 +29,11 @@
 	number("ColdFactor", "expected service times", func(c *Constants) *float64 { return &c.ColdFactor }),
 	number("RefusedHold", "expected service times", func(c *Constants) *float64 { return &c.RefusedHold }),
 	number("OverdueAfter", "expected service times", func(c *Constants) *float64 { return &c.OverdueAfter }),
+	number("ServiceQuantile", "share", func(c *Constants) *float64 { return &c.ServiceQuantile }),
+	number("ServiceScale", "ratio", func(c *Constants) *float64 { return &c.ServiceScale }),
+	number("QuantileStep", "ratio", func(c *Constants) *float64 { return &c.QuantileStep }),
+	number("AverageSamples", "reports", func(c *Constants) *float64 { return &c.AverageSamples }),
+	number("EjectFailures", "failures", func(c *Constants) *float64 { return &c.EjectFailures }),
 	duration("EjectTime", func(c *Constants) *time.Duration { return &c.EjectTime }),
 	number("EjectFloor", "share", func(c *Constants) *float64 { return &c.EjectFloor }),
 }
