Call an answer overdue after four expected service times

Cause: since queueing no longer counts as service time, three expected service times come earlier than they did, and hedges of ordinary long answers used up the budget before a slow-down.

--- a/pkg/balancer/spindle/constants.go
+++ b/pkg/balancer/spindle/constants.go
@@ -73,7 +73,7 @@
 	DomainCost:      3 * time.Millisecond,
 	ColdFactor:      2,
 	RefusedHold:     1,
-	OverdueAfter:    3,
+	OverdueAfter:    4,
 	ServiceQuantile: 0.25,
 	ServiceScale:    3.2,
 	QuantileStep:    0.05,
