Let the lab's hedging host save up ten hedges

Cause: at most three saved hedges per entry host are gone within the first milliseconds of a slow-down. Ruled out: a larger share; the mean stays at 10%.

--- a/internal/lab/hedge.go
+++ b/internal/lab/hedge.go
@@ -10,7 +10,7 @@
 	// hedgeShare is the largest share of extra sends.
 	hedgeShare = 0.1
 	// hedgeBurst is the number of extra sends that may be saved up.
-	hedgeBurst = 3
+	hedgeBurst = 10
 )
 
 // hedgingHost sends a second attempt of a request whose answer is overdue, as
