--- a/Makefile
+++ b/Makefile
@@ -33,4 +33,4 @@
 long-membership:
 	RAPID_CHECKS=$${RAPID_CHECKS:-10000} RAPID_SEED=$${RAPID_SEED:-7} \
 		go test -count=1 -timeout 60m -v -run RandomFaults ./pkg/membership
-	go test -run '^$$' -fuzz FuzzDecode -fuzztime 60s -parallel 2 ./pkg/membership/wire
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./pkg/membership/wire
