Test that acks nobody asked for are no sign of life

Cause: with the sequence of acks ignored on a scratch copy, every test passed. The new test fails then and passes with the check.

--- a/pkg/membership/fleet_faults_test.go
+++ b/pkg/membership/fleet_faults_test.go
@@ -285,3 +285,20 @@
 		is.Equal(got.State, membership.Alive)
 	}
 }
+
+// Acks that nobody asked for do not keep a killed host alive.
+func TestUnaskedAcksAreNoSignOfLife(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4, 14)
+	f.run(20)
+	killed := f.hosts[3].core.Snapshot().Self.Entry
+	f.hosts[3].up = false
+	for range 30 {
+		for i := range 3 {
+			ack := &membership.Message{From: killed, Body: membership.Ack{Sequence: f.rand.Uint64()}}
+			f.do(i, func(c *membership.Core) membership.Effects { return c.Receive(f.now, ack) })
+		}
+		f.run(1)
+	}
+	is.Equal(f.disagreement(), "")
+}
