--- a/Makefile
+++ b/Makefile
@@ -98,3 +98,5 @@
 fuzz-wire:
 	go test -run '^$$' -fuzz FuzzRequest -fuzztime $(FUZZTIME) -parallel 2 ./internal/httpwire/framing
 	go test -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME) -parallel 2 ./internal/httpwire/framing
+
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./pkg/membership/wire
