--- a/internal/proxy/fakes_test.go
+++ b/internal/proxy/fakes_test.go
@@ -74,7 +74,7 @@
 
 // leastOutstanding never reports a missing slot.
 func leastOutstanding(_ *config.Service, g *config.Group) *routing.Group {
-	return &routing.Group{Config: g, Picker: leastoutstanding.Builder{}.Build().Update(records(g))}
+	return &routing.Group{Config: g, Picker: leastoutstanding.Builder{}.Build(balancer.Options{}).Update(records(g))}
 }
 
 // lateBinding reports ErrNoSlot when every upstream is full.
