--- a/cmd/spindled/main.go
+++ b/cmd/spindled/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/signal"
@@ -17,7 +18,7 @@
 var version = "dev"
 
 func main() {
-	if err := newCommand().Execute(); err != nil {
+	if err := newCommand().ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "spindled:", err)
 		os.Exit(1)
 	}
@@ -47,11 +48,13 @@
 }
 
 func run(cmd *cobra.Command, conf settings.Entry) error {
-	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	e, err := entry.New(conf, os.Stdout)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := context.WithCancel(cmd.Context())
+	defer cancel()
+	e, err := entry.New(ctx, conf, version, os.Stdout)
 	if err != nil {
 		return err
 	}
-	return e.Run(ctx)
+	return e.Run(ctx, signals)
 }
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -9,23 +9,23 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/dapplespindle/dapplespindle/internal/proxy"
+	"github.com/dapplespindle/dapplespindle/internal/metrics"
 )
 
 const adminStopTimeout = time.Second
 
-// admin serves liveness and readiness.
+// admin serves liveness, readiness and metrics.
 type admin struct {
-	server   *http.Server
-	proxy    *proxy.Proxy
-	stopping atomic.Bool
+	server *http.Server
+	ready  atomic.Bool
 }
 
-func newAdmin(address string, p *proxy.Proxy) *admin {
-	a := &admin{proxy: p}
+func newAdmin(address string, m *metrics.Sink) *admin {
+	a := new(admin)
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /livez", a.live)
-	mux.HandleFunc("GET /readyz", a.ready)
+	mux.HandleFunc("GET /livez", a.serveLive)
+	mux.HandleFunc("GET /readyz", a.serveReady)
+	mux.Handle("GET /metrics", metrics.Handler(m.Registry()))
 	a.server = &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: adminStopTimeout}
 	return a
 }
@@ -45,17 +45,14 @@
 	_ = a.server.Shutdown(ctx)
 }
 
-func (a *admin) setStopping() { a.stopping.Store(true) }
+func (a *admin) setReady(ready bool) { a.ready.Store(ready) }
 
-func (a *admin) live(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }
+func (a *admin) serveLive(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }
 
-func (a *admin) ready(w http.ResponseWriter, _ *http.Request) {
-	switch {
-	case a.stopping.Load():
-		http.Error(w, "stopping", http.StatusServiceUnavailable)
-	case !a.proxy.Ready():
-		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
-	default:
-		_, _ = w.Write([]byte("ready\n"))
+func (a *admin) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !a.ready.Load() {
+		http.Error(w, "starting or stopping", http.StatusServiceUnavailable)
+		return
 	}
+	_, _ = w.Write([]byte("ready\n"))
 }
--- /dev/null
+++ b/internal/entry/build.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/dapplespindle/dapplespindle/internal/configfeed"
+	"github.com/dapplespindle/dapplespindle/internal/execution"
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/internal/members"
+	"github.com/dapplespindle/dapplespindle/internal/notices"
+	"github.com/dapplespindle/dapplespindle/internal/operator"
+	"github.com/dapplespindle/dapplespindle/internal/peer"
+	"github.com/dapplespindle/dapplespindle/internal/prober"
+	"github.com/dapplespindle/dapplespindle/internal/proxy"
+	"github.com/dapplespindle/dapplespindle/internal/settings"
+	"github.com/dapplespindle/dapplespindle/internal/tlsconf"
+	"github.com/dapplespindle/dapplespindle/internal/upstream"
+	"github.com/dapplespindle/dapplespindle/pkg/atmostonce"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/configsync"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/routing"
+)
+
+// credentials reads the files of one role; nil means without TLS.
+func (e *Entry) credentials(t settings.TLS) (credentials.TransportCredentials, error) {
+	if !t.Files.Enabled() {
+		return nil, nil
+	}
+	r, err := tlsconf.Load(t.Files, tlsconf.Options{OnReload: e.reloaded})
+	if err != nil {
+		return nil, err
+	}
+	return r.Credentials(t.ServerName), nil
+}
+
+// reloaded reports a change of the certificate files.
+func (e *Entry) reloaded(err error) {
+	if err != nil {
+		e.emit(event.Event{Code: event.CertificatesRejected, Detail: err.Error()})
+		return
+	}
+	e.emit(event.Event{Code: event.CertificatesReloaded})
+}
+
+func (e *Entry) buildPeers() error {
+	creds, err := e.credentials(e.conf.PeerTLS)
+	if err != nil {
+		return err
+	}
+	e.pool = peer.NewPool(creds)
+	e.peerServer = peer.NewServer(e.conf.PeerListen, creds)
+	address, err := netip.ParseAddrPort(e.conf.PeerListen)
+	if err != nil {
+		return err
+	}
+	keys, err := readKeys(e.conf.FleetKeyFile)
+	if err != nil {
+		return err
+	}
+	e.members, err = members.New(members.Config{
+		Address:       address,
+		FailureDomain: e.conf.FailureDomain,
+		Keys:          keys,
+		Hosts:         e.newPlatform(),
+		Loop:          e.loop,
+		Events:        e.sink,
+	})
+	if err != nil {
+		return err
+	}
+	return e.buildTickets(address)
+}
+
+func readKeys(file string) ([][]byte, error) {
+	if file == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "fleet-key-file")
+	}
+	return members.ParseKeys(strings.TrimSpace(string(text)))
+}
+
+func (e *Entry) buildTickets(address netip.AddrPort) error {
+	ledger := atmostonce.DefaultConfig()
+	ledger.Lifetime = e.conf.Tickets.Lifetime
+	ledger.MaxTickets = e.conf.Tickets.MaxRecords
+	ledger.MaxKeptBytes = e.conf.Tickets.MaxBytes
+	tickets, err := execution.New(execution.Config{
+		Host:      e.host,
+		Address:   address,
+		Ledger:    ledger,
+		KnownPeer: func(a netip.AddrPort) bool { return e.members.Snapshot().Find(a) != nil },
+		Direct:    func(r *routing.Rule) bool { return r.Config.Execution == config.ExecutionDirect },
+		Local: func(ctx context.Context, req *httpwire.Request) *httpwire.Response {
+			return e.proxy.ServeForwarded(ctx, req)
+		},
+		Pool:   e.pool,
+		Events: e.sink,
+	}, rand.Reader)
+	if err != nil {
+		return err
+	}
+	tickets.Register(e.peerServer)
+	e.tickets = tickets
+	return nil
+}
+
+func (e *Entry) buildCallPath() error {
+	limits := e.conf.Limits
+	e.control = newController(e)
+	e.client = upstream.New(upstream.Config{
+		DialTimeout:      limits.DialTimeout,
+		MaxResponseBytes: limits.MaxBodyBytes,
+	})
+	e.prober = prober.New(prober.Config{
+		EntryHost: e.host,
+		Sender:    e.client,
+		Events:    e.sink,
+		Report:    e.control.probed,
+		Path:      e.conf.Probe.Path,
+		Timeout:   e.conf.Probe.Timeout,
+		FreshFor:  e.conf.Probe.FreshFor,
+	})
+	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
+	e.proxy = proxy.New(e.host, incarnation, e.client, e.sink,
+		proxy.WithExecutor(e.tickets),
+		proxy.WithTracer(e.tracer),
+		proxy.WithUpstreams(e.control),
+	)
+	e.server = httpwire.NewServer(httpwire.ServerConfig{
+		Address:      e.conf.Listen,
+		MaxHeadBytes: limits.MaxHeadBytes,
+		MaxBodyBytes: limits.MaxBodyBytes,
+		HeadTimeout:  limits.HeadTimeout,
+		BodyTimeout:  limits.BodyTimeout,
+		IdleTimeout:  limits.IdleTimeout,
+		Handler:      e.proxy,
+		Refuse:       e.proxy.RefuseUnread,
+	})
+	return nil
+}
+
+func (e *Entry) buildControl(ctx context.Context) error {
+	e.notices = notices.New(notices.Config{
+		Loop:   e.loop,
+		Server: e.peerServer,
+		Pool:   e.pool,
+		Peers:  e.peerAddresses,
+		Known:  e.control.registry.Notices,
+		Merge:  e.control.merge,
+	})
+	e.feed = configfeed.New(ctx, configfeed.Config{
+		Host: e.host,
+		Options: configsync.Options{
+			Self:       configsync.Member{Address: e.conf.PeerListen, FailureDomain: e.conf.FailureDomain},
+			AloneAfter: e.conf.JoinTimeout,
+		},
+		Loop:     e.loop,
+		Server:   e.peerServer,
+		Pool:     e.pool,
+		Platform: e.newPlatform(),
+		Members:  e.configMembers,
+		Events:   e.sink,
+		OnChange: e.control.configured,
+	})
+	e.loop.Every(heartbeatEvery, e.control.tick)
+	e.admin = newAdmin(e.conf.AdminListen, e.metrics)
+	return nil
+}
+
+func (e *Entry) buildOperators() error {
+	creds, err := e.credentials(e.conf.Operators.TLS)
+	if err != nil {
+		return err
+	}
+	e.operatorServer = peer.NewServer(e.conf.Operators.Listen, creds)
+	e.operators = operator.New(operator.Config{
+		Host:      e.host,
+		Build:     e.build,
+		Source:    e.control.published,
+		Fleet:     fleetView{e},
+		Local:     e.server,
+		Upstreams: operator.ConfiguredUpstreams{Source: e.control.published, Observe: e.control.observe},
+		Events:    e.ring,
+		Peers:     operator.PeerClient{Connections: e.pool},
+	})
+	e.operators.Register(e.operatorServer)
+	e.operators.RegisterPeer(e.peerServer)
+	return nil
+}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -1,106 +1,201 @@
 package entry
 
 import (
-	"context"
-	"maps"
-	"slices"
+	"sync/atomic"
 	"time"
 
-	"github.com/dapplespindle/dapplespindle/internal/platform"
-	"github.com/dapplespindle/dapplespindle/internal/proxy"
+	operatorv1 "github.com/dapplespindle/dapplespindle/api/operator/v1"
+	"github.com/dapplespindle/dapplespindle/internal/configfeed"
+	"github.com/dapplespindle/dapplespindle/internal/operator"
+	"github.com/dapplespindle/dapplespindle/internal/prober"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/configsync"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+	"github.com/dapplespindle/dapplespindle/pkg/plan"
 	"github.com/dapplespindle/dapplespindle/pkg/routing"
 )
 
-const platformRetryPause = 500 * time.Millisecond
-
-// control owns the documents in force and publishes the routing table. Its
-// methods run on one goroutine.
-type control struct {
-	host     string
-	platform *platform.Client
-	wait     time.Duration
-	proxy    *proxy.Proxy
-	events   event.Sink
-	groups   *groupStore
-	services map[string]*config.Service
-	revision uint64
+const (
+	heartbeatEvery = 100 * time.Millisecond
+	registryEvery  = time.Second
+	// pausedAfter is the silence of the control goroutine after which the
+	// process is taken to have been paused.
+	pausedAfter = 2 * time.Second
+)
+
+// controller owns the configuration in force and the lifecycle of upstreams.
+// Its methods run on the control goroutine, but for those in upstreams.go.
+type controller struct {
+	entry     *Entry
+	groups    *groupStore
+	registry  *lifecycle.Registry
+	snapshot  atomic.Pointer[lifecycle.Snapshot]
+	published *operator.Published
+
+	config    configfeed.Snapshot
+	names     map[string]bool // services that the registry knows
+	ready     bool
+	readyBy   time.Time // serve without a peer's notices from then on
+	nextTick  time.Time
+	watermark configsync.Watermark
+
+	started   time.Time
+	heartbeat atomic.Int64 // nanoseconds after started
 }
 
-func newControl(host string, p *platform.Client, wait time.Duration, px *proxy.Proxy, events event.Sink) *control {
-	return &control{
-		host:     host,
-		platform: p,
-		wait:     wait,
-		proxy:    px,
-		events:   events,
-		groups:   newGroupStore(),
-		services: make(map[string]*config.Service),
+func newController(e *Entry) *controller {
+	c := &controller{
+		entry:     e,
+		groups:    newGroupStore(e.conf.FailureDomain),
+		registry:  lifecycle.NewRegistry(lifecycle.DefaultConfig(), hostSink{e}),
+		published: new(operator.Published),
+		names:     make(map[string]bool),
+		started:   time.Now(),
 	}
+	c.readyBy = c.started.Add(e.conf.JoinTimeout)
+	c.snapshot.Store(new(lifecycle.Snapshot))
+	return c
 }
 
-// run watches the platform until ctx ends.
-func (c *control) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		changes, err := c.platform.Watch(ctx, c.revision, c.wait)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			c.emit(event.Event{Code: event.PlatformUnreadable, Detail: err.Error()})
-			c.pause(ctx)
-			continue
+// configured takes the documents in force into the registry and publishes.
+func (c *controller) configured(s configfeed.Snapshot) {
+	now := time.Now()
+	c.config = s
+	present := make(map[string]bool, len(s.InForce))
+	for _, d := range s.InForce {
+		present[d.Name] = true
+		c.registry.Configure(now, d.Name, d.Revision, lifecycle.Listings(d.Service, activation))
+	}
+	for name := range c.names {
+		if !present[name] {
+			c.registry.Configure(now, name, s.Frontier, nil)
 		}
-		c.apply(changes)
 	}
+	c.names = present
+	c.publish()
+	c.tellOperators()
+	c.entry.prober.SetTargets(prober.Targets(services(s), c.entry.conf.MaxEntryHosts, c.entry.conf.Probe.Linger))
 }
 
-func (c *control) pause(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(platformRetryPause):
+func activation(u *config.Upstream) uint64 { return u.Activation }
+
+func services(s configfeed.Snapshot) []*config.Service {
+	out := make([]*config.Service, 0, len(s.InForce))
+	for _, d := range s.InForce {
+		out = append(out, d.Service)
 	}
+	return out
 }
 
-// apply takes the valid documents into force and publishes the table.
-func (c *control) apply(changes *platform.Changes) {
-	if changes.Revision <= c.revision {
+// publish hands a new lifecycle and the routing table that reflects it to the
+// traffic goroutines, in this order.
+func (c *controller) publish() {
+	snapshot, news := c.registry.Flush()
+	c.entry.notices.Tell(news)
+	if snapshot != nil {
+		c.snapshot.Store(snapshot)
+	}
+	if !c.mayServe() {
 		return
 	}
-	for _, ch := range changes.Changes {
-		c.applyOne(ch)
+	c.groups.lifecycle = c.snapshot.Load()
+	c.entry.proxy.SetTable(routing.Compile(c.config.Frontier, services(c.config), c.groups))
+	if !c.ready {
+		c.ready = true
+		c.entry.emit(event.Event{Code: event.ProcessReady})
 	}
-	c.revision = changes.Revision
-	names := slices.Sorted(maps.Keys(c.services))
-	services := make([]*config.Service, 0, len(names))
-	for _, n := range names {
-		services = append(services, c.services[n])
+}
+
+// mayServe reports whether the host has a configuration, and has heard from a
+// peer which upstreams are leaving, or waited long enough for one.
+func (c *controller) mayServe() bool {
+	if c.ready || !c.config.Ready {
+		return c.ready
+	}
+	return c.entry.notices.Fetched() || len(c.entry.peerAddresses()) == 0 || time.Now().After(c.readyBy)
+}
+
+// tick runs every heartbeatEvery.
+func (c *controller) tick(now time.Time) {
+	c.heartbeat.Store(int64(time.Since(c.started)))
+	if now.After(c.nextTick) {
+		c.nextTick = now.Add(registryEvery)
+		c.registry.Tick(now)
+		c.reportDrained(now)
+		c.publishChanged()
 	}
-	first := !c.proxy.Ready()
-	c.proxy.SetTable(routing.Compile(c.revision, services, c.groups))
-	if first {
-		c.emit(event.Event{Code: event.ProcessReady})
+	if !c.ready {
+		c.publish()
 	}
+	c.tellPeers()
 }
 
-func (c *control) applyOne(ch platform.Change) {
-	if ch.Deleted {
-		delete(c.services, ch.Key)
-		c.emit(event.Event{Code: event.ConfigApplied, Reason: "deleted", Detail: ch.Key, Value: int64(ch.Revision)})
-		return
+// publishChanged publishes if the registry has anything new.
+func (c *controller) publishChanged() {
+	if c.registry.Changed() {
+		c.publish()
+	}
+}
+
+// reportDrained tells the registry which leaving upstreams have nothing of this
+// host in flight.
+func (c *controller) reportDrained(now time.Time) {
+	for key, g := range c.groups.groups {
+		for id, u := range g.upstreams {
+			if u.Outstanding() == 0 {
+				c.registry.InFlight(now, lifecycle.MemberKey{Service: key.service, Upstream: id}, 0)
+			}
+		}
+	}
+}
+
+// merge takes in notices of a peer.
+func (c *controller) merge(now time.Time, list []lifecycle.Notice) {
+	for _, n := range list {
+		c.registry.Merge(now, n)
 	}
-	svc, err := config.Parse(ch.Value)
-	if err != nil {
-		c.emit(event.Event{Code: event.ConfigRejected, Reason: "invalid", Detail: ch.Key + ": " + err.Error(), Value: int64(ch.Revision)})
+	c.publishChanged()
+}
+
+// tellPeers publishes the watermark with this host's membership entry.
+func (c *controller) tellPeers() {
+	w := c.entry.feed.Watermark()
+	if w == c.watermark {
 		return
 	}
-	c.services[ch.Key] = svc
-	c.emit(event.Event{Code: event.ConfigApplied, Reason: "published", Detail: ch.Key, Value: int64(ch.Revision)})
+	if c.entry.members.SetMetadata(w.Encode()) == nil {
+		c.watermark = w
+		c.tellOperators()
+	}
+}
+
+// tellOperators publishes the configuration in force to the operators' service.
+func (c *controller) tellOperators() {
+	w := c.entry.feed.Watermark()
+	state := &plan.State{Revision: w.Frontier, Digest: w.Digest}
+	for _, d := range c.config.InForce {
+		state.Documents = append(state.Documents, plan.Document{Service: d.Service, Revision: d.Revision})
+	}
+	c.published.Store(state)
+}
+
+// observe adds to an operator's view of an upstream what this host knows. It
+// runs on any goroutine.
+func (c *controller) observe(service, group string, out *operatorv1.UpstreamStatus) {
+	view, ok := c.snapshot.Load().View(lifecycle.MemberKey{Service: service, Upstream: out.Id})
+	if ok {
+		out.Condition = view.State
+	}
+}
+
+// hostSink adds this host's name to the events of a part that has none.
+type hostSink struct {
+	entry *Entry
 }
 
-func (c *control) emit(e event.Event) {
-	e.At = time.Now()
-	e.EntryHost = c.host
-	c.events.Emit(e)
+// Emit implements event.Sink.
+func (s hostSink) Emit(e event.Event) {
+	e.EntryHost = s.entry.host
+	s.entry.sink.Emit(e)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,106 +1,166 @@
 // Package entry assembles the daemon of an entry host: the listener for
-// callers, the connections to upstreams, and the control goroutine that turns
-// published documents into the routing table.
+// callers, the connections to upstreams and peers, the operators' service, and
+// the control goroutine that turns published documents into the routing table.
 package entry
 
 import (
 	"context"
 	"io"
-	"net/netip"
-	"strconv"
+	"os"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/dapplespindle/dapplespindle/internal/configfeed"
+	"github.com/dapplespindle/dapplespindle/internal/control"
+	"github.com/dapplespindle/dapplespindle/internal/events"
+	"github.com/dapplespindle/dapplespindle/internal/execution"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/internal/logging"
+	"github.com/dapplespindle/dapplespindle/internal/members"
+	"github.com/dapplespindle/dapplespindle/internal/metrics"
+	"github.com/dapplespindle/dapplespindle/internal/notices"
+	"github.com/dapplespindle/dapplespindle/internal/operator"
+	"github.com/dapplespindle/dapplespindle/internal/peer"
 	"github.com/dapplespindle/dapplespindle/internal/platform"
+	"github.com/dapplespindle/dapplespindle/internal/prober"
 	"github.com/dapplespindle/dapplespindle/internal/proxy"
 	"github.com/dapplespindle/dapplespindle/internal/settings"
+	"github.com/dapplespindle/dapplespindle/internal/tracing"
 	"github.com/dapplespindle/dapplespindle/internal/upstream"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 )
 
-// Entry is one entry host.
+// Entry is one entry host. New builds its parts; Run starts and stops them.
 type Entry struct {
 	conf    settings.Entry
+	build   string
 	host    string
-	events  event.Sink
-	proxy   *proxy.Proxy
-	server  *httpwire.Server
-	client  *upstream.Client
-	control *control
-	admin   *admin
-}
+	sink    event.Sink
+	ring    *events.Ring
+	metrics *metrics.Sink
+	tracer  *tracing.Tracer
 
-const idlePerUpstream = 64
+	loop      *control.Loop
+	control   *controller
+	members   *members.Members
+	feed      *configfeed.Feed
+	notices   *notices.Spreader
+	tickets   *execution.Service
+	prober    *prober.Prober
+	operators *operator.Server
 
-// New assembles an entry host from checked settings. Logs go to w.
-func New(conf settings.Entry, w io.Writer) (*Entry, error) {
-	level, err := zerolog.ParseLevel(conf.LogLevel)
-	if err != nil {
-		return nil, err
+	pool           *peer.Pool
+	peerServer     *peer.Server
+	operatorServer *peer.Server
+	client         *upstream.Client
+	proxy          *proxy.Proxy
+	server         *httpwire.Server
+	admin          *admin
+}
+
+// New assembles an entry host from checked settings. Logs go to w. The parts
+// that work in the background end with ctx.
+func New(ctx context.Context, conf settings.Entry, build string, w io.Writer) (*Entry, error) {
+	e := &Entry{conf: conf, build: build, host: conf.PeerListen, loop: control.NewLoop()}
+	steps := []func(context.Context) error{
+		func(context.Context) error { return e.buildEvents(w) },
+		e.buildTracing,
+		func(context.Context) error { return e.buildPeers() },
+		func(context.Context) error { return e.buildCallPath() },
+		e.buildControl,
+		func(context.Context) error { return e.buildOperators() },
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return nil, err
+		}
 	}
-	addr, err := netip.ParseAddrPort(conf.Listen)
+	return e, nil
+}
+
+func (e *Entry) buildEvents(w io.Writer) error {
+	level, err := zerolog.ParseLevel(e.conf.LogLevel)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	e := &Entry{conf: conf, host: addr.String(), events: logging.New(w, level)}
-	logging.CaptureLibrary(e.events)
-	e.client = upstream.New(upstream.Config{
-		DialTimeout:      conf.Limits.DialTimeout,
-		IdlePerUpstream:  idlePerUpstream,
-		MaxResponseBytes: conf.Limits.MaxBodyBytes,
+	e.ring = events.NewRing(events.Config{
+		Capacity:       e.conf.Operators.EventCapacity,
+		DebugPerSecond: e.conf.Operators.DebugEvents,
 	})
-	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
-	e.proxy = proxy.New(e.host, incarnation, e.client, e.events)
-	e.server = httpwire.NewServer(httpwire.ServerConfig{
-		Address:      conf.Listen,
-		MaxBodyBytes: conf.Limits.MaxBodyBytes,
-		IdleTimeout:  conf.Limits.IdleTimeout,
-		Handler:      e.proxy,
+	e.metrics = metrics.New()
+	e.metrics.AddRing(e.ring.Stats)
+	e.sink = events.Fanout{logging.New(w, level), e.ring, e.metrics}
+	logging.CaptureLibrary(e.sink)
+	return nil
+}
+
+func (e *Entry) buildTracing(ctx context.Context) error {
+	t, err := tracing.New(ctx, tracing.Config{
+		Endpoint: e.conf.Operators.TraceEndpoint,
+		Ratio:    e.conf.Operators.TraceRatio,
+		Host:     e.host,
+		Build:    e.build,
 	})
-	e.control = newControl(e.host, platform.NewClient(conf.Platform), conf.WatchWait, e.proxy, e.events)
-	e.admin = newAdmin(conf.AdminListen, e.proxy)
-	return e, nil
+	e.tracer = t
+	return err
 }
 
-// Run serves until ctx ends, then finishes the requests in flight.
-func (e *Entry) Run(ctx context.Context) error {
-	if err := e.client.Start(); err != nil {
+// Run serves until a planned stop is over. A first signal begins the stop, a
+// second one ends it at once.
+func (e *Entry) Run(ctx context.Context, signals <-chan os.Signal) error {
+	loopCtx, stopLoop := context.WithCancel(ctx)
+	defer stopLoop()
+	if err := e.start(loopCtx); err != nil {
 		return err
 	}
-	defer e.client.Stop()
-	if err := e.admin.start(); err != nil {
-		return err
+	defer e.close()
+	e.emit(event.Event{Code: event.ProcessStarted})
+	newStopper(e).run(ctx, signals)
+	return nil
+}
+
+// start opens the sockets. What callers reach comes last.
+func (e *Entry) start(ctx context.Context) error {
+	go e.loop.Run(ctx)
+	steps := []func() error{
+		e.client.Start,
+		e.peerServer.Start,
+		e.operatorServer.Start,
+		e.members.Start,
+		e.admin.start,
+		e.server.Start,
 	}
-	defer e.admin.stop()
-	if err := e.server.Start(); err != nil {
-		return err
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
 	}
-	defer e.server.Stop()
-	e.emit(event.Event{Code: event.ProcessStarted})
-	e.control.run(ctx)
-	e.emit(event.Event{Code: event.ProcessStopping, Value: e.server.InFlight()})
-	e.admin.setStopping()
-	left := e.finish()
-	e.emit(event.Event{Code: event.ProcessStopped, Value: left})
+	go e.prober.Run(ctx)
 	return nil
 }
 
-const finishPoll = 10 * time.Millisecond
+// closeTimeout bounds what is told to peers and collectors at the end.
+const closeTimeout = time.Second
 
-// finish waits for the requests in flight and returns how many were cut off.
-func (e *Entry) finish() int64 {
-	deadline := time.Now().Add(e.conf.Stop.Timeout)
-	for e.server.InFlight() > 0 && time.Now().Before(deadline) {
-		time.Sleep(finishPoll)
-	}
-	return e.server.InFlight()
+func (e *Entry) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	e.server.Stop()
+	e.members.Stop(ctx)
+	e.operatorServer.Stop()
+	e.peerServer.Stop()
+	e.pool.Close()
+	e.client.Stop()
+	e.admin.stop()
+	e.tracer.Stop(ctx)
 }
 
 func (e *Entry) emit(ev event.Event) {
 	ev.At = time.Now()
 	ev.EntryHost = e.host
-	e.events.Emit(ev)
+	e.sink.Emit(ev)
 }
+
+// newPlatform returns the client of the platform's services.
+func (e *Entry) newPlatform() *platform.Client { return platform.NewClient(e.conf.Platform) }
--- /dev/null
+++ b/internal/entry/fleet.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"github.com/dapplespindle/dapplespindle/internal/operator"
+	"github.com/dapplespindle/dapplespindle/pkg/configsync"
+	"github.com/dapplespindle/dapplespindle/pkg/membership"
+)
+
+// configMembers gives the configuration feed the entry hosts that are not
+// known to be dead; false until a first list or peer was heard.
+func (e *Entry) configMembers() ([]configsync.Member, bool) {
+	s := e.members.Snapshot()
+	if !s.Joined {
+		return nil, false
+	}
+	out := make([]configsync.Member, 0, len(s.Members))
+	for i := range s.Members {
+		m := &s.Members[i]
+		if m.State != membership.Dead {
+			out = append(out, configsync.Member{Address: m.Address.String(), FailureDomain: m.FailureDomain})
+		}
+	}
+	return out, true
+}
+
+// peerAddresses returns the other entry hosts that are not known to be dead.
+func (e *Entry) peerAddresses() []string {
+	s := e.members.Snapshot()
+	out := make([]string, 0, len(s.Members))
+	for i := range s.Members {
+		m := &s.Members[i]
+		if m.State != membership.Dead && m.Address != s.Self.Address {
+			out = append(out, m.Address.String())
+		}
+	}
+	return out
+}
+
+// fleetView implements operator.FleetView over the membership.
+type fleetView struct {
+	entry *Entry
+}
+
+// Members implements operator.FleetView.
+func (v fleetView) Members() []operator.Member {
+	s := v.entry.members.Snapshot()
+	out := make([]operator.Member, 0, len(s.Members))
+	for i := range s.Members {
+		m := &s.Members[i]
+		member := operator.Member{
+			Host:          m.Address.String(),
+			PeerAddress:   m.Address.String(),
+			FailureDomain: m.FailureDomain,
+			State:         operator.MemberState(m.Status()),
+			Incarnation:   m.Incarnation,
+			Self:          m.Address == s.Self.Address,
+		}
+		if w, err := v.watermark(m, member.Self); err == nil {
+			member.Revision = w.Frontier
+			member.Digest = w.Digest
+		}
+		out = append(out, member)
+	}
+	return out
+}
+
+func (v fleetView) watermark(m *membership.Member, self bool) (configsync.Watermark, error) {
+	if self {
+		return v.entry.feed.Watermark(), nil
+	}
+	return configsync.DecodeWatermark(m.Metadata)
+}
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -7,6 +7,7 @@
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/registry"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/spindle"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
 	"github.com/dapplespindle/dapplespindle/pkg/routing"
 )
 
@@ -19,6 +20,7 @@
 type groupState struct {
 	policyName string
 	policy     balancer.Policy
+	picker     balancer.Picker
 	upstreams  map[string]*balancer.Upstream
 }
 
@@ -26,11 +28,16 @@
 type groupStore struct {
 	// options are what policies are told of this entry host.
 	options balancer.Options
-	groups  map[groupKey]*groupState
+	// lifecycle says which upstreams take new requests.
+	lifecycle *lifecycle.Snapshot
+	groups    map[groupKey]*groupState
 }
 
-func newGroupStore() *groupStore {
-	return &groupStore{groups: make(map[groupKey]*groupState)}
+func newGroupStore(failureDomain string) *groupStore {
+	return &groupStore{
+		options: balancer.Options{FailureDomain: failureDomain},
+		groups:  make(map[groupKey]*groupState),
+	}
 }
 
 // Group implements routing.Groups.
@@ -45,7 +52,9 @@
 		}
 		s.groups[key] = st
 	}
-	return &routing.Group{Config: g, Picker: bindAlways{st.policy.Update(st.members(g, time.Now()))}}
+	st.refresh(g, time.Now())
+	st.picker = st.policy.Update(s.taking(svc.Name, g, st))
+	return &routing.Group{Config: g, Picker: st.picker, Lifecycle: s.lifecycle.Version}
 }
 
 // buildPolicy returns the policy that the group names. A name that this
@@ -61,59 +70,53 @@
 	return b.Build(options)
 }
 
-// members returns the records of the upstreams that take new requests, and
-// forgets those that are no longer configured. An upstream that joins a group
-// which already had members starts slowly.
-func (st *groupState) members(g *config.Group, now time.Time) []*balancer.Upstream {
-	var active []*balancer.Upstream
+// taking returns the members that take new requests; those that can't be
+// reached only if there are no others.
+func (s *groupStore) taking(service string, g *config.Group, st *groupState) []*balancer.Upstream {
+	var reachable, unreachable []*balancer.Upstream
+	for i := range g.Upstreams {
+		id := g.Upstreams[i].ID
+		view, _ := s.lifecycle.View(lifecycle.MemberKey{Service: service, Upstream: id})
+		switch {
+		case !view.Takes:
+		case view.Unreachable:
+			unreachable = append(unreachable, st.upstreams[id])
+		default:
+			reachable = append(reachable, st.upstreams[id])
+		}
+	}
+	if len(reachable) == 0 {
+		return unreachable
+	}
+	return reachable
+}
+
+// refresh makes records for new members and forgets those that are no longer
+// configured. An upstream that joins a group which already had members starts
+// slowly.
+func (st *groupState) refresh(g *config.Group, now time.Time) {
 	joined := len(st.upstreams) > 0
 	known := make(map[string]*balancer.Upstream, len(g.Upstreams))
 	for i := range g.Upstreams {
 		cu := &g.Upstreams[i]
 		u := st.upstreams[cu.ID]
 		if u == nil || u.Address != cu.Address {
-			u = &balancer.Upstream{
-				ID:             cu.ID,
-				Address:        cu.Address,
-				FailureDomain:  cu.FailureDomain,
-				Slots:          cu.Slots,
-				MaxConnections: cu.MaxConnections,
+			u = newUpstream(cu)
+			if joined {
+				u.Added = now
 			}
 		}
-		if u.Added.IsZero() && joined && st.upstreams[cu.ID] != u {
-			u.Added = now
-		}
 		known[cu.ID] = u
-		if cu.State == config.Active {
-			active = append(active, u)
-		}
 	}
 	st.upstreams = known
-	return active
-}
-
-// bindAlways sends a request at once where its policy would hold it. It stands
-// in until requests wait in a local queue.
-type bindAlways struct {
-	picker balancer.Picker
-}
-
-// longestWait makes a policy bind a request.
-const longestWait = time.Hour
-
-// Pick implements balancer.Picker.
-func (b bindAlways) Pick(info balancer.PickInfo) (balancer.Result, error) {
-	res, err := b.picker.Pick(info)
-	if err != balancer.ErrNoSlot {
-		return res, err
-	}
-	info.Waited = longestWait
-	return b.picker.Pick(info)
 }
 
-// Observe implements balancer.Observer.
-func (b bindAlways) Observe(u *balancer.Upstream, f balancer.Feedback) {
-	if o, ok := b.picker.(balancer.Observer); ok {
-		o.Observe(u, f)
+func newUpstream(cu *config.Upstream) *balancer.Upstream {
+	return &balancer.Upstream{
+		ID:             cu.ID,
+		Address:        cu.Address,
+		FailureDomain:  cu.FailureDomain,
+		Slots:          cu.Slots,
+		MaxConnections: cu.MaxConnections,
 	}
 }
--- a/internal/entry/groups_test.go
+++ b/internal/entry/groups_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
 )
 
 func groupOf(policy string, ids ...string) *config.Group {
@@ -17,32 +20,68 @@
 	return g
 }
 
+// groupFleet is a store with the registry that it takes the lifecycle from.
+type groupFleet struct {
+	store    *groupStore
+	registry *lifecycle.Registry
+	service  config.Service
+	revision uint64
+}
+
+func newGroupFleet() *groupFleet {
+	return &groupFleet{
+		store:    newGroupStore("caruaru"),
+		registry: lifecycle.NewRegistry(lifecycle.DefaultConfig(), event.Discard{}),
+		service:  config.Service{Name: "catalogue"},
+	}
+}
+
+// publish takes a document into force and returns the picker of its group.
+func (f *groupFleet) publish(g *config.Group) balancer.Picker {
+	f.revision++
+	f.service.Groups = []config.Group{*g}
+	f.registry.Configure(time.Now(), f.service.Name, f.revision, lifecycle.Listings(&f.service, activation))
+	f.store.lifecycle, _ = f.registry.Flush()
+	return f.store.Group(&f.service, g).Picker
+}
+
+func (f *groupFleet) state() *groupState { return f.store.groups[groupKey{"catalogue", "main"}] }
+
 func TestGroupKeepsRecordsOverChanges(t *testing.T) {
 	is := is.New(t)
-	s := newGroupStore()
-	svc := &config.Service{Name: "catalogue"}
-	key := groupKey{"catalogue", "main"}
-
-	s.Group(svc, groupOf("spindle", "a", "b"))
-	a := s.groups[key].upstreams["a"]
+	f := newGroupFleet()
+	f.publish(groupOf("spindle", "a", "b"))
+	a := f.state().upstreams["a"]
 	is.True(a.Added.IsZero()) // there from the start
 
-	s.Group(svc, groupOf("spindle", "a", "c"))
-	is.Equal(s.groups[key].upstreams["a"], a)                         // the same record
-	is.True(!s.groups[key].upstreams["c"].Added.IsZero())             // starts slowly
-	is.Equal(s.groups[key].upstreams["b"], (*balancer.Upstream)(nil)) // forgotten
+	f.publish(groupOf("spindle", "a", "c"))
+	is.Equal(f.state().upstreams["a"], a)                         // the same record
+	is.True(!f.state().upstreams["c"].Added.IsZero())             // starts slowly
+	is.Equal(f.state().upstreams["b"], (*balancer.Upstream)(nil)) // forgotten
 
-	s.Group(svc, groupOf("random", "a"))
-	is.Equal(s.groups[key].policyName, "random")
+	f.publish(groupOf("random", "a"))
+	is.Equal(f.state().policyName, "random")
+}
+
+func TestGroupServesUnderAnUnknownPolicy(t *testing.T) {
+	is := is.New(t)
+	res, err := newGroupFleet().publish(groupOf("no-such-policy", "a")).Pick(balancer.PickInfo{})
+	is.NoErr(err)
+	is.Equal(res.Upstream.ID, "a")
 }
 
-func TestGroupBindsWhileThereIsNoQueue(t *testing.T) {
+func TestGroupLeavesOutWhatLeaves(t *testing.T) {
 	is := is.New(t)
-	s := newGroupStore()
-	g := s.Group(&config.Service{Name: "catalogue"}, groupOf("no-such-policy", "a"))
-	for range 20 {
-		res, err := g.Picker.Pick(balancer.PickInfo{})
+	f := newGroupFleet()
+	f.publish(groupOf("random", "a", "b"))
+	f.registry.Refused(time.Now(), lifecycle.MemberKey{Service: "catalogue", Upstream: "a"}, 0)
+	picker := f.publish(groupOf("random", "a", "b")) // lists a as active still
+	for i := range 50 {
+		res, err := picker.Pick(balancer.PickInfo{Random: uint64(i) << 56})
 		is.NoErr(err)
-		res.Upstream.Start()
+		is.Equal(res.Upstream.ID, "b")
 	}
+	picker = f.publish(groupOf("random", "a"))
+	_, err := picker.Pick(balancer.PickInfo{})
+	is.Equal(err, balancer.ErrNoUpstream)
 }
--- /dev/null
+++ b/internal/entry/upstreams.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/internal/prober"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+)
+
+// The methods in this file implement proxy.Upstreams. Traffic goroutines call
+// them; news goes to the control goroutine over its queue.
+
+// Snapshot implements proxy.Upstreams.
+func (c *controller) Snapshot() *lifecycle.Snapshot { return c.snapshot.Load() }
+
+// Leaving implements proxy.Upstreams.
+func (c *controller) Leaving(k lifecycle.MemberKey, activation uint64) {
+	if !c.snapshot.Load().Takes(k) {
+		return
+	}
+	c.entry.loop.Post(func() {
+		c.registry.Refused(time.Now(), k, activation)
+		c.publishChanged()
+	})
+}
+
+// ConnectFailed implements proxy.Upstreams.
+func (c *controller) ConnectFailed(k lifecycle.MemberKey) {
+	c.entry.loop.Post(func() {
+		c.registry.ConnectFailed(time.Now(), k)
+		c.publishChanged()
+	})
+}
+
+// Reached implements proxy.Upstreams.
+func (c *controller) Reached(k lifecycle.MemberKey) {
+	c.entry.loop.Post(func() {
+		c.registry.Reached(time.Now(), k)
+		c.publishChanged()
+	})
+}
+
+// Reported implements proxy.Upstreams.
+func (c *controller) Reported(upstream string, now time.Time) {
+	c.entry.prober.Heard(upstream, now)
+}
+
+// Waking implements proxy.Upstreams. It notices a pause before the control
+// goroutine has run again.
+func (c *controller) Waking() bool {
+	if !c.entry.proxy.Ready() {
+		return false
+	}
+	silent := time.Since(c.started) - time.Duration(c.heartbeat.Load())
+	return silent > pausedAfter || c.entry.feed.Learning()
+}
+
+// probed hands the report of a probe to the groups that list the upstream.
+func (c *controller) probed(r prober.Report) {
+	c.entry.loop.Post(func() {
+		feedback := balancer.Feedback{
+			Now:     r.Received,
+			Latency: r.Received.Sub(r.Sent),
+			Report:  balancer.Report{Valid: true, InFlight: r.Active},
+		}
+		for _, g := range c.groups.groups {
+			if u := g.upstreams[r.Upstream]; u != nil {
+				balancer.FinishProbe(g.picker, u, feedback)
+			}
+		}
+	})
+}
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -84,6 +84,10 @@
 // stopPoll is how often Shutdown looks whether the work is done.
 const stopPoll = 5 * time.Millisecond
 
+// Drain begins a planned stop: callers are still accepted, and every answer
+// from now on says "Connection: close", so that they move away.
+func (s *Server) Drain() { s.stopping.Store(true) }
+
 // Shutdown is a planned stop. It stops accepting, answers every request that
 // still arrives with "Connection: close", closes idle connections after grace,
 // and waits for the requests in flight until ctx ends. It returns how many are
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -54,6 +54,12 @@
 	clientTimeout    = 10 * time.Second
 )
 
+// Headers of answers.
+const (
+	headerOutcome = "Dapplespindle-Outcome"
+	headerTicket  = "Dapplespindle-Ticket"
+)
+
 // Stats holds what was seen for one target.
 type Stats struct {
 	// Latency is in microseconds.
@@ -198,24 +204,41 @@
 // does not hide its own delay.
 func (g *generator) send(target, n int, due time.Time) {
 	t := g.conf.Targets[target]
-	req, err := http.NewRequest(t.Method, t.URL, nil)
+	action := ""
+	if t.Action {
+		action = fmt.Sprintf("action-%d-%d", g.conf.Seed, n)
+	}
+	resp, err := g.ask(t, action, "")
+	if err == nil && resp.StatusCode == http.StatusPreconditionRequired {
+		resp, err = g.ask(t, action, resp.Header.Get(headerTicket))
+	}
 	if err != nil {
 		g.record(target, due, "", err)
 		return
 	}
-	if t.Action {
-		action := fmt.Sprintf("action-%d-%d", g.conf.Seed, n)
+	g.record(target, due, resp.Header.Get(headerOutcome), nil)
+}
+
+// ask sends one request and reads its answer. An action carries the ticket that
+// it was offered, if any.
+func (g *generator) ask(t Target, action, ticket string) (*http.Response, error) {
+	req, err := http.NewRequest(t.Method, t.URL, nil)
+	if err != nil {
+		return nil, err
+	}
+	if action != "" {
 		req.Header.Set("X-Action", action)
-		req.Header.Set("Idempotency-Key", action)
+	}
+	if ticket != "" {
+		req.Header.Set("Idempotency-Key", ticket)
 	}
 	resp, err := g.client.Do(req)
 	if err != nil {
-		g.record(target, due, "", err)
-		return
+		return nil, err
 	}
 	_, err = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
-	g.record(target, due, resp.Header.Get("Dapplespindle-Outcome"), err)
+	return resp, err
 }
 
 func (g *generator) record(target int, due time.Time, outcome string, err error) {
--- /dev/null
+++ b/internal/notices/notices.go
@@ -0,0 +1,140 @@
+// Package notices spreads notices about leaving upstreams between entry hosts:
+// news is pushed at once to a few peers for a few rounds, and everything known
+// is exchanged with one random peer each second. A starting host fetches the
+// notices of a peer before it serves.
+package notices
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	noticesv1 "github.com/dapplespindle/dapplespindle/api/notices/v1"
+	"github.com/dapplespindle/dapplespindle/internal/control"
+	"github.com/dapplespindle/dapplespindle/internal/peer"
+	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+)
+
+// The schedule, as measured in docs/design/08-drain.md.
+const (
+	pushEvery     = 200 * time.Millisecond
+	pushRounds    = 5
+	pushFanOut    = 2
+	exchangeEvery = time.Second
+	callTimeout   = 500 * time.Millisecond
+)
+
+// Config is what New needs. All fields are required.
+type Config struct {
+	// Loop is the control loop; New must be called before it runs.
+	Loop *control.Loop
+	// Server is where peers reach this host; New must be called before it serves.
+	Server *peer.Server
+	// Pool connects to peers.
+	Pool *peer.Pool
+	// Peers returns the addresses of the other entry hosts.
+	Peers func() []string
+	// Known returns the notices known here. It runs on the control goroutine.
+	Known func(now time.Time) []lifecycle.Notice
+	// Merge takes in notices of a peer. It runs on the control goroutine.
+	Merge func(now time.Time, notices []lifecycle.Notice)
+}
+
+// Spreader spreads notices. Tell belongs to the control goroutine.
+type Spreader struct {
+	noticesv1.UnimplementedNoticesServer
+	conf    Config
+	news    []lifecycle.Notice
+	rounds  int
+	fetched atomic.Bool
+}
+
+// New registers a spreader with the loop and the peers' server.
+func New(conf Config) *Spreader {
+	s := &Spreader{conf: conf}
+	noticesv1.RegisterNoticesServer(conf.Server, s)
+	conf.Loop.Every(pushEvery, s.push)
+	conf.Loop.Every(exchangeEvery, s.exchange)
+	return s
+}
+
+// Fetched reports whether a peer's notices were taken in since the start.
+func (s *Spreader) Fetched() bool { return s.fetched.Load() }
+
+// Tell pushes news to peers in the next rounds.
+func (s *Spreader) Tell(news []lifecycle.Notice) {
+	if len(news) == 0 {
+		return
+	}
+	if s.rounds == 0 {
+		s.news = nil
+	}
+	s.news = append(s.news, news...)
+	s.rounds = pushRounds
+	s.push(time.Now())
+}
+
+func (s *Spreader) push(time.Time) {
+	if s.rounds == 0 {
+		return
+	}
+	s.rounds--
+	text := lifecycle.EncodeNotices(s.news)
+	for _, p := range choose(s.conf.Peers(), pushFanOut) {
+		go s.call(p, &noticesv1.ExchangeRequest{Notices: text})
+	}
+}
+
+func (s *Spreader) exchange(now time.Time) {
+	text := lifecycle.EncodeNotices(s.conf.Known(now))
+	for _, p := range choose(s.conf.Peers(), 1) {
+		go s.call(p, &noticesv1.ExchangeRequest{Notices: text, Want: true})
+	}
+}
+
+// call sends one message. A peer that does not answer hears it from another.
+func (s *Spreader) call(address string, req *noticesv1.ExchangeRequest) {
+	conn, err := s.conf.Pool.Conn(address)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	resp, err := noticesv1.NewNoticesClient(conn).Exchange(ctx, req)
+	if err != nil || !req.GetWant() {
+		return
+	}
+	if s.take(ctx, resp.GetNotices()) == nil {
+		s.fetched.Store(true)
+	}
+}
+
+// Exchange implements noticesv1.NoticesServer.
+func (s *Spreader) Exchange(ctx context.Context, req *noticesv1.ExchangeRequest) (*noticesv1.ExchangeResponse, error) {
+	if err := s.take(ctx, req.GetNotices()); err != nil {
+		return nil, err
+	}
+	resp := new(noticesv1.ExchangeResponse)
+	if !req.GetWant() {
+		return resp, nil
+	}
+	err := s.conf.Loop.Call(ctx, func() {
+		resp.Notices = lifecycle.EncodeNotices(s.conf.Known(time.Now()))
+	})
+	return resp, err
+}
+
+func (s *Spreader) take(ctx context.Context, text []byte) error {
+	list, err := lifecycle.DecodeNotices(text)
+	if err != nil {
+		return err
+	}
+	return s.conf.Loop.Call(ctx, func() { s.conf.Merge(time.Now(), list) })
+}
+
+// choose returns up to n of the peers, at random.
+func choose(peers []string, n int) []string {
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(n, len(peers))]
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -7,10 +7,12 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dapplespindle/dapplespindle/internal/execution"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
 	"github.com/dapplespindle/dapplespindle/pkg/limit"
 )
 
@@ -20,7 +22,12 @@
 // It must be sent or released.
 type binding struct {
 	upstream *balancer.Upstream
+	call     balancer.Call
 	number   int
+	// lifecycle is the version of the lifecycle snapshot that the choice was
+	// made from, and view what it said of the upstream.
+	lifecycle uint64
+	view      lifecycle.View
 }
 
 // result is the end of one send. Exactly one of resp and err is set.
@@ -35,6 +42,7 @@
 type feedback struct {
 	latency time.Duration
 	outcome limit.Outcome
+	ending  balancer.Outcome
 	// load is the upstream's report of requests in flight, or noReport.
 	load int64
 	// slots is the number of requests that the upstream serves at the same time.
@@ -49,43 +57,77 @@
 	return float64(f.load) / float64(max(f.slots, 1))
 }
 
-// pick chooses an upstream for send number n. The place in the limit must be
+// forBalancer returns f in the balancer's terms. The age of a report is not
+// known; upstreams sample it when they answer.
+func (f feedback) forBalancer(now time.Time) balancer.Feedback {
+	out := balancer.Feedback{Now: now, Latency: f.latency, Outcome: f.ending}
+	if f.load != noReport {
+		out.Report = balancer.Report{Valid: true, InFlight: int(f.load)}
+	}
+	return out
+}
+
+// pick chooses an upstream for send number n of a request that waited. The place in the limit must be
 // held already. The error is balancer.ErrNoSlot or balancer.ErrNoUpstream.
-func (x *exchange) pick(n int) (binding, error) {
-	choice, err := x.state.group.current.Load().Picker.Pick(balancer.PickInfo{
-		Now:     time.Now(),
+func (x *exchange) pick(n int, waited time.Duration) (binding, error) {
+	group := x.state.group.current.Load()
+	now := time.Now()
+	choice, err := group.Picker.Pick(balancer.PickInfo{
+		Now:     now,
 		Random:  x.proxy.random(),
 		Exclude: x.tried,
+		Waited:  waited,
 	})
 	if err != nil {
 		return binding{}, err
 	}
 	u := choice.Upstream
-	u.Start()
+	b := binding{upstream: u, call: u.Begin(now), number: n, lifecycle: group.Lifecycle}
+	if x.proxy.upstreams != nil {
+		b.view, _ = x.proxy.upstreams.Snapshot().View(x.memberKey(b))
+	}
 	x.tried = append(x.tried, u)
 	x.emit(event.Event{Code: event.UpstreamChosen, Upstream: u.ID, Reason: choice.Reason, Attempt: n, Value: u.Outstanding()})
-	return binding{upstream: u, number: n}, nil
+	return b, nil
 }
 
 // send sends the bound request and ends the binding.
 func (x *exchange) send(ctx context.Context, b binding) result {
 	if !x.guard.begin(x.repeatable()) {
 		x.emit(event.Event{Code: event.NonRepeatableResend, Upstream: b.upstream.ID, Attempt: b.number})
-		x.done(b, feedback{outcome: limit.Ignored, load: noReport})
+		x.done(b, feedback{outcome: limit.Ignored, ending: balancer.Cancelled, load: noReport})
 		return result{binding: b, err: errkind.New(errkind.Internal, "second send of a non-repeatable request")}
 	}
+	if err := x.clear(ctx, b); err != nil {
+		x.guard.end(err)
+		x.done(b, feedback{outcome: limit.Ignored, ending: balancer.Cancelled, load: noReport})
+		return result{binding: b, err: err}
+	}
 	req := x.attemptRequest(b.number)
 	start := time.Now()
 	resp, err := x.proxy.sender.Do(ctx, b.upstream.Address, req)
+	x.report(b, resp, err)
 	r := interpret(b, resp, err)
 	x.guard.end(r.err)
+	if r.err != nil && r.err.Kind.Answer().Outcome == errkind.NotRun {
+		execution.AfterNotRun(ctx)
+	}
 	x.done(b, feedbackOf(ctx, r, resp, time.Since(start)))
 	return r
 }
 
+// clear asks those who may forbid the send. The order matters: what single
+// execution records as sent is sent.
+func (x *exchange) clear(ctx context.Context, b binding) *errkind.Error {
+	if err := x.mayStillSend(b); err != nil {
+		return err
+	}
+	return execution.BeforeSend(ctx)
+}
+
 // done reports the end of a send to the balancer, the limit and the queue.
 func (x *exchange) done(b binding, f feedback) {
-	b.upstream.Done()
+	balancer.Finish(x.state.group.current.Load().Picker, b.call, f.forBalancer(time.Now()))
 	if f.outcome == limit.Answered {
 		x.state.latency.Observe(f.latency)
 	}
@@ -111,7 +153,7 @@
 }
 
 func feedbackOf(ctx context.Context, r result, resp *httpwire.Response, latency time.Duration) feedback {
-	f := feedback{latency: latency, outcome: limit.Answered, load: noReport, slots: r.binding.upstream.Slots}
+	f := feedback{latency: latency, outcome: limit.Answered, ending: balancer.Answered, load: noReport, slots: r.binding.upstream.Slots}
 	if resp != nil {
 		f.load = loadReport(resp.Header)
 	}
@@ -119,10 +161,16 @@
 	case r.err == nil:
 	case errors.Is(ctx.Err(), context.Canceled):
 		f.outcome = limit.Ignored
-	case r.err.Kind == errkind.UpstreamRefused, r.err.Kind == errkind.DeadlineAfterSend:
+		f.ending = balancer.Cancelled
+	case r.err.Kind == errkind.UpstreamRefused:
+		f.outcome = limit.Refused
+		f.ending = balancer.Refused
+	case r.err.Kind == errkind.DeadlineAfterSend:
 		f.outcome = limit.Refused
+		f.ending = balancer.Failed
 	default:
 		f.outcome = limit.Ignored
+		f.ending = balancer.Failed
 	}
 	return f
 }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/internal/tracing"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
@@ -24,6 +25,7 @@
 	deadline time.Time
 	header   http.Header
 	isRetry  bool
+	hop      *tracing.Hop // nil without a tracer
 
 	sent    int
 	tried   []*balancer.Upstream
@@ -33,8 +35,11 @@
 	guard   guard
 }
 
-// route finds the rule of the request.
-func (x *exchange) route() *errkind.Error {
+// admit finds the rule of the request. A process that was paused learns first.
+func (x *exchange) admit() *errkind.Error {
+	if u := x.proxy.upstreams; u != nil && u.Waking() {
+		return errkind.New(errkind.NotReady, "waking from a pause")
+	}
 	s := x.proxy.state.Load()
 	if s == nil {
 		return errkind.New(errkind.NotReady, "no configuration yet")
@@ -60,4 +65,5 @@
 		e.Rule = x.rule.Config.Name
 	}
 	x.proxy.events.Emit(e)
+	x.hop.Emit(e)
 }
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -72,6 +72,7 @@
 	req.Header = maps.Clone(x.header)
 	req.Header[HeaderTimeout] = []string{x.timeoutValue()}
 	req.Header[HeaderAttempt] = []string{x.attemptValue(n)}
+	x.hop.Inject(n, req.Header)
 	return &req
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -9,9 +9,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync/atomic"
+	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/execution"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/internal/tracing"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/limit"
@@ -27,14 +31,16 @@
 
 // Proxy implements httpwire.Handler.
 type Proxy struct {
-	host     string
-	prefix   string
-	sender   Sender
-	executor Executor
-	events   event.Sink
-	random   func() uint64
-	nextID   atomic.Uint64
-	state    atomic.Pointer[snapshot]
+	host      string
+	prefix    string
+	sender    Sender
+	executor  Executor
+	events    event.Sink
+	tracer    *tracing.Tracer
+	upstreams Upstreams
+	random    func() uint64
+	nextID    atomic.Uint64
+	state     atomic.Pointer[snapshot]
 
 	// Constructors of the parts that bound a rule or a group; tests that
 	// measure what a part is worth leave it out.
@@ -48,6 +54,9 @@
 // WithExecutor runs non-repeatable requests through e.
 func WithExecutor(e Executor) Option { return func(p *Proxy) { p.executor = e } }
 
+// WithTracer makes a span for each request and each send. A nil tracer is off.
+func WithTracer(t *tracing.Tracer) Option { return func(p *Proxy) { p.tracer = t } }
+
 // WithRandom takes random numbers from f, which must be safe for concurrent use.
 func WithRandom(f func() uint64) Option { return func(p *Proxy) { p.random = f } }
 
@@ -80,10 +89,40 @@
 
 // Serve implements httpwire.Handler.
 func (p *Proxy) Serve(ctx context.Context, req *httpwire.Request) *httpwire.Response {
-	x := &exchange{proxy: p, req: req, id: p.requestID(req)}
-	if err := x.route(); err != nil {
+	x := p.newExchange(req)
+	defer x.hop.End()
+	if err := x.admit(); err != nil {
+		return x.refuse(execution.Undecided(req.Header, err))
+	}
+	return x.serve(ctx, p.executor)
+}
+
+// ServeForwarded runs a request that a peer forwarded to this host, which has
+// already decided that it may run.
+func (p *Proxy) ServeForwarded(ctx context.Context, req *httpwire.Request) *httpwire.Response {
+	x := p.newExchange(req)
+	defer x.hop.End()
+	if err := x.admit(); err != nil {
 		return x.refuse(err)
 	}
+	return x.serve(ctx, sendOnce{})
+}
+
+// RefuseUnread answers a request that was refused before it was read whole.
+func (p *Proxy) RefuseUnread(remoteAddr string, err *errkind.Error) *httpwire.Response {
+	x := p.newExchange(&httpwire.Request{RemoteAddr: remoteAddr, Received: time.Now(), Header: make(http.Header)})
+	defer x.hop.End()
+	return x.refuse(err)
+}
+
+func (p *Proxy) newExchange(req *httpwire.Request) *exchange {
+	x := &exchange{proxy: p, req: req, id: p.requestID(req)}
+	x.hop = p.tracer.Begin(x.id, req.Header, req.Received)
+	return x
+}
+
+// serve runs a request that was admitted.
+func (x *exchange) serve(ctx context.Context, executor Executor) *httpwire.Response {
 	x.emit(event.Event{Code: event.RequestReceived})
 	ctx, cancel := context.WithDeadline(ctx, x.limitDeadline())
 	defer cancel()
@@ -91,5 +130,5 @@
 	if x.repeatable() {
 		return x.run(ctx)
 	}
-	return p.executor.Execute(ctx, req, x.rule, x.run)
+	return executor.Execute(ctx, x.req, x.rule, x.run)
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -95,7 +95,7 @@
 	events := &recorder{}
 	p := newProxy(service(3, sale()), leastOutstanding, sender, events)
 	x := &exchange{proxy: p, req: request("POST")}
-	is.True(x.route() == nil)
+	is.True(x.admit() == nil)
 	x.limitDeadline()
 	x.prepareHeader()
 	for range 2 {
--- /dev/null
+++ b/internal/proxy/upstreams.go
@@ -0,0 +1,79 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+)
+
+// Upstreams is what the entry host knows of upstreams, and what it learns of
+// them from sends. Its methods are called by traffic goroutines; they must not
+// block.
+type Upstreams interface {
+	// Snapshot returns the newest lifecycle of all upstreams, never nil.
+	Snapshot() *lifecycle.Snapshot
+	// Leaving takes in an upstream's own word that it is leaving. Activation is
+	// the one that the request was sent under.
+	Leaving(k lifecycle.MemberKey, activation uint64)
+	// ConnectFailed takes in a connection that could not be made.
+	ConnectFailed(k lifecycle.MemberKey)
+	// Reached takes in an answer of an upstream that counted as unreachable.
+	Reached(k lifecycle.MemberKey)
+	// Reported takes in that an answer carried a load report.
+	Reported(upstream string, now time.Time)
+	// Waking reports whether this process was paused and has not yet caught up
+	// with its peers.
+	Waking() bool
+}
+
+// WithUpstreams checks each send against u and reports to it.
+func WithUpstreams(u Upstreams) Option { return func(p *Proxy) { p.upstreams = u } }
+
+func (x *exchange) memberKey(b binding) lifecycle.MemberKey {
+	return lifecycle.MemberKey{Service: x.rule.Service.Name, Upstream: b.upstream.ID}
+}
+
+// mayStillSend is the last check before a send: the upstream may have left
+// since it was chosen, or since this process was paused.
+func (x *exchange) mayStillSend(b binding) *errkind.Error {
+	u := x.proxy.upstreams
+	if u == nil {
+		return nil
+	}
+	switch u.Snapshot().CheckSend(x.memberKey(b), b.lifecycle) {
+	case lifecycle.Send:
+		return nil
+	case lifecycle.ChooseAgain:
+		x.emit(event.Event{Code: event.UpstreamLeftInTime, Upstream: b.upstream.ID, Attempt: b.number})
+	default:
+		x.emit(event.Event{Code: event.SentToLeaving, Upstream: b.upstream.ID, Attempt: b.number})
+	}
+	return errkind.New(errkind.UpstreamRefused, b.upstream.ID+" left after it was chosen")
+}
+
+// report tells what a send taught about the lifecycle of its upstream.
+func (x *exchange) report(b binding, resp *httpwire.Response, err *errkind.Error) {
+	u := x.proxy.upstreams
+	if u == nil {
+		return
+	}
+	key := x.memberKey(b)
+	if err != nil {
+		if err.Kind == errkind.ConnectFailed {
+			u.ConnectFailed(key)
+		}
+		return
+	}
+	if b.view.Unreachable {
+		u.Reached(key)
+	}
+	if lifecycle.SaysLeaving(resp.Header.Get(lifecycle.HeaderLeaving)) {
+		u.Leaving(key, b.view.Activation)
+	}
+	if loadReport(resp.Header) != noReport {
+		u.Reported(b.upstream.ID, time.Now())
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,8 @@
 	Limits Limits
 	// Tickets bounds single execution.
 	Tickets Tickets
+	// Probe bounds the probes of upstreams.
+	Probe Probe
 	// Stop holds the times of a planned stop.
 	Stop Stop
 	// PeerTLS is mutual TLS between entry hosts.
@@ -70,6 +72,18 @@
 	MaxBytes int
 }
 
+// Probe holds how upstreams are probed; how much is in their documents.
+type Probe struct {
+	// Path is the request path of a probe.
+	Path string
+	// Timeout ends a probe; it bounds the slot time that one takes.
+	Timeout time.Duration
+	// FreshFor is how long a report that rode on an answer makes a probe needless.
+	FreshFor time.Duration
+	// Linger bounds how late a probe may reach its upstream after it was sent.
+	Linger time.Duration
+}
+
 // Stop holds the times of a planned stop.
 type Stop struct {
 	// Grace is how long a stopping host still accepts, so that the platform's balancer moves away.
@@ -92,6 +106,7 @@
 	fs.StringVar(&e.FleetKeyFile, "fleet-key-file", "", "file of the keys that authenticate membership datagrams (default none)")
 	e.Limits.register(fs)
 	e.Tickets.register(fs)
+	e.Probe.register(fs)
 	fs.DurationVar(&e.Stop.Grace, "stop-grace", 2*time.Second, "time a stopping host still accepts")
 	fs.DurationVar(&e.Stop.Timeout, "stop-timeout", 30*time.Second, "time to finish requests in flight when stopping")
 	e.PeerTLS.Register(fs, "peer-tls", "between entry hosts")
@@ -112,3 +127,10 @@
 	fs.IntVar(&t.MaxRecords, "ticket-max-records", 100_000, "most execution records held")
 	fs.IntVar(&t.MaxBytes, "ticket-max-bytes", 64<<20, "most bytes of answers held for replay")
 }
+
+func (p *Probe) register(fs *pflag.FlagSet) {
+	fs.StringVar(&p.Path, "probe-path", "/", "request path of a probe")
+	fs.DurationVar(&p.Timeout, "probe-timeout", 50*time.Millisecond, "time until a probe is given up")
+	fs.DurationVar(&p.FreshFor, "probe-fresh-for", time.Second, "time for which a report on an answer makes a probe needless")
+	fs.DurationVar(&p.Linger, "probe-linger", time.Second, "latest time at which a probe that was sent reaches its upstream")
+}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -29,6 +29,9 @@
 	if err := e.validateAddresses(); err != nil {
 		return err
 	}
+	if !strings.HasPrefix(e.Probe.Path, "/") {
+		return errors.Newf("probe-path: %q does not start with /", e.Probe.Path)
+	}
 	if e.FailureDomain == "" {
 		return errors.New("failure-domain: is empty; set it to where this host runs")
 	}
@@ -110,6 +113,9 @@
 		{"body-timeout", e.Limits.BodyTimeout},
 		{"dial-timeout", e.Limits.DialTimeout},
 		{"ticket-lifetime", e.Tickets.Lifetime},
+		{"probe-timeout", e.Probe.Timeout},
+		{"probe-fresh-for", e.Probe.FreshFor},
+		{"probe-linger", e.Probe.Linger},
 		{"stop-timeout", e.Stop.Timeout},
 	}
 	for _, d := range durations {
@@ -120,6 +126,9 @@
 	if e.Stop.Grace < 0 {
 		return errors.Newf("stop-grace: %s is negative", e.Stop.Grace)
 	}
+	if e.Stop.Timeout <= e.Stop.Grace {
+		return errors.Newf("stop-timeout: %s is not above the stop-grace of %s", e.Stop.Timeout, e.Stop.Grace)
+	}
 	return nil
 }
 
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -61,6 +61,16 @@
 	PriorityLow Priority = "low"
 )
 
+// Execution states how a non-repeatable request is kept single.
+type Execution string
+
+const (
+	// ExecutionTicket asks for a ticket, which protects callers who ask again. Default.
+	ExecutionTicket Execution = "ticket"
+	// ExecutionDirect sends what arrives once; a caller who asks again sends anew.
+	ExecutionDirect Execution = "direct"
+)
+
 // UpstreamState is the operator's wish for an upstream.
 type UpstreamState string
 
@@ -121,6 +131,9 @@
 	MaxConnections int `json:"max_connections,omitempty"`
 	// State is active or draining. Default: active.
 	State UpstreamState `json:"state,omitempty"`
+	// Activation counts how often the operator brought this upstream back after
+	// it had left of its own; raise it by one to do so. Default: 0.
+	Activation uint64 `json:"activation,omitempty"`
 }
 
 // ProbeBudget bounds the work of measuring one upstream, over the whole fleet.
@@ -150,6 +163,8 @@
 	Group string `json:"group"`
 	// Repeat states whether the request may be sent twice. Required.
 	Repeat Repeat `json:"repeat"`
+	// Execution applies to non-repeatable requests. Default: ticket.
+	Execution Execution `json:"execution,omitempty"`
 	// Deadline bounds the whole request when the caller sends none. Default: 1s.
 	Deadline Duration `json:"deadline,omitempty"`
 	// Priority orders requests under overload. Default: normal.
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -100,6 +100,7 @@
 	setDefault(&r.Deadline, Duration(DefaultDeadline))
 	setDefault(&r.Priority, PriorityNormal)
 	if r.Repeat != Repeatable {
+		setDefault(&r.Execution, ExecutionTicket)
 		return
 	}
 	setDefault(&r.Retry.MaxAttempts, DefaultMaxAttempts)
@@ -233,6 +234,9 @@
 func (r *Rule) validateRepeat(field string) error {
 	switch r.Repeat {
 	case Repeatable:
+		if r.Execution != "" {
+			return &FieldError{field + ".execution", "is set on a repeatable rule", "remove it: only actions need tickets"}
+		}
 		if r.Retry.MaxAttempts < 1 || r.Retry.MaxAttempts > maxAttempts {
 			return &FieldError{field + ".retry.max_attempts", "is outside 1 to 10", "count all sends, the first included"}
 		}
@@ -246,6 +250,9 @@
 			return &FieldError{field + ".retry.hedge_percentile", "is outside 0 to 100", "write for example 95, or 0 to turn it off"}
 		}
 	case NonRepeatable:
+		if r.Execution != ExecutionTicket && r.Execution != ExecutionDirect {
+			return &FieldError{field + ".execution", "is " + strconv.Quote(string(r.Execution)), "write \"ticket\" or \"direct\""}
+		}
 		if r.Retry != (Retry{}) {
 			return &FieldError{field + ".retry", "is set on a non-repeatable rule", "remove it: such a request is sent once"}
 		}
--- a/pkg/config/parse_test.go
+++ b/pkg/config/parse_test.go
@@ -35,6 +35,8 @@
 		{"address", `127.0.0.1:9001`, `localhost:9001`, "groups[0].upstreams[0].address"},
 		{"group", `"group": "main"`, `"group": "other"`, "rules[0].group"},
 		{"repeat", `"non-repeatable"`, `"maybe"`, "rules[0].repeat"},
+		{"execution", `"repeat": "non-repeatable"`, `"repeat": "non-repeatable", "execution": "never"`, "rules[0].execution"},
+		{"execution of a lookup", `"repeat": "non-repeatable"`, `"repeat": "repeatable", "execution": "ticket"`, "rules[0].execution"},
 		{"retry", `"repeat": "non-repeatable"`, `"repeat": "non-repeatable", "retry": {"max_attempts": 2}`, "rules[0].retry"},
 		{"method", `"POST"`, `"post"`, "rules[0].methods[0]"},
 	}
--- a/pkg/lifecycle/registry.go
+++ b/pkg/lifecycle/registry.go
@@ -99,6 +99,9 @@
 	}
 }
 
+// Changed reports whether Flush has anything to return.
+func (r *Registry) Changed() bool { return r.changed || len(r.announce) > 0 }
+
 // Flush returns what changed since the last call: a new snapshot, nil if none
 // is due, and the notices to tell the peers at once.
 func (r *Registry) Flush() (*Snapshot, []Notice) {
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -41,6 +41,8 @@
 	Config *config.Group
 	// Picker chooses among the members that take new requests.
 	Picker balancer.Picker
+	// Lifecycle is the version of the upstreams' lifecycle that Picker reflects.
+	Lifecycle uint64
 }
 
 // Groups supplies the compiled group for a service's group document. The
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -23,14 +23,17 @@
 
 domains=(caruaru petrolina feira-de-santana campina-grande hanoi hai-phong bac-ninh)
 targets=()
+hosts=()
 for i in $(seq 1 "$entries"); do
   port=$((8080 + 10 * i))
   bin/spindled --listen "127.0.0.1:$port" --admin-listen "127.0.0.1:$((port + 1))" \
     --peer-listen "127.0.0.1:$((port + 2))" --operator-listen "127.0.0.1:$((port + 3))" \
     --failure-domain "${domains[$(((i - 1) % ${#domains[@]}))]}" \
     --platform http://127.0.0.1:7000 --log-level debug >"$out/entry-$i.log" 2>&1 & pids+=($!)
+  hosts+=("{\"ip\":\"127.0.0.1\",\"peer_address\":\"127.0.0.1:$((port + 2))\",\"failure_domain\":\"${domains[$(((i - 1) % ${#domains[@]}))]}\",\"state\":\"live\"}")
   targets+=("http://127.0.0.1:$port")
 done
+curl -fs -X PUT "http://127.0.0.1:7000/v1/hosts" -d "[$(IFS=,; echo "${hosts[*]}")]"
 for i in $(seq 1 "$entries"); do
   for _ in $(seq 1 50); do
     curl -fs "http://127.0.0.1:$((8081 + 10 * i))/readyz" >/dev/null && break
