--- a/Makefile
+++ b/Makefile
@@ -27,10 +27,12 @@
 # What one entry host adds to a request, and what a request costs it.
 bench-wire:
 	@scripts/bench-wire.sh
-	go test -run '^$$' -bench . -benchmem ./internal/httpwire
+	go test -run '^$$' -bench . -benchmem ./internal/httpwire ./internal/upstream
 
 # A longer look for messages that the guard and net/http frame differently.
 FUZZTIME ?= 60s
 fuzz-wire:
 	go test -run '^$$' -fuzz FuzzRequest -fuzztime $(FUZZTIME) -parallel 2 ./internal/httpwire/framing
 	go test -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME) -parallel 2 ./internal/httpwire/framing
+	go test -run '^$$' -fuzz FuzzGuard -fuzztime $(FUZZTIME) -parallel 2 ./internal/httpwire
+	go test -run '^$$' -fuzz FuzzAnswer -fuzztime $(FUZZTIME) -parallel 2 ./internal/upstream
