--- a/internal/httpwire/server_test.go
+++ b/internal/httpwire/server_test.go
@@ -1,7 +1,6 @@
 package httpwire
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -19,92 +18,6 @@
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 )
 
-const (
-	testMaxHead = 4 << 10
-	testMaxBody = 8 << 20
-	testWait    = 10 * time.Second
-)
-
-type handlerFunc func(ctx context.Context, req *Request) *Response
-
-func (f handlerFunc) Serve(ctx context.Context, req *Request) *Response { return f(ctx, req) }
-
-// echo answers with the request's path and body, and counts the requests.
-func echo(served *atomic.Int64) handlerFunc {
-	return func(_ context.Context, req *Request) *Response {
-		served.Add(1)
-		return &Response{
-			Status:        http.StatusOK,
-			Header:        http.Header{"X-Path": {req.Path}, "X-Length": {strconv.Itoa(len(req.Body))}},
-			Body:          req.Body,
-			ContentLength: int64(len(req.Body)),
-		}
-	}
-}
-
-func startServer(t *testing.T, h Handler, change func(*ServerConfig)) *Server {
-	t.Helper()
-	conf := ServerConfig{
-		Address:      "127.0.0.1:0",
-		MaxHeadBytes: testMaxHead,
-		MaxBodyBytes: testMaxBody,
-		Handler:      h,
-	}
-	if change != nil {
-		change(&conf)
-	}
-	s := NewServer(conf)
-	if err := s.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Stop)
-	return s
-}
-
-// caller is one raw connection.
-type caller struct {
-	net.Conn
-	r *bufio.Reader
-}
-
-func dial(t *testing.T, s *Server) *caller {
-	t.Helper()
-	conn, err := net.Dial("tcp", s.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = conn.Close() })
-	_ = conn.SetDeadline(time.Now().Add(testWait))
-	return &caller{conn, bufio.NewReader(conn)}
-}
-
-// answer reads one answer and its whole body.
-func (c *caller) answer(t *testing.T, method string) (*http.Response, []byte) {
-	t.Helper()
-	resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
-	if err != nil {
-		t.Fatal(err)
-	}
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return resp, body
-}
-
-func (c *caller) send(t *testing.T, s string) {
-	t.Helper()
-	if _, err := io.WriteString(c, s); err != nil {
-		t.Fatal(err)
-	}
-}
-
-// atEnd reports whether the server has closed its side.
-func (c *caller) atEnd() bool {
-	_, err := c.r.ReadByte()
-	return err == io.EOF
-}
-
 func TestRefusalsAnswerAndClose(t *testing.T) {
 	var served atomic.Int64
 	s := startServer(t, echo(&served), nil)
@@ -402,3 +315,20 @@
 	_, err := net.Dial("tcp", s.Addr())
 	is.True(err != nil)
 }
+
+func TestRefusalsAreReported(t *testing.T) {
+	is := is.New(t)
+	reported := make(chan *errkind.Error, 1)
+	s := startServer(t, nil, func(c *ServerConfig) {
+		c.Refuse = func(remoteAddr string, err *errkind.Error) *Response {
+			reported <- err
+			return &Response{Status: err.Kind.Answer().Status, Header: http.Header{"X-Remote": {remoteAddr}}}
+		}
+	})
+	c := dial(t, s)
+	c.send(t, "GET / HTTP/1.1\r\n\r\n")
+	resp, _ := c.answer(t, "GET")
+	is.Equal(resp.StatusCode, http.StatusBadRequest)
+	is.Equal(resp.Header.Get("X-Remote"), c.LocalAddr().String())
+	is.Equal((<-reported).Kind, errkind.BadRequest)
+}
--- /dev/null
+++ b/internal/httpwire/socket/engine_test.go
@@ -0,0 +1,18 @@
+package socket
+
+import (
+	"testing"
+
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// TestStopSoonAfterStart ends only if no loop loses the stop.
+func TestStopSoonAfterStart(t *testing.T) {
+	for range 5 {
+		e := Engine{Engine: nbhttp.NewEngine(nbhttp.Config{})}
+		if err := e.Start(); err != nil {
+			t.Fatal(err)
+		}
+		e.Stop()
+	}
+}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -16,72 +16,9 @@
 	"github.com/lesismal/nbio"
 	"github.com/matryer/is"
 
-	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 )
 
-const (
-	testMaxBody = 8 << 20
-	testWait    = 10 * time.Second
-)
-
-// script is what an upstream does on its n-th connection, from 0. The
-// connection is closed afterwards.
-type script func(n int, c net.Conn, r *bufio.Reader)
-
-func startUpstream(t *testing.T, s script) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for n := 0; ; n++ {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				s(n, conn, bufio.NewReader(conn))
-			}()
-		}
-	}()
-	return ln.Addr().String()
-}
-
-func startClient(t *testing.T, conf Config) *Client {
-	t.Helper()
-	conf.MaxResponseBytes = testMaxBody
-	c := New(conf)
-	if err := c.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(c.Stop)
-	return c
-}
-
-func request(method string, body []byte) *httpwire.Request {
-	return &httpwire.Request{Method: method, Target: "/", Host: "a", Header: make(http.Header), Body: body}
-}
-
-func testContext(t *testing.T) context.Context {
-	ctx, cancel := context.WithTimeout(context.Background(), testWait)
-	t.Cleanup(cancel)
-	return ctx
-}
-
-// readRequest reads one whole request; it returns false at the end.
-func readRequest(r *bufio.Reader) bool {
-	req, err := http.ReadRequest(r)
-	if err != nil {
-		return false
-	}
-	_, err = io.Copy(io.Discard, req.Body)
-	return err == nil
-}
-
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 func TestAnswersPassed(t *testing.T) {
