Measure latency from the request's own due time

Cause: the sending goroutine read the loop's variable for the next arrival, so a request that started late was measured from a later one's due time, and could count as negative, which the histogram drops.

--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -160,9 +160,10 @@
 		}
 		g.report.Sent++
 		n := g.report.Sent
+		due := next
 		wg.Go(func() {
 			defer func() { <-slots }()
-			g.send(target, n, next)
+			g.send(target, n, due)
 		})
 	}
 	wg.Wait()
