--- a/cmd/spindle-load/compare.go
+++ b/cmd/spindle-load/compare.go
@@ -49,13 +49,14 @@
 	fmt.Printf("saturation %.0f requests/s, %.0f requests/s per core of the entry host, errors %d\n",
 		sat.Rate, sat.PerCore, sat.Errors)
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "load\tquantile\tdirect ms\tthrough ms\tadded ms\tsent\tskipped\terrors\t")
+	fmt.Fprintln(w, "load\tquantile\tdirect ms\tthrough ms\tadded ms\tdirect, from send\tthrough\tadded\tsent\tskipped\terrors\t")
 	for _, l := range levels {
 		direct, through := l.Report.ByTarget[0], l.Report.ByTarget[1]
 		for _, q := range []float64{50, 99, 99.9} {
 			d, t := millis(direct, q), millis(through, q)
-			fmt.Fprintf(w, "%.0f%%\tp%g\t%.3f\t%.3f\t%.3f\t%d\t%d\t%d\t\n",
-				l.Share*100, q, d, t, t-d, l.Report.Sent, l.Report.Skipped, direct.Errors+through.Errors)
+			ds, ts := millisFromSend(direct, q), millisFromSend(through, q)
+			fmt.Fprintf(w, "%.0f%%\tp%g\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%d\t%d\t\n",
+				l.Share*100, q, d, t, t-d, ds, ts, ts-ds, l.Report.Sent, l.Report.Skipped, direct.Errors+through.Errors)
 		}
 	}
 	return w.Flush()
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -56,8 +56,11 @@
 
 // Stats holds what was seen for one target.
 type Stats struct {
-	// Latency is in microseconds.
+	// Latency is measured from the time a request was due, in microseconds. It
+	// includes the generator's own delay.
 	Latency *hdrhistogram.Histogram
+	// FromSend is measured from the time a request was sent, in microseconds.
+	FromSend *hdrhistogram.Histogram
 	// Outcomes counts answers by Dapplespindle-Outcome; "none" without it.
 	Outcomes map[string]int
 	// Errors counts requests without an answer.
@@ -132,6 +135,7 @@
 		g.total += t.Weight
 		g.report.ByTarget = append(g.report.ByTarget, &Stats{
 			Latency:  hdrhistogram.New(1, maxLatencyMicros, significantDigit),
+			FromSend: hdrhistogram.New(1, maxLatencyMicros, significantDigit),
 			Outcomes: make(map[string]int),
 		})
 	}
@@ -201,7 +205,7 @@
 	t := g.conf.Targets[target]
 	req, err := http.NewRequest(t.Method, t.URL, nil)
 	if err != nil {
-		g.record(target, due, "", err)
+		g.record(target, due, due, "", err)
 		return
 	}
 	if t.Action {
@@ -209,17 +213,18 @@
 		req.Header.Set("X-Action", action)
 		req.Header.Set("Idempotency-Key", action)
 	}
+	sent := time.Now()
 	resp, err := g.client.Do(req)
 	if err != nil {
-		g.record(target, due, "", err)
+		g.record(target, due, sent, "", err)
 		return
 	}
 	_, err = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
-	g.record(target, due, resp.Header.Get("Dapplespindle-Outcome"), err)
+	g.record(target, due, sent, resp.Header.Get("Dapplespindle-Outcome"), err)
 }
 
-func (g *generator) record(target int, due time.Time, outcome string, err error) {
+func (g *generator) record(target int, due, sent time.Time, outcome string, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.report.ByTarget[target]
@@ -231,5 +236,7 @@
 		outcome = "none"
 	}
 	s.Outcomes[outcome]++
-	_ = s.Latency.RecordValue(time.Since(due).Microseconds())
+	now := time.Now()
+	_ = s.Latency.RecordValue(now.Sub(due).Microseconds())
+	_ = s.FromSend.RecordValue(now.Sub(sent).Microseconds())
 }
