--- a/Makefile
+++ b/Makefile
@@ -91,7 +91,7 @@
 # What one entry host adds to a request, and what a request costs it.
 bench-wire:
 	@scripts/bench-wire.sh
-	go test -run '^$$' -bench . -benchmem ./internal/httpwire
+	go test -run '^$$' -bench . -benchmem ./internal/httpwire ./internal/upstream
 
 # A longer look for messages that the guard and net/http frame differently.
 FUZZTIME ?= 60s
@@ -100,3 +100,6 @@
 	go test -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME) -parallel 2 ./internal/httpwire/framing
 
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./pkg/membership/wire
+
+	go test -run '^$$' -fuzz FuzzGuard -fuzztime $(FUZZTIME) -parallel 2 ./internal/httpwire
+	go test -run '^$$' -fuzz FuzzAnswer -fuzztime $(FUZZTIME) -parallel 2 ./internal/upstream
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -62,8 +62,11 @@
 
 // Stats holds what was seen for one target.
 type Stats struct {
-	// Latency is in microseconds.
+	// Latency is measured from the time a request was due, in microseconds. It
+	// includes the generator's own delay.
 	Latency *hdrhistogram.Histogram
+	// FromSend is measured from the time a request was sent, in microseconds.
+	FromSend *hdrhistogram.Histogram
 	// Outcomes counts answers by Dapplespindle-Outcome; "none" without it.
 	Outcomes map[string]int
 	// Errors counts requests without an answer.
@@ -138,6 +141,7 @@
 		g.total += t.Weight
 		g.report.ByTarget = append(g.report.ByTarget, &Stats{
 			Latency:  hdrhistogram.New(1, maxLatencyMicros, significantDigit),
+			FromSend: hdrhistogram.New(1, maxLatencyMicros, significantDigit),
 			Outcomes: make(map[string]int),
 		})
 	}
@@ -166,9 +170,10 @@
 		}
 		g.report.Sent++
 		n := g.report.Sent
+		due := next
 		wg.Go(func() {
 			defer func() { <-slots }()
-			g.send(target, n, next)
+			g.send(target, n, due)
 		})
 	}
 	wg.Wait()
@@ -208,15 +213,16 @@
 	if t.Action {
 		action = fmt.Sprintf("action-%d-%d", g.conf.Seed, n)
 	}
+	sent := time.Now()
 	resp, err := g.ask(t, action, "")
 	if err == nil && resp.StatusCode == http.StatusPreconditionRequired {
 		resp, err = g.ask(t, action, resp.Header.Get(headerTicket))
 	}
 	if err != nil {
-		g.record(target, due, "", err)
+		g.record(target, due, sent, "", err)
 		return
 	}
-	g.record(target, due, resp.Header.Get(headerOutcome), nil)
+	g.record(target, due, sent, resp.Header.Get(headerOutcome), nil)
 }
 
 // ask sends one request and reads its answer. An action carries the ticket that
@@ -241,7 +247,7 @@
 	return resp, err
 }
 
-func (g *generator) record(target int, due time.Time, outcome string, err error) {
+func (g *generator) record(target int, due, sent time.Time, outcome string, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.report.ByTarget[target]
@@ -253,5 +259,7 @@
 		outcome = "none"
 	}
 	s.Outcomes[outcome]++
-	_ = s.Latency.RecordValue(time.Since(due).Microseconds())
+	now := time.Now()
+	_ = s.Latency.RecordValue(now.Sub(due).Microseconds())
+	_ = s.FromSend.RecordValue(now.Sub(sent).Microseconds())
 }
