--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -81,3 +81,22 @@
 	is.True(len(files[0]) > 0)
 	is.Equal(string(files[0]), string(files[1]))
 }
+
+// TestCompareDoesNotDependOnWorkers runs the same plan alone and in parallel.
+func TestCompareDoesNotDependOnWorkers(t *testing.T) {
+	is := is.New(t)
+	plan := Plan{
+		Contenders: Contenders(2),
+		Seeds:      2,
+		FirstSeed:  1,
+		Duration:   100 * time.Millisecond,
+		Workers:    1,
+	}
+	alone := plan.Compare(Workloads[4], Faults[1])
+	plan.Workers = 4
+	parallel := plan.Compare(Workloads[4], Faults[1])
+	for i := range alone {
+		is.Equal(alone[i].Contender, parallel[i].Contender)
+		is.True(alone[i].Total.Latency.Equals(parallel[i].Total.Latency))
+	}
+}
