--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -37,10 +37,11 @@
 	return &groupState{limiter: limiter, queue: queue.New[*waiter](maxWaiting)}
 }
 
-// configure takes a new snapshot of the group into use.
-func (g *groupState) configure(group *routing.Group) {
+// configure takes a new snapshot of the group into use, on one of hosts entry
+// hosts.
+func (g *groupState) configure(group *routing.Group, hosts int) {
 	g.current.Store(group)
-	g.limiter.SetBounds(limitBounds(slotsOf(group.Config)))
+	g.limiter.SetBounds(limitBounds(slotsOf(group.Config), hosts))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.queue.SetMax(group.Config.Queue.MaxWaiting)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -36,6 +36,9 @@
 	nextID   atomic.Uint64
 	state    atomic.Pointer[snapshot]
 
+	// entryHosts belongs to the control goroutine.
+	entryHosts int
+
 	// Constructors of the parts that bound a rule or a group; tests that
 	// measure what a part is worth leave it out.
 	newBudget  func(percent float64) *retry.Budget
@@ -61,6 +64,7 @@
 		executor:   sendOnce{},
 		events:     events,
 		random:     rand.Uint64,
+		entryHosts: 1,
 		newBudget:  retry.NewBudget,
 		newLimiter: newLimiter,
 	}
@@ -75,6 +79,19 @@
 	p.state.Store(p.nextSnapshot(p.state.Load(), t))
 }
 
+// SetEntryHosts says over how many live entry hosts the load is spread, which
+// bounds this one's share of a group. The control goroutine calls it.
+func (p *Proxy) SetEntryHosts(n int) {
+	p.entryHosts = max(n, 1)
+	s := p.state.Load()
+	if s == nil {
+		return
+	}
+	for _, g := range s.groups {
+		g.configure(g.current.Load(), p.entryHosts)
+	}
+}
+
 // Ready reports whether a routing table is in force.
 func (p *Proxy) Ready() bool { return p.state.Load() != nil }
 
--- a/internal/proxy/snapshot.go
+++ b/internal/proxy/snapshot.go
@@ -73,7 +73,7 @@
 	if g == nil {
 		g = newGroupState(p.newLimiter(slotsOf(r.Group.Config)), r.Group.Config.Queue.MaxWaiting)
 	}
-	g.configure(r.Group)
+	g.configure(r.Group, p.entryHosts)
 	next.groups[key] = g
 	return g
 }
@@ -86,7 +86,9 @@
 	minFloor = 2
 	// initialDivisor divides the group's slots for the limit of a new group.
 	initialDivisor = 4
-	// ceilingFactor times the group's slots is the largest limit.
+	// ceilingFactor times the entry host's share of the group's slots is the
+	// largest limit. It bounds the harm where upstreams send no reports, and
+	// leaves room for load that is spread unevenly over entry hosts.
 	ceilingFactor = 4
 )
 
@@ -100,13 +102,14 @@
 	return slots
 }
 
-func limitBounds(slots int) limit.Bounds {
+// limitBounds returns the bounds of a group's limit on one of hosts entry hosts.
+func limitBounds(slots, hosts int) limit.Bounds {
 	floor := max(slots/fleetSize, minFloor)
-	return limit.Bounds{Floor: floor, Ceiling: max(slots*ceilingFactor, floor)}
+	return limit.Bounds{Floor: floor, Ceiling: max(slots*ceilingFactor/hosts, floor)}
 }
 
 func newLimiter(slots int) *limit.Limiter {
-	return limit.New(slots/initialDivisor, limitBounds(slots))
+	return limit.New(slots/initialDivisor, limitBounds(slots, 1))
 }
 
 // currentGroup is the group's newest snapshot. A request that waits or is
