Check after each simulated run that no request is left in a queue

Cause: a lost wake-up or a place never given back would show only as slowness. Ruled out: a separate stress test; the simulations drive queue, limit and give up through every path already. Before: unchecked.

--- a/internal/proxy/overload_test.go
+++ b/internal/proxy/overload_test.go
@@ -192,10 +192,23 @@
 			wg.Go(func() { call(t, p, method, end, to, &mu) })
 		}
 		wg.Wait()
+		synctest.Wait()
+		for _, p := range hosts {
+			nothingLeft(t, p)
+		}
 	})
 	return out
 }
 
+// nothingLeft checks that every request left the queue and gave its place back.
+func nothingLeft(t *testing.T, p *Proxy) {
+	for _, g := range p.state.Load().groups {
+		if _, inFlight := g.limiter.Limit(); inFlight != 0 || g.waiting.Load() != 0 {
+			t.Errorf("%d in flight, %d waiting after the last answer", inFlight, g.waiting.Load())
+		}
+	}
+}
+
 // host returns one entry host with the parts that c uses.
 func (c control) host(on shape, sender Sender, seed uint64) *Proxy {
 	high := config.Rule{Name: "high", Methods: []string{"GET"}, Repeat: config.Repeatable, Priority: config.PriorityHigh, Deadline: config.Duration(highTimeout)}
