--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Commands for developers. `make test` is what CI runs; measurements are apart.
-BINARIES := spindled spindle-standin spindle-load
+BINARIES := spindled spindlectl spindle-standin spindle-load
 
-.PHONY: build demo test unit lint ldd
+.PHONY: build demo test unit lint ldd charts check-leaving measure-lifecycle spec long-execution measure-membership long-membership bench-wire fuzz-wire
 
 build:
 	@mkdir -p bin
@@ -10,7 +10,7 @@
 demo:
 	@scripts/demo.sh
 
-test: lint build ldd unit
+test: lint build ldd unit check-leaving spec
 
 unit:
 	go test ./...
@@ -24,13 +24,79 @@
 ldd: build
 	@for b in $(BINARIES); do ldd bin/$$b | grep -q libc.so || { echo "$$b is not linked to libc"; exit 1; }; done
 
+# Model checks of the core protocols, and of their broken twins.
+spec:
+	spec/check.sh single_execution.pml
+
+# A long randomised run of single execution; RUNS schedules of 300 steps.
+RUNS ?= 20000
+long-execution:
+	ATMOSTONCE_RUNS=$(RUNS) go test ./pkg/atmostonce -v -count=1 -run 'TestSchedules|TestUnknownShare|TestNaiveFails'
+	go test ./pkg/atmostonce -v -count=1 -run TestStateMachine -rapid.checks=$(RUNS)
+
+# Writes docs/CHARTS.md from the chart files.
+charts:
+	CHARTS_WRITE=1 go test -count=1 ./charts
+
+# Model check of spec/leaving.pml and of its broken twin.
+check-leaving:
+	@scripts/check-leaving.sh
+
+# Figures of docs/design/04 and 08: budget, drain and charts under faults.
+measure-lifecycle:
+	go test -count=1 -v -run 'Window|Restarts|News|Seconds|Bytes' ./pkg/probebudget ./pkg/lifecycle -rapid.checks=2000
+	go test -count=1 -run '^$$' -bench . ./charts ./pkg/lifecycle ./pkg/probebudget
+
+# Cost, detection, false suspicions, joining and healing of membership, under
+# virtual time.
+measure-membership:
+	go test -run '^$$' -bench . -benchtime 1x -timeout 30m ./pkg/membership
+
+# Random faults for longer: RAPID_CHECKS fleets, from RAPID_SEED.
+long-membership:
+	RAPID_CHECKS=$${RAPID_CHECKS:-10000} RAPID_SEED=$${RAPID_SEED:-7} \
+		go test -count=1 -timeout 60m -v -run RandomFaults ./pkg/membership
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime 60s -parallel 2 ./pkg/membership/wire
+
+# Proof and figures of docs/design/02-configuration.md. check-config takes seconds;
+# long-config takes CHECKS random runs of SEED.
+.PHONY: check-config fuzz-config long-config measure-config measure-overload
+CHECKS ?= 5000
+SEED ?= 2026
+FUZZTIME ?= 30s
+
+check-config:
+	spec/check-config.sh
+
+fuzz-config:
+	go test -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) -fuzzminimizetime 20x ./pkg/config
+	go test -run xxx -fuzz FuzzDeliver -fuzztime $(FUZZTIME) -fuzzminimizetime 20x ./internal/configfeed
+
+long-config:
+	go test -run Fleet -v -timeout 2h ./pkg/configsync -rapid.checks=$(CHECKS) -rapid.seed=$(SEED)
+
+measure-config:
+	CONFIG_MEASURE=1 go test -run Measure -v -timeout 30m ./pkg/configsync ./internal/configfeed
+	go test -run xxx -bench Compile ./internal/configfeed
+
 # Prints the tables of docs/design/06-overload.md: virtual time, fixed seeds.
-.PHONY: measure-overload
 measure-overload:
 	@MEASURE=1 go test -count=1 -run 'TestMeasure(Amplification|Hedging|Overload)' -v ./internal/proxy | grep -v '^\(=== RUN\|--- PASS\|PASS\|ok\)'
 	@go test -run '^$$' -bench . -benchtime 200ms -cpu 1,4 ./internal/proxy ./pkg/retry ./pkg/queue ./pkg/limit | grep Benchmark
 
 # Prints what neighbouring values of the constants do; a few minutes.
-.PHONY: measure-overload-constants
 measure-overload-constants:
 	@scripts/overload-neighbours.sh
+
+# What one entry host adds to a request, and what a request costs it.
+bench-wire:
+	@scripts/bench-wire.sh
+	go test -run '^$$' -bench . -benchmem ./internal/httpwire
+
+# A longer look for messages that the guard and net/http frame differently.
+FUZZTIME ?= 60s
+fuzz-wire:
+	go test -run '^$$' -fuzz FuzzRequest -fuzztime $(FUZZTIME) -parallel 2 ./internal/httpwire/framing
+	go test -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME) -parallel 2 ./internal/httpwire/framing
+
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./pkg/membership/wire
