--- a/pkg/retry/decide.go
+++ b/pkg/retry/decide.go
@@ -90,7 +90,7 @@
 // may only follow a send that certainly did not run.
 func retryable(kind errkind.Kind, repeatable bool) bool {
 	switch kind {
-	case errkind.ConnectFailed, errkind.UpstreamRefused:
+	case errkind.ConnectFailed, errkind.SendFailed, errkind.UpstreamRefused:
 		return true
 	case errkind.UpstreamBroken:
 		return repeatable
