Feed latency, outcome and load report of each send to the policy

Cause: the policies learn from Begin and Finish, and the proxy still called Start and Done. Ruled out: telling the policy of a passed deadline as a failure; callers choose deadlines, and a short one would eject a healthy upstream. Before: policies saw the number in flight only. After: latency, outcome, load report and the time waited reach them; tests of proxy and entry pass under -race.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -14,12 +14,13 @@
 	"github.com/dapplespindle/dapplespindle/pkg/limit"
 )
 
-// This file holds every call of the balancer: Pick, Start and Done.
+// This file holds every call of the balancer: Pick, Begin and Finish.
 
 // binding is a request bound to an upstream, with its place in the limit held.
 // It must be sent or released.
 type binding struct {
 	upstream *balancer.Upstream
+	call     balancer.Call
 	number   int
 }
 
@@ -35,6 +36,10 @@
 type feedback struct {
 	latency time.Duration
 	outcome limit.Outcome
+	// failed states that the upstream or the connection to it is at fault.
+	failed bool
+	// refused states that the upstream declared that it did not run the request.
+	refused bool
 	// load is the upstream's report of requests in flight, or noReport.
 	load int64
 	// slots is the number of requests that the upstream serves at the same time.
@@ -49,22 +54,43 @@
 	return float64(f.load) / float64(max(f.slots, 1))
 }
 
+// balancer converts f. A deadline says nothing on the upstream: callers choose
+// theirs, and the policy sees the age of what is in flight.
+func (f feedback) balancer(now time.Time) balancer.Feedback {
+	out := balancer.Feedback{Now: now, Latency: f.latency}
+	switch {
+	case f.failed:
+		out.Outcome = balancer.Failed
+	case f.refused:
+		out.Outcome = balancer.Refused
+	case f.outcome != limit.Answered:
+		out.Outcome = balancer.Cancelled
+	}
+	if f.load != noReport {
+		out.Report = balancer.Report{Valid: true, InFlight: int(f.load)}
+	}
+	return out
+}
+
 // pick chooses an upstream for send number n. The place in the limit must be
 // held already. The error is balancer.ErrNoSlot or balancer.ErrNoUpstream.
-func (x *exchange) pick(n int) (binding, error) {
+// Waited is how long the request has been in the queue.
+func (x *exchange) pick(n int, waited time.Duration) (binding, error) {
+	now := time.Now()
 	choice, err := x.state.group.current.Load().Picker.Pick(balancer.PickInfo{
-		Now:     time.Now(),
+		Now:     now,
 		Random:  x.proxy.random(),
 		Exclude: x.tried,
+		Waited:  waited,
 	})
 	if err != nil {
 		return binding{}, err
 	}
 	u := choice.Upstream
-	u.Start()
+	call := u.Begin(now)
 	x.tried = append(x.tried, u)
 	x.emit(event.Event{Code: event.UpstreamChosen, Upstream: u.ID, Reason: choice.Reason, Attempt: n, Value: u.Outstanding()})
-	return binding{upstream: u, number: n}, nil
+	return binding{upstream: u, call: call, number: n}, nil
 }
 
 // send sends the bound request and ends the binding.
@@ -85,11 +111,12 @@
 
 // done reports the end of a send to the balancer, the limit and the queue.
 func (x *exchange) done(b binding, f feedback) {
-	b.upstream.Done()
+	now := time.Now()
+	balancer.Finish(x.state.group.current.Load().Picker, b.call, f.balancer(now))
 	if f.outcome == limit.Answered {
 		x.state.latency.Observe(f.latency)
 	}
-	if reason := x.state.group.release(time.Now(), f); reason != limit.Unchanged {
+	if reason := x.state.group.release(now, f); reason != limit.Unchanged {
 		bound, _ := x.state.group.limiter.Limit()
 		x.emit(event.Event{Code: event.LimitChanged, Reason: string(reason), Value: int64(bound)})
 	}
@@ -119,10 +146,14 @@
 	case r.err == nil:
 	case errors.Is(ctx.Err(), context.Canceled):
 		f.outcome = limit.Ignored
-	case r.err.Kind == errkind.UpstreamRefused, r.err.Kind == errkind.DeadlineAfterSend:
+	case r.err.Kind == errkind.UpstreamRefused:
+		f.outcome = limit.Refused
+		f.refused = true
+	case r.err.Kind == errkind.DeadlineAfterSend:
 		f.outcome = limit.Refused
 	default:
 		f.outcome = limit.Ignored
+		f.failed = true
 	}
 	return f
 }
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -106,7 +106,7 @@
 	if !g.acquire(priorityOf(x.rule.Config)) {
 		return binding{}, errLimit
 	}
-	b, err := x.pick(n)
+	b, err := x.pick(n, 0)
 	if err != nil {
 		g.limiter.Release(limit.Sample{Outcome: limit.Ignored})
 	}
--- a/internal/proxy/wait.go
+++ b/internal/proxy/wait.go
@@ -59,7 +59,7 @@
 	if errors.Is(full, errLimit) || g.ends.Load() != ends {
 		g.wake(time.Now(), 1)
 	}
-	b, err := x.awaitSlot(ctx, w)
+	b, err := x.awaitSlot(ctx, w, start)
 	if err == nil {
 		x.admitted(true)
 		x.emit(event.Event{Code: event.QueueLeft, Upstream: b.upstream.ID, Attempt: b.number, Value: time.Since(start).Microseconds()})
@@ -68,7 +68,7 @@
 }
 
 // awaitSlot picks each time that the request is woken, until it is bound.
-func (x *exchange) awaitSlot(ctx context.Context, w *waiter) (binding, *errkind.Error) {
+func (x *exchange) awaitSlot(ctx context.Context, w *waiter, start time.Time) (binding, *errkind.Error) {
 	g := x.state.group
 	tick := time.NewTicker(hintInterval)
 	defer tick.Stop()
@@ -86,7 +86,7 @@
 			return binding{}, x.expired(ctx)
 		}
 		ends := g.ends.Load()
-		b, err := x.pick(x.sent + 1)
+		b, err := x.pick(x.sent+1, time.Since(start))
 		if err == nil {
 			return b, nil
 		}
