--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -12,6 +12,7 @@
 	"github.com/dapplespindle/dapplespindle/pkg/configsync"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+	"github.com/dapplespindle/dapplespindle/pkg/membership"
 	"github.com/dapplespindle/dapplespindle/pkg/plan"
 	"github.com/dapplespindle/dapplespindle/pkg/routing"
 )
@@ -39,6 +40,7 @@
 	readyBy   time.Time // serve without a peer's notices from then on
 	nextTick  time.Time
 	watermark configsync.Watermark
+	fleet     uint64 // version of the membership that the shares reflect
 
 	started   time.Time
 	heartbeat atomic.Int64 // nanoseconds after started
@@ -74,6 +76,8 @@
 	}
 	c.names = present
 	c.publish()
+	_, hosts := rank(c.entry.members.Snapshot())
+	c.shareConnections(hosts)
 	c.tellOperators()
 	c.entry.prober.SetTargets(prober.Targets(services(s), c.entry.conf.MaxEntryHosts, c.entry.conf.Probe.Linger))
 }
@@ -128,9 +132,59 @@
 	if !c.ready {
 		c.publish()
 	}
+	c.shareFleet()
 	c.tellPeers()
 }
 
+// shareFleet adapts this host's shares to the entry hosts that are alive. No
+// promise rests on them: they bound queues and connections.
+func (c *controller) shareFleet() {
+	s := c.entry.members.Snapshot()
+	if s.Version == c.fleet {
+		return
+	}
+	c.fleet = s.Version
+	self, hosts := rank(s)
+	c.entry.proxy.SetEntryHosts(hosts)
+	for i := range s.Members {
+		if s.Members[i].State == membership.Dead {
+			c.entry.pool.Forget(s.Members[i].Address.String())
+		}
+	}
+	c.shareConnections(hosts)
+	if c.groups.share(self, hosts) && c.ready {
+		c.publish()
+	}
+}
+
+// rank returns this host's place among the usable members, and their number.
+func rank(s *membership.Snapshot) (self, hosts int) {
+	for i := range s.Members {
+		m := &s.Members[i]
+		if m.Address == s.Self.Address {
+			self = hosts
+		}
+		if m.Usable() || m.Address == s.Self.Address {
+			hosts++
+		}
+	}
+	return self, max(hosts, 1)
+}
+
+// shareConnections divides each upstream's connections among the entry hosts,
+// and closes those to upstreams that are gone.
+func (c *controller) shareConnections(hosts int) {
+	limits := make(map[string]int)
+	for _, d := range c.config.InForce {
+		for g := range d.Groups {
+			for _, u := range d.Groups[g].Upstreams {
+				limits[u.Address] = max(u.MaxConnections/hosts, 1)
+			}
+		}
+	}
+	c.entry.client.SetLimits(limits)
+}
+
 // publishChanged publishes if the registry has anything new.
 func (c *controller) publishChanged() {
 	if c.registry.Changed() {
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -40,18 +40,32 @@
 	}
 }
 
+// share tells the policies how many entry hosts there are. It reports whether
+// that changed; the policies are then built anew, and the records stay.
+func (s *groupStore) share(self, hosts int) bool {
+	if s.options.Self == self && s.options.EntryHosts == hosts {
+		return false
+	}
+	s.options.Self = self
+	s.options.EntryHosts = hosts
+	for _, st := range s.groups {
+		st.policyName = ""
+	}
+	return true
+}
+
 // Group implements routing.Groups.
 func (s *groupStore) Group(svc *config.Service, g *config.Group) *routing.Group {
 	key := groupKey{svc.Name, g.Name}
 	st := s.groups[key]
-	if st == nil || st.policyName != g.Policy {
-		st = &groupState{
-			policyName: g.Policy,
-			policy:     s.buildPolicy(g),
-			upstreams:  make(map[string]*balancer.Upstream),
-		}
+	if st == nil {
+		st = &groupState{upstreams: make(map[string]*balancer.Upstream)}
 		s.groups[key] = st
 	}
+	if st.policyName != g.Policy {
+		st.policyName = g.Policy
+		st.policy = s.buildPolicy(g)
+	}
 	st.refresh(g, time.Now())
 	st.picker = st.policy.Update(s.taking(svc.Name, g, st))
 	return &routing.Group{Config: g, Picker: st.picker, Lifecycle: s.lifecycle.Version}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -16,7 +16,7 @@
 	"github.com/dapplespindle/dapplespindle/pkg/limit"
 )
 
-// This file holds every call of the balancer: Pick, Start and Done.
+// This file holds every call of the balancer: Pick, Begin and Finish.
 
 // binding is a request bound to an upstream, with its place in the limit held.
 // It must be sent or released.
@@ -42,7 +42,10 @@
 type feedback struct {
 	latency time.Duration
 	outcome limit.Outcome
-	ending  balancer.Outcome
+	// failed states that the upstream or the connection to it is at fault.
+	failed bool
+	// refused states that the upstream declared that it did not run the request.
+	refused bool
 	// load is the upstream's report of requests in flight, or noReport.
 	load int64
 	// slots is the number of requests that the upstream serves at the same time.
@@ -57,18 +60,27 @@
 	return float64(f.load) / float64(max(f.slots, 1))
 }
 
-// forBalancer returns f in the balancer's terms. The age of a report is not
-// known; upstreams sample it when they answer.
-func (f feedback) forBalancer(now time.Time) balancer.Feedback {
-	out := balancer.Feedback{Now: now, Latency: f.latency, Outcome: f.ending}
+// balancer converts f. A deadline says nothing on the upstream: callers choose
+// theirs, and the policy sees the age of what is in flight.
+func (f feedback) balancer(now time.Time) balancer.Feedback {
+	out := balancer.Feedback{Now: now, Latency: f.latency}
+	switch {
+	case f.failed:
+		out.Outcome = balancer.Failed
+	case f.refused:
+		out.Outcome = balancer.Refused
+	case f.outcome != limit.Answered:
+		out.Outcome = balancer.Cancelled
+	}
 	if f.load != noReport {
 		out.Report = balancer.Report{Valid: true, InFlight: int(f.load)}
 	}
 	return out
 }
 
-// pick chooses an upstream for send number n of a request that waited. The place in the limit must be
+// pick chooses an upstream for send number n. The place in the limit must be
 // held already. The error is balancer.ErrNoSlot or balancer.ErrNoUpstream.
+// Waited is how long the request has been in the queue.
 func (x *exchange) pick(n int, waited time.Duration) (binding, error) {
 	group := x.state.group.current.Load()
 	now := time.Now()
@@ -95,12 +107,12 @@
 func (x *exchange) send(ctx context.Context, b binding) result {
 	if !x.guard.begin(x.repeatable()) {
 		x.emit(event.Event{Code: event.NonRepeatableResend, Upstream: b.upstream.ID, Attempt: b.number})
-		x.done(b, feedback{outcome: limit.Ignored, ending: balancer.Cancelled, load: noReport})
+		x.done(b, feedback{outcome: limit.Ignored, load: noReport})
 		return result{binding: b, err: errkind.New(errkind.Internal, "second send of a non-repeatable request")}
 	}
 	if err := x.clear(ctx, b); err != nil {
 		x.guard.end(err)
-		x.done(b, feedback{outcome: limit.Ignored, ending: balancer.Cancelled, load: noReport})
+		x.done(b, feedback{outcome: limit.Ignored, load: noReport})
 		return result{binding: b, err: err}
 	}
 	req := x.attemptRequest(b.number)
@@ -127,11 +139,12 @@
 
 // done reports the end of a send to the balancer, the limit and the queue.
 func (x *exchange) done(b binding, f feedback) {
-	balancer.Finish(x.state.group.current.Load().Picker, b.call, f.forBalancer(time.Now()))
+	now := time.Now()
+	balancer.Finish(x.state.group.current.Load().Picker, b.call, f.balancer(now))
 	if f.outcome == limit.Answered {
 		x.state.latency.Observe(f.latency)
 	}
-	if reason := x.state.group.release(time.Now(), f); reason != limit.Unchanged {
+	if reason := x.state.group.release(now, f); reason != limit.Unchanged {
 		bound, _ := x.state.group.limiter.Limit()
 		x.emit(event.Event{Code: event.LimitChanged, Reason: string(reason), Value: int64(bound)})
 	}
@@ -153,7 +166,7 @@
 }
 
 func feedbackOf(ctx context.Context, r result, resp *httpwire.Response, latency time.Duration) feedback {
-	f := feedback{latency: latency, outcome: limit.Answered, ending: balancer.Answered, load: noReport, slots: r.binding.upstream.Slots}
+	f := feedback{latency: latency, outcome: limit.Answered, load: noReport, slots: r.binding.upstream.Slots}
 	if resp != nil {
 		f.load = loadReport(resp.Header)
 	}
@@ -161,16 +174,14 @@
 	case r.err == nil:
 	case errors.Is(ctx.Err(), context.Canceled):
 		f.outcome = limit.Ignored
-		f.ending = balancer.Cancelled
 	case r.err.Kind == errkind.UpstreamRefused:
 		f.outcome = limit.Refused
-		f.ending = balancer.Refused
+		f.refused = true
 	case r.err.Kind == errkind.DeadlineAfterSend:
 		f.outcome = limit.Refused
-		f.ending = balancer.Failed
 	default:
 		f.outcome = limit.Ignored
-		f.ending = balancer.Failed
+		f.failed = true
 	}
 	return f
 }
