Prove single execution, drain and planned stop with real processes

Cause: the promises had no proof over real processes.

Ruled out: ports that the system gives out, which collided now and then and made a host miss its start; each fleet has a loopback network of its own.

--- /dev/null
+++ b/test/e2e/fleet_test.go
@@ -0,0 +1,311 @@
+// Package e2e runs the real binaries on loopback, brings failures about and
+// compares what callers were told with what upstreams recorded.
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/internal/platform"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "dapplespindle-e2e")
+	if err != nil {
+		fmt.Println(err)
+		os.Exit(1)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "../../cmd/...")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one started binary.
+type process struct {
+	cmd *exec.Cmd
+	log *os.File
+}
+
+func start(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	log, err := os.Create(filepath.Join(t.TempDir(), filepath.Base(name)+".log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(filepath.Join(binaries, name), args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	p := &process{cmd: cmd, log: log}
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			p.printTail(t)
+		}
+	})
+	return p
+}
+
+func (p *process) signal(sig os.Signal) { _ = p.cmd.Process.Signal(sig) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGCONT)
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait()
+}
+
+// stop asks for a planned stop and returns the exit error.
+func (p *process) stop() error {
+	p.signal(syscall.SIGTERM)
+	return p.cmd.Wait()
+}
+
+const logTailBytes = 2000
+
+func (p *process) printTail(t *testing.T) {
+	b, _ := os.ReadFile(p.log.Name())
+	t.Logf("%s: %s", p.log.Name(), b[max(0, len(b)-logTailBytes):])
+}
+
+// entryHost is one daemon with its addresses.
+type entryHost struct {
+	*process
+	caller, admin, peer, operator string
+	domain                        string
+	args                          []string
+}
+
+// fleet is a platform, upstreams and entry hosts.
+type fleet struct {
+	t         *testing.T
+	network   string
+	platform  string
+	upstreams []string
+	entries   []*entryHost
+	client    *http.Client
+}
+
+// fleets counts the fleets of this process; each has a loopback network of its
+// own, so that ports never collide.
+var fleets atomic.Int32
+
+// Ports and last address bytes within a fleet's network.
+const (
+	callerPort, adminPort, peerPort, operatorPort = 8080, 8081, 8082, 8083
+
+	upstreamPort, platformPort = 9000, 7000
+
+	firstUpstream, platformByte = 200, 250
+)
+
+// network returns the first three bytes of a fleet's loopback network.
+func network() string {
+	return fmt.Sprintf("127.%d.%d.", 64+os.Getpid()%128, fleets.Add(1))
+}
+
+func (f *fleet) address(last, port int) string {
+	return fmt.Sprintf("%s%d:%d", f.network, last, port)
+}
+
+var domains = []string{"caruaru", "petrolina", "feira-de-santana", "campina-grande"}
+
+const (
+	upstreamMean = 3 * time.Millisecond
+	readyTimeout = 30 * time.Second
+	pollEvery    = 20 * time.Millisecond
+)
+
+// newFleet starts a platform, a service with the given upstreams, and entry hosts.
+func newFleet(t *testing.T, upstreams, entries int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, network: network(), client: &http.Client{Timeout: 5 * time.Second}}
+	listen := f.address(platformByte, platformPort)
+	f.platform = "http://" + listen
+	start(t, "spindle-standin", "platform", "--listen", listen)
+	for i := range upstreams {
+		addr := f.address(firstUpstream+i, upstreamPort)
+		f.startUpstream(i, addr)
+		f.upstreams = append(f.upstreams, addr)
+	}
+	f.waitFor("platform", func() bool { return f.get(f.platform+"/v1/reads") == nil })
+	for range entries {
+		f.addEntry()
+	}
+	f.publishHosts()
+	f.publish(f.document())
+	for _, e := range f.entries {
+		f.waitReady(e)
+	}
+	return f
+}
+
+func (f *fleet) startUpstream(i int, addr string) *process {
+	host, port, _ := net.SplitHostPort(addr)
+	return start(f.t, "spindle-standin", "upstream", "--host", host, "--port", port,
+		"--name", "up"+strconv.Itoa(i+1), "--mean", upstreamMean.String())
+}
+
+// addEntry starts one more entry host.
+func (f *fleet) addEntry() *entryHost {
+	last := len(f.entries) + 1
+	e := &entryHost{
+		caller:   f.address(last, callerPort),
+		admin:    f.address(last, adminPort),
+		peer:     f.address(last, peerPort),
+		operator: f.address(last, operatorPort),
+		domain:   domains[len(f.entries)%len(domains)],
+	}
+	e.args = []string{
+		"--listen", e.caller, "--admin-listen", e.admin, "--peer-listen", e.peer, "--operator-listen", e.operator,
+		"--failure-domain", e.domain, "--platform", f.platform, "--stop-grace", "500ms",
+	}
+	e.process = start(f.t, "spindled", e.args...)
+	f.entries = append(f.entries, e)
+	return e
+}
+
+// restart starts the same entry host again after it was killed or stopped.
+func (f *fleet) restart(e *entryHost) {
+	e.process = start(f.t, "spindled", e.args...)
+}
+
+func (f *fleet) publishHosts() {
+	var hosts []platform.Host
+	for _, e := range f.entries {
+		hosts = append(hosts, platform.Host{IP: "127.0.0.1", PeerAddress: e.peer, FailureDomain: e.domain, State: platform.Live})
+	}
+	f.put("/v1/hosts", hosts)
+}
+
+func (f *fleet) publish(s *config.Service) { f.put("/v1/config/services/"+s.Name, s) }
+
+// document has one repeatable and one non-repeatable rule over all upstreams.
+func (f *fleet) document() *config.Service {
+	group := config.Group{Name: "main"}
+	for i, addr := range f.upstreams {
+		group.Upstreams = append(group.Upstreams, config.Upstream{
+			ID: fmt.Sprintf("up%d-1", i+1), Address: addr, FailureDomain: domains[i%len(domains)],
+		})
+	}
+	s := &config.Service{
+		Name:   "ledger",
+		Match:  config.Match{PathPrefix: "/ledger/"},
+		Groups: []config.Group{group},
+		Rules: []config.Rule{
+			{Name: "sale", Methods: []string{"POST"}, Group: "main", Repeat: config.NonRepeatable, Deadline: config.Duration(time.Second)},
+			{Name: "lookup", Group: "main", Repeat: config.Repeatable, Deadline: config.Duration(time.Second)},
+		},
+	}
+	s.SetDefaults()
+	return s
+}
+
+func (f *fleet) put(path string, v any) {
+	f.t.Helper()
+	body, err := json.Marshal(v)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req, _ := http.NewRequest(http.MethodPut, f.platform+path, bytes.NewReader(body))
+	resp, err := f.client.Do(req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		f.t.Fatalf("PUT %s: %s", path, resp.Status)
+	}
+}
+
+func (f *fleet) get(url string) error {
+	resp, err := f.client.Get(url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", url, resp.Status)
+	}
+	return nil
+}
+
+func (f *fleet) waitReady(e *entryHost) {
+	f.t.Helper()
+	f.waitFor("entry host "+e.caller, func() bool { return f.get("http://"+e.admin+"/readyz") == nil })
+}
+
+func (f *fleet) waitFor(what string, ok func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(readyTimeout)
+	for !ok() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%s: not within %s", what, readyTimeout)
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+// ledger sums what every upstream recorded, by action.
+func (f *fleet) ledger() map[string]int {
+	f.t.Helper()
+	total := make(map[string]int)
+	for _, addr := range f.upstreams {
+		resp, err := f.client.Get("http://" + addr + "/_ledger")
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		one := make(map[string]int)
+		err = json.NewDecoder(resp.Body).Decode(&one)
+		_ = resp.Body.Close()
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		for action, n := range one {
+			total[action] += n
+		}
+	}
+	return total
+}
+
+// served returns how many requests an upstream began.
+func (f *fleet) served(addr string) int64 {
+	f.t.Helper()
+	resp, err := f.client.Get("http://" + addr + "/_served")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n, err := strconv.ParseInt(string(bytes.TrimSpace(body)), 10, 64)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return n
+}
