Let the demo show status, an explained request, tickets, live decisions and probes

Cause: the demo printed a request's log lines and a table per entry host; the operators' command line and the tickets were not to be seen. Ruled out: a tour in Go, since no process of ours starts another.

--- a/cmd/spindle-load/main.go
+++ b/cmd/spindle-load/main.go
@@ -67,11 +67,14 @@
 	return targets
 }
 
+// print shows one line per kind of request, over all entry hosts.
 func print(conf loadgen.Config, r *loadgen.Report) error {
+	names, byName := merge(conf, r)
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "request\tran\tnot-run\tunknown\terrors\tp50 ms\tp99 ms\tp99.9 ms\t")
-	for i, s := range r.ByTarget {
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t\n", conf.Targets[i].Name,
+	for _, name := range names {
+		s := byName[name]
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t\n", name,
 			s.Outcomes["ran"], s.Outcomes["not-run"], s.Outcomes["unknown"], s.Errors,
 			millis(s, 50), millis(s, 99), millis(s, 99.9))
 	}
@@ -82,6 +85,22 @@
 	return nil
 }
 
+// merge joins the statistics of targets with one name, in the order of the mix.
+func merge(conf loadgen.Config, r *loadgen.Report) ([]string, map[string]*loadgen.Stats) {
+	var names []string
+	byName := make(map[string]*loadgen.Stats)
+	for i, s := range r.ByTarget {
+		name := conf.Targets[i].Name
+		if byName[name] == nil {
+			names = append(names, name)
+			byName[name] = s
+			continue
+		}
+		byName[name].Merge(s)
+	}
+	return names, byName
+}
+
 func millis(s *loadgen.Stats, quantile float64) float64 {
 	return float64(s.Latency.ValueAtQuantile(quantile)) / 1000
 }
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -73,6 +73,16 @@
 	Errors int
 }
 
+// Merge adds what o saw to s.
+func (s *Stats) Merge(o *Stats) {
+	s.Latency.Merge(o.Latency)
+	s.FromSend.Merge(o.FromSend)
+	for outcome, n := range o.Outcomes {
+		s.Outcomes[outcome] += n
+	}
+	s.Errors += o.Errors
+}
+
 // Report is the result of a run.
 type Report struct {
 	// ByTarget holds the statistics of each target, in the order of the mix.
--- a/internal/standin/deployments.go
+++ b/internal/standin/deployments.go
@@ -42,11 +42,15 @@
 	{"battery", 15, 200, scooterDomains, 6 * time.Millisecond, 9601, false, config.PriorityNormal},
 }
 
-const standinSlots = 3
+const (
+	standinSlots = 3
+	// probePercent is the measuring budget, as a share of slot time.
+	probePercent = 1
+)
 
 // Document returns the service document of d with upstreams on loopback.
 func (d Deployment) Document() *config.Service {
-	group := config.Group{Name: "main"}
+	group := config.Group{Name: "main", Probe: config.ProbeBudget{SlotTimePercent: probePercent}}
 	for i := range d.Endpoints {
 		group.Upstreams = append(group.Upstreams, config.Upstream{
 			ID:             fmt.Sprintf("%s-%d", d.Name, i+1),
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -29,7 +29,7 @@
   bin/spindled --listen "127.0.0.1:$port" --admin-listen "127.0.0.1:$((port + 1))" \
     --peer-listen "127.0.0.1:$((port + 2))" --operator-listen "127.0.0.1:$((port + 3))" \
     --failure-domain "${domains[$(((i - 1) % ${#domains[@]}))]}" \
-    --platform http://127.0.0.1:7000 --log-level debug >"$out/entry-$i.log" 2>&1 & pids+=($!)
+    --max-entry-hosts $((entries + 1)) --platform http://127.0.0.1:7000 --log-level debug >"$out/entry-$i.log" 2>&1 & pids+=($!)
   hosts+=("{\"ip\":\"127.0.0.1\",\"peer_address\":\"127.0.0.1:$((port + 2))\",\"failure_domain\":\"${domains[$(((i - 1) % ${#domains[@]}))]}\",\"state\":\"live\"}")
   targets+=("http://127.0.0.1:$port")
 done
@@ -41,10 +41,28 @@
   done
 done
 
-echo "--- one request and its decisions"
+echo "--- the entry hosts"
+bin/spindlectl status --server 127.0.0.1:8093
+echo "--- one request, and why it went where it went"
 curl -is "http://127.0.0.1:8090/catalogue/lots/42" -H 'X-Request-Id: demo-1'
 sleep 0.2
-grep -h '"request":"demo-1"' "$out"/entry-*.log
-echo "--- load: $rate requests a second for $duration over $entries entry hosts"
+bin/spindlectl explain demo-1 --server 127.0.0.1:8093
+echo "--- one action through another entry host: a ticket, the action, and the same again"
+last=$((8080 + 10 * entries))
+ticket=$(curl -s -o /dev/null -D - -X POST "http://127.0.0.1:8090/ledger/sale" | tr -d '\r' | sed -n 's/^Dapplespindle-Ticket: //p')
+for _ in 1 2; do
+  curl -is -X POST "http://127.0.0.1:$last/ledger/sale" -H "Idempotency-Key: $ticket" -H 'X-Action: demo-sale' |
+    grep -iE '^(HTTP|Dapplespindle-(Outcome|Upstream))' | tr -d '\r' | paste -sd' '
+done
+echo "recorded: $(for p in $(seq 9201 9208); do curl -s "http://127.0.0.1:$p/_ledger"; done | grep -o '"demo-sale":[0-9]*' | paste -sd' ')"
+echo "--- live decisions under load: $rate requests a second for $duration over $entries entry hosts"
+bin/spindlectl watch --server 127.0.0.1:8093 --count 12 & pids+=($!)
 bin/spindle-load mix --entry "$(IFS=,; echo "${targets[*]}")" --rate "$rate" --duration "$duration"
+probes=0
+for i in $(seq 1 "$entries"); do
+  n=$(curl -s "http://127.0.0.1:$((8081 + 10 * i))/metrics" | awk '$1 ~ /events.probe-answered|events.probe-failed/ {s += $2} END {print s + 0}')
+  probes=$((probes + n))
+done
+# 66 upstreams, 3 slots, 1% of slot time, 6 ms a probe: 5 a second each.
+echo "probes: $probes; the budget allows $((66 * 5)) a second over all entry hosts"
 echo "logs: $out"
