--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -60,7 +60,7 @@
 bin/spindle-load mix --entry "$(IFS=,; echo "${targets[*]}")" --rate "$rate" --duration "$duration"
 probes=0
 for i in $(seq 1 "$entries"); do
-  n=$(curl -s "http://127.0.0.1:$((8081 + 10 * i))/metrics" | awk '$1 ~ /events.probe-answered|events.probe-failed/ {s += $2} END {print s + 0}')
+  n=$(curl -s "http://127.0.0.1:$((8081 + 10 * i))/metrics" | awk '$1 ~ /events.count.probe-sent/ {s += $2} END {print s + 0}')
   probes=$((probes + n))
 done
 # 66 upstreams, 3 slots, 1% of slot time, 6 ms a probe: 5 a second each.
