--- /dev/null
+++ b/internal/entry/capacity_test.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/spf13/pflag"
+
+	"github.com/dapplespindle/dapplespindle/internal/configfeed"
+	"github.com/dapplespindle/dapplespindle/internal/settings"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/configsync"
+	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+)
+
+// fleetSize is a number of services and the upstreams of all together.
+type fleetSize struct{ services, upstreams int }
+
+// capacitySizes end at the target of docs/DEVELOPERS.md. The second and third
+// have the same services and the last two the same upstreams, so that the two
+// slopes come apart.
+var capacitySizes = []fleetSize{{10, 366}, {100, 3659}, {100, 15000}, {410, 15000}}
+
+func (s fleetSize) String() string {
+	return fmt.Sprintf("services=%d/upstreams=%d", s.services, s.upstreams)
+}
+
+// document returns service i. Probes are on, as they are the dearer case.
+func (s fleetSize) document(i int) *config.Service {
+	name := fmt.Sprintf("service-%03d", i)
+	g := config.Group{Name: "main", Policy: "spindle", Probe: config.ProbeBudget{SlotTimePercent: 1, Cost: config.Duration(6 * time.Millisecond)}}
+	for u := i; u < s.upstreams; u += s.services {
+		g.Upstreams = append(g.Upstreams, config.Upstream{
+			ID:             fmt.Sprintf("%s-%d", name, u),
+			Address:        fmt.Sprintf("10.%d.%d.%d:8080", u>>16, u>>8&255, u&255),
+			FailureDomain:  fmt.Sprintf("domain-%02d", u%29),
+			Slots:          3,
+			MaxConnections: 200,
+			State:          config.Active,
+		})
+	}
+	return &config.Service{
+		Name:   name,
+		Match:  config.Match{PathPrefix: "/" + name + "/"},
+		Groups: []config.Group{g},
+		Rules:  []config.Rule{{Name: "all", Group: "main", Repeat: config.Repeatable}},
+	}
+}
+
+func (s fleetSize) snapshot() configfeed.Snapshot {
+	out := configfeed.Snapshot{Frontier: uint64(s.services), Ready: true}
+	for i := range s.services {
+		out.InForce = append(out.InForce, configsync.Versioned{Revision: uint64(i + 1), Service: s.document(i)})
+	}
+	return out
+}
+
+// newIdleEntry returns an entry host whose parts are real and not started; the
+// test runs on behalf of its control goroutine.
+func newIdleEntry(tb testing.TB) *Entry {
+	var conf settings.Entry
+	fs := pflag.NewFlagSet("capacity", pflag.ContinueOnError)
+	conf.Register(fs)
+	if err := fs.Parse([]string{"--failure-domain=domain-00", "--platform=http://127.0.0.1:1", "--log-level=error"}); err != nil {
+		tb.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	tb.Cleanup(cancel)
+	e, err := New(ctx, conf, "test", io.Discard)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return e
+}
+
+// configuredEntry returns an entry host with the documents of s in force.
+func configuredEntry(tb testing.TB, s fleetSize) (*Entry, configfeed.Snapshot) {
+	e, snapshot := newIdleEntry(tb), s.snapshot()
+	e.control.configured(snapshot)
+	if !e.control.ready {
+		tb.Fatal("not ready")
+	}
+	return e, snapshot
+}
+
+func eachSize(b *testing.B, run func(*testing.B, fleetSize)) {
+	for _, s := range capacitySizes {
+		b.Run(s.String(), func(b *testing.B) { b.ReportAllocs(); run(b, s) })
+	}
+}
+
+// BenchmarkStart is what the first configuration costs the control goroutine.
+func BenchmarkStart(b *testing.B) {
+	eachSize(b, func(b *testing.B, s fleetSize) {
+		snapshot := s.snapshot()
+		for b.Loop() {
+			newIdleEntry(b).control.configured(snapshot)
+		}
+	})
+}
+
+// BenchmarkChange is what one changed document costs it.
+func BenchmarkChange(b *testing.B) {
+	eachSize(b, func(b *testing.B, s fleetSize) {
+		e, snapshot := configuredEntry(b, s)
+		for n := 0; b.Loop(); n++ {
+			snapshot = changed(s, snapshot, n%s.services)
+			e.control.configured(snapshot)
+		}
+	})
+}
+
+// changed returns snapshot with a new revision of document i, in which the
+// state of one upstream has changed.
+func changed(s fleetSize, snapshot configfeed.Snapshot, i int) configfeed.Snapshot {
+	docs := append([]configsync.Versioned(nil), snapshot.InForce...)
+	service := *docs[i].Service
+	service.Groups = append([]config.Group(nil), service.Groups...)
+	group := &service.Groups[0]
+	group.Upstreams = append([]config.Upstream(nil), group.Upstreams...)
+	u := &group.Upstreams[0]
+	if u.State == config.Active {
+		u.State = config.Draining
+	} else {
+		u.State = config.Active
+	}
+	snapshot.Frontier++
+	docs[i].Revision, docs[i].Service = snapshot.Frontier, &service
+	snapshot.InForce = docs
+	return snapshot
+}
+
+// BenchmarkLifecycle is what news of one upstream costs it: connections failed
+// and then one succeeded, which are two publications.
+func BenchmarkLifecycle(b *testing.B) {
+	eachSize(b, func(b *testing.B, s fleetSize) {
+		e, snapshot := configuredEntry(b, s)
+		doc := snapshot.InForce[0]
+		key := lifecycle.MemberKey{Service: doc.Name, Upstream: doc.Service.Groups[0].Upstreams[0].ID}
+		for b.Loop() {
+			for range lifecycle.DefaultConfig().ConnectFailures {
+				e.control.registry.ConnectFailed(time.Now(), key)
+			}
+			e.control.publishChanged()
+			e.control.registry.Reached(time.Now(), key)
+			e.control.publishChanged()
+		}
+	})
+}
+
+// BenchmarkTickSecond is the work of once a second without news.
+func BenchmarkTickSecond(b *testing.B) {
+	eachSize(b, func(b *testing.B, s fleetSize) {
+		e, _ := configuredEntry(b, s)
+		e.control.tick(time.Now())
+		for b.Loop() {
+			e.control.nextTick = time.Time{}
+			e.control.tick(time.Now())
+		}
+	})
+}
+
+// BenchmarkTick is the work of every heartbeatEvery besides.
+func BenchmarkTick(b *testing.B) {
+	eachSize(b, func(b *testing.B, s fleetSize) {
+		e, _ := configuredEntry(b, s)
+		e.control.tick(time.Now())
+		e.control.nextTick = time.Now().Add(time.Hour)
+		for b.Loop() {
+			e.control.tick(time.Now())
+		}
+	})
+}
+
+// BenchmarkFleetChange is what a joining or leaving entry host costs it.
+func BenchmarkFleetChange(b *testing.B) {
+	eachSize(b, func(b *testing.B, s fleetSize) {
+		e, _ := configuredEntry(b, s)
+		for n := 0; b.Loop(); n++ {
+			hosts := 13 + n%2
+			e.proxy.SetEntryHosts(hosts)
+			e.control.shareConnections(hosts)
+			if e.control.groups.share(0, hosts) {
+				e.control.publish()
+			}
+		}
+	})
+}
+
+// BenchmarkMemory is the heap of an entry host that serves nothing, documents
+// included, before and after a change of each document.
+func BenchmarkMemory(b *testing.B) {
+	eachSize(b, func(b *testing.B, s fleetSize) {
+		for b.Loop() {
+			before := heapBytes()
+			e, snapshot := configuredEntry(b, s)
+			b.ReportMetric(float64(heapBytes()-before)/1e6, "MB")
+			for i := range s.services {
+				snapshot = changed(s, snapshot, i)
+				e.control.configured(snapshot)
+			}
+			b.ReportMetric(float64(heapBytes()-before)/1e6, "MB-changed")
+			runtime.KeepAlive(e)
+			runtime.KeepAlive(snapshot)
+		}
+	})
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
