Find the service of a request by an index

Cause: Route tried the services in turn; with 410 of them that was 1657 ns a request against 75 ns with 10 (go test -bench Route ./pkg/routing). Ruled out: a trie, as the prefixes have few different lengths and a map look-up for each is enough. Hosts outside ASCII are still tried in turn, since case folding there is more than lower case. The test compares the index with trying all services. Conclusion: the cost of a route no longer grows with the services.

--- /dev/null
+++ b/pkg/routing/index.go
@@ -0,0 +1,88 @@
+package routing
+
+import (
+	"strings"
+	"unicode/utf8"
+)
+
+// index finds the first service in match order without trying them all. Its
+// work grows with the number of different prefix lengths, not with services.
+type index struct {
+	lengths  []int // of the path prefixes, longest first
+	byPrefix map[string]*prefixMatch
+}
+
+// prefixMatch holds the services of one path prefix.
+type prefixMatch struct {
+	services []*Service          // in match order
+	byHost   map[string]*Service // the first of each host, in lower case
+	ascii    bool                // byHost decides for hosts in ASCII
+}
+
+// newIndex indexes services that are in match order.
+func newIndex(services []*Service) index {
+	x := index{byPrefix: make(map[string]*prefixMatch)}
+	for _, s := range services {
+		prefix := s.Config.Match.PathPrefix
+		m := x.byPrefix[prefix]
+		if m == nil {
+			m = &prefixMatch{byHost: make(map[string]*Service), ascii: true}
+			x.byPrefix[prefix] = m
+			if n := len(x.lengths); n == 0 || x.lengths[n-1] != len(prefix) {
+				x.lengths = append(x.lengths, len(prefix))
+			}
+		}
+		m.add(s)
+	}
+	return x
+}
+
+func (m *prefixMatch) add(s *Service) {
+	m.services = append(m.services, s)
+	m.ascii = m.ascii && isASCII(s.Config.Match.Host)
+	host := strings.ToLower(s.Config.Match.Host)
+	if m.byHost[host] == nil {
+		m.byHost[host] = s
+	}
+}
+
+// find returns the first service that matches, or nil.
+func (x *index) find(host, path string) *Service {
+	for _, n := range x.lengths {
+		if n > len(path) {
+			continue
+		}
+		if m := x.byPrefix[path[:n]]; m != nil {
+			if s := m.find(host); s != nil {
+				return s
+			}
+		}
+	}
+	return nil
+}
+
+// find prefers a service that names the host. Outside ASCII, equal under case
+// folding is more than equal in lower case; the services are tried in turn.
+func (m *prefixMatch) find(host string) *Service {
+	if m.ascii && isASCII(host) {
+		if s := m.byHost[strings.ToLower(host)]; s != nil {
+			return s
+		}
+		return m.byHost[""]
+	}
+	for _, s := range m.services {
+		if h := s.Config.Match.Host; h == "" || strings.EqualFold(h, host) {
+			return s
+		}
+	}
+	return nil
+}
+
+func isASCII(s string) bool {
+	for i := range len(s) {
+		if s[i] >= utf8.RuneSelf {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -13,7 +13,8 @@
 
 // Table maps requests to rules. It is immutable.
 type Table struct {
-	services []*Service
+	services []*Service // in match order
+	index    index
 	// Revision is the highest platform revision that the table reflects.
 	Revision uint64
 }
@@ -65,6 +66,7 @@
 			cmp.Compare(a.Config.Name, b.Config.Name),
 		)
 	})
+	t.index = newIndex(t.services)
 	return t
 }
 
@@ -87,21 +89,11 @@
 	if name, _, ok := strings.Cut(host, ":"); ok {
 		host = name
 	}
-	for _, s := range t.services {
-		if !s.matches(host, path) {
-			continue
-		}
-		return s.rule(method, path)
-	}
-	return nil
-}
-
-func (s *Service) matches(host, path string) bool {
-	m := s.Config.Match
-	if m.Host != "" && !strings.EqualFold(m.Host, host) {
-		return false
+	s := t.index.find(host, path)
+	if s == nil {
+		return nil
 	}
-	return strings.HasPrefix(path, m.PathPrefix)
+	return s.rule(method, path)
 }
 
 func (s *Service) rule(method, path string) *Rule {
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -1,6 +1,9 @@
 package routing
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -55,3 +58,38 @@
 		})
 	}
 }
+
+// firstMatch is the definition of the match order: the services in turn.
+func firstMatch(t *Table, host, path string) *Service {
+	for _, s := range t.Services() {
+		m := s.Config.Match
+		if (m.Host == "" || strings.EqualFold(m.Host, host)) && strings.HasPrefix(path, m.PathPrefix) {
+			return s
+		}
+	}
+	return nil
+}
+
+// TestIndexFindsTheFirstMatch compares the index with trying all services, on
+// few prefixes and hosts, so that they overlap. U+212A folds to
+// k, and U+0130 is i in lower case without folding to it.
+func TestIndexFindsTheFirstMatch(t *testing.T) {
+	const tables, lookups = 300, 200
+	prefixes := []string{"", "/", "/a", "/a/", "/a/b", "/b/", "/ab"}
+	hosts := []string{"", "", "k", "K", "api", "API.example", "\u212a", "é", "i", "\u0130"}
+	random := rand.New(rand.NewPCG(2026, 1))
+	pick := func(list []string) string { return list[random.IntN(len(list))] }
+	for range tables {
+		var services []*config.Service
+		for i := range random.IntN(12) {
+			services = append(services, service(fmt.Sprintf("s%d", i), pick(hosts), pick(prefixes)))
+		}
+		table := Compile(1, services, noGroups{})
+		for range lookups {
+			host, path := pick(hosts), pick(prefixes)+pick([]string{"", "x", "/b"})
+			if got, want := table.index.find(host, path), firstMatch(table, host, path); got != want {
+				t.Fatalf("host %q, path %q: got %v, want %v", host, path, got, want)
+			}
+		}
+	}
+}
