Rebuild only the services that something changed

Ruled out: publishing less often alone, which would delay what leaves. Conclusion: news costs what it touches; a document still pays for the prober's targets and the connections' limits of all.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -35,7 +35,7 @@
 	published *operator.Published
 
 	config    configfeed.Snapshot
-	names     map[string]bool // services that the registry knows
+	revisions map[string]uint64 // of the documents that the registry has
 	ready     bool
 	readyBy   time.Time // serve without a peer's notices from then on
 	nextTick  time.Time
@@ -52,7 +52,7 @@
 		groups:    newGroupStore(e.conf.FailureDomain),
 		registry:  lifecycle.NewRegistry(lifecycle.DefaultConfig(), hostSink{e}),
 		published: new(operator.Published),
-		names:     make(map[string]bool),
+		revisions: make(map[string]uint64),
 		started:   time.Now(),
 	}
 	c.readyBy = c.started.Add(e.conf.JoinTimeout)
@@ -64,17 +64,7 @@
 func (c *controller) configured(s configfeed.Snapshot) {
 	now := time.Now()
 	c.config = s
-	present := make(map[string]bool, len(s.InForce))
-	for _, d := range s.InForce {
-		present[d.Name] = true
-		c.registry.Configure(now, d.Name, d.Revision, lifecycle.Listings(d.Service, activation))
-	}
-	for name := range c.names {
-		if !present[name] {
-			c.registry.Configure(now, name, s.Frontier, nil)
-		}
-	}
-	c.names = present
+	c.list(now)
 	c.publish()
 	_, hosts := rank(c.entry.members.Snapshot())
 	c.shareConnections(hosts)
@@ -82,6 +72,24 @@
 	c.entry.prober.SetTargets(prober.Targets(services(s), c.entry.conf.MaxEntryHosts, c.entry.conf.Probe.Linger))
 }
 
+// list takes the documents that are new into the registry, and out of it the
+// services that have none any more.
+func (c *controller) list(now time.Time) {
+	present := make(map[string]uint64, len(c.config.InForce))
+	for _, d := range c.config.InForce {
+		present[d.Name] = d.Revision
+		if known, ok := c.revisions[d.Name]; !ok || known != d.Revision {
+			c.registry.Configure(now, d.Name, d.Revision, lifecycle.Listings(d.Service, activation))
+		}
+	}
+	for name := range c.revisions {
+		if _, ok := present[name]; !ok {
+			c.registry.Configure(now, name, c.config.Frontier, nil)
+		}
+	}
+	c.revisions = present
+}
+
 func activation(u *config.Upstream) uint64 { return u.Activation }
 
 func services(s configfeed.Snapshot) []*config.Service {
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -22,6 +22,10 @@
 	policy     balancer.Policy
 	picker     balancer.Picker
 	upstreams  map[string]*balancer.Upstream
+
+	// config and lifecycle are what picker reflects.
+	config    *config.Group
+	lifecycle uint64
 }
 
 // groupStore implements routing.Groups. It belongs to the control goroutine.
@@ -54,7 +58,9 @@
 	return true
 }
 
-// Group implements routing.Groups.
+// Group implements routing.Groups. The picker stays while neither the group's
+// document nor anything about the service's upstreams has changed; it then
+// reflects the newest lifecycle too.
 func (s *groupStore) Group(svc *config.Service, g *config.Group) *routing.Group {
 	key := groupKey{svc.Name, g.Name}
 	st := s.groups[key]
@@ -62,13 +68,22 @@
 		st = &groupState{upstreams: make(map[string]*balancer.Upstream)}
 		s.groups[key] = st
 	}
+	version := s.lifecycle.ServiceVersion(svc.Name)
+	if st.policyName != g.Policy || st.config != g || st.lifecycle != version {
+		s.rebuild(svc.Name, g, st)
+		st.config, st.lifecycle = g, version
+	}
+	return &routing.Group{Config: g, Picker: st.picker, Lifecycle: s.lifecycle.Version}
+}
+
+// rebuild makes the picker of a group anew.
+func (s *groupStore) rebuild(service string, g *config.Group, st *groupState) {
 	if st.policyName != g.Policy {
 		st.policyName = g.Policy
 		st.policy = s.buildPolicy(g)
 	}
 	st.refresh(g, time.Now())
-	st.picker = st.policy.Update(s.taking(svc.Name, g, st))
-	return &routing.Group{Config: g, Picker: st.picker, Lifecycle: s.lifecycle.Version}
+	st.picker = st.policy.Update(s.taking(service, g, st))
 }
 
 // buildPolicy returns the policy that the group names. A name that this
--- a/internal/entry/groups_test.go
+++ b/internal/entry/groups_test.go
@@ -85,3 +85,24 @@
 	_, err := picker.Pick(balancer.PickInfo{})
 	is.Equal(err, balancer.ErrNoUpstream)
 }
+
+func TestGroupKeepsThePickerOfWhatDidNotChange(t *testing.T) {
+	is := is.New(t)
+	f := newGroupFleet()
+	g := groupOf("random", "a", "b")
+	picker := f.publish(g)
+	other := config.Service{Name: "ledger", Groups: []config.Group{*groupOf("random", "x")}}
+	f.registry.Configure(time.Now(), other.Name, 1, lifecycle.Listings(&other, activation))
+	f.store.lifecycle, _ = f.registry.Flush()
+
+	kept := f.store.Group(&f.service, g)
+	is.Equal(kept.Picker, picker)                       // another service changed
+	is.Equal(kept.Lifecycle, f.store.lifecycle.Version) // and yet it reflects the newest
+
+	f.registry.Refused(time.Now(), lifecycle.MemberKey{Service: "catalogue", Upstream: "a"}, 0)
+	f.store.lifecycle, _ = f.registry.Flush()
+	left := f.store.Group(&f.service, g).Picker
+	is.True(left != picker) // one of its upstreams left
+	is.True(f.store.share(1, 2))
+	is.True(f.store.Group(&f.service, g).Picker != left) // the policy was built anew
+}
--- a/pkg/lifecycle/news.go
+++ b/pkg/lifecycle/news.go
@@ -26,14 +26,14 @@
 	}
 	r.revisions[service] = revision
 	r.changed = true
-	listed := make(map[MemberKey]bool, len(listings))
+	r.touched[service] = true
+	listed := make(map[string]bool, len(listings))
 	for _, l := range listings {
-		k := MemberKey{service, l.Upstream}
-		listed[k] = true
-		r.list(now, k, revision, l, !known)
+		listed[l.Upstream] = true
+		r.list(now, MemberKey{service, l.Upstream}, revision, l, !known)
 	}
-	for k, m := range r.members {
-		if k.Service == service && !listed[k] {
+	for upstream, m := range r.services[service] {
+		if !listed[upstream] {
 			r.remove(now, m, revision)
 		}
 	}
@@ -47,8 +47,7 @@
 	isNew := m == nil
 	if isNew {
 		m = &member{key: k, warmSince: now, state: stWarming}
-		r.members[k] = m
-		r.byKey[KeyOf(k.Service, k.Upstream)] = m
+		r.add(m)
 	}
 	m.revision = revision
 	m.listing = l
@@ -67,8 +66,7 @@
 	r.learn(now, Notice{Key: key, DrainRevision: revision})
 	r.step(now, m, evRemove, fromDocument)
 	r.announce = append(r.announce, r.notice(m.key))
-	delete(r.members, m.key)
-	delete(r.byKey, key)
+	r.drop(m)
 	r.emit(now, event.UpstreamRemoved, m, fromDocument)
 }
 
--- a/pkg/lifecycle/registry.go
+++ b/pkg/lifecycle/registry.go
@@ -12,6 +12,7 @@
 package lifecycle
 
 import (
+	"maps"
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/charts"
@@ -78,11 +79,14 @@
 	conf      Config
 	events    event.Sink
 	members   map[MemberKey]*member
+	services  map[string]map[string]*member // the same, by service and upstream
 	byKey     map[Key]*member
 	notices   map[Key]*knownNotice
 	revisions map[string]uint64 // of each service's document
 	announce  []Notice
 	changed   bool
+	touched   map[string]bool // services that differ from last
+	last      *Snapshot
 	version   uint64
 	dropped   uint64
 }
@@ -93,6 +97,9 @@
 		conf:      conf,
 		events:    events,
 		members:   make(map[MemberKey]*member),
+		services:  make(map[string]map[string]*member),
+		touched:   make(map[string]bool),
+		last:      new(Snapshot),
 		byKey:     make(map[Key]*member),
 		notices:   make(map[Key]*knownNotice),
 		revisions: make(map[string]uint64),
@@ -114,11 +121,29 @@
 	return r.snapshot(), announce
 }
 
+// snapshot builds the services that were touched and shares the others with
+// the snapshot before.
 func (r *Registry) snapshot() *Snapshot {
 	r.version++
-	s := &Snapshot{Version: r.version, views: make(map[MemberKey]View, len(r.members))}
-	for k, m := range r.members {
-		s.views[k] = View{
+	s := &Snapshot{Version: r.version, services: make(map[string]*serviceViews, len(r.services))}
+	maps.Copy(s.services, r.last.services)
+	for service := range r.touched {
+		if len(r.services[service]) == 0 {
+			delete(s.services, service)
+			continue
+		}
+		s.services[service] = r.views(service)
+	}
+	clear(r.touched)
+	r.last = s
+	return s
+}
+
+func (r *Registry) views(service string) *serviceViews {
+	members := r.services[service]
+	out := &serviceViews{version: r.version, views: make(map[string]View, len(members))}
+	for upstream, m := range members {
+		out.views[upstream] = View{
 			State:       charts.Upstream.StateName(m.state),
 			Takes:       r.takes(m),
 			Unreachable: m.state == stUnreachable,
@@ -127,7 +152,29 @@
 			SlowStart:   m.listing.SlowStart,
 		}
 	}
-	return s
+	return out
+}
+
+// add and drop keep the three views of the members alike.
+func (r *Registry) add(m *member) {
+	of := r.services[m.key.Service]
+	if of == nil {
+		of = make(map[string]*member)
+		r.services[m.key.Service] = of
+	}
+	of[m.key.Upstream] = m
+	r.members[m.key] = m
+	r.byKey[KeyOf(m.key.Service, m.key.Upstream)] = m
+}
+
+func (r *Registry) drop(m *member) {
+	of := r.services[m.key.Service]
+	delete(of, m.key.Upstream)
+	if len(of) == 0 {
+		delete(r.services, m.key.Service)
+	}
+	delete(r.members, m.key)
+	delete(r.byKey, KeyOf(m.key.Service, m.key.Upstream))
 }
 
 // takes is the rule: the document in force lists the upstream as active and
@@ -177,6 +224,9 @@
 		return false
 	}
 	known.learned = now
+	if m := r.byKey[n.Key]; m != nil {
+		r.touched[m.key.Service] = true
+	}
 	return true
 }
 
@@ -189,6 +239,7 @@
 		return
 	}
 	m.state = next
+	r.touched[m.key.Service] = true
 	if next == stWarming {
 		m.warmSince = now
 		m.failures = 0
--- a/pkg/lifecycle/snapshot.go
+++ b/pkg/lifecycle/snapshot.go
@@ -44,17 +44,40 @@
 	// Version grows with every snapshot of one process.
 	Version uint64
 
-	views map[MemberKey]View
+	services map[string]*serviceViews
+}
+
+// serviceViews is one service in snapshots; those that follow share it until
+// something about the service changes. It is immutable.
+type serviceViews struct {
+	version uint64 // of the first snapshot that holds it
+	views   map[string]View
 }
 
 // View returns the state of one upstream; false if it is not configured.
 func (s *Snapshot) View(k MemberKey) (View, bool) {
-	v, ok := s.views[k]
+	service := s.services[k.Service]
+	if service == nil {
+		return View{}, false
+	}
+	v, ok := service.views[k.Upstream]
 	return v, ok
 }
 
+// ServiceVersion returns the version of the newest snapshot, up to this one,
+// that differs in anything about the service; 0 if it is not configured.
+func (s *Snapshot) ServiceVersion(service string) uint64 {
+	if known := s.services[service]; known != nil {
+		return known.version
+	}
+	return 0
+}
+
 // Takes reports whether an upstream may be sent new requests.
-func (s *Snapshot) Takes(k MemberKey) bool { return s.views[k].Takes }
+func (s *Snapshot) Takes(k MemberKey) bool {
+	view, _ := s.View(k)
+	return view.Takes
+}
 
 // Verdict is the answer to a check right before sending.
 type Verdict uint8
