Bound the prober's search and leave out upstreams without a budget

Cause: every 20 ms the prober looked at all upstreams, those without a measuring budget too. Each change of configuration made all targets anew. Ruled out: a heap by due time, since what is wanted is the stalest report, and reports move with every answer; a longer poll, which probes less. A disabled upstream's counters are forgotten.

--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -63,9 +63,12 @@
 	conf    Config
 	targets atomic.Pointer[map[string]*target]
 
-	mu     sync.Mutex // guards budget and audit
-	budget *probebudget.Budget
-	audit  *probebudget.Audit
+	mu      sync.Mutex // guards what follows
+	budget  *probebudget.Budget
+	audit   *probebudget.Audit
+	scanned time.Time   // of the newest scan
+	found   []candidate // by it
+	queue   []candidate // the rest of found
 }
 
 // New returns a prober without targets.
@@ -76,24 +79,18 @@
 }
 
 // SetTargets replaces the upstreams that may be probed. The control goroutine
-// calls it when the configuration changes.
+// calls it when the configuration changes. Those without a measuring budget
+// are no targets.
 func (p *Prober) SetTargets(targets []Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := *p.targets.Load()
-	next := make(map[string]*target, len(targets))
+	next := make(map[string]*target, len(old))
 	for id, t := range merge(targets) {
-		known := old[id]
-		if err := p.budget.Configure(time.Now(), id, t.Plan); err != nil {
-			p.emit(event.Event{Code: event.BudgetRejected, Upstream: id, Detail: err.Error()})
-			continue
-		}
-		if known == nil && t.Plan.Enabled() {
-			p.budget.Stagger(id, rand.N(t.Plan.Window()))
-		}
-		next[id] = &target{Target: t}
-		if known != nil {
-			next[id].reported.Store(known.reported.Load())
+		if known := old[id]; known != nil && known.Target == t {
+			next[id] = known
+		} else if fresh := p.configure(t, known); fresh != nil {
+			next[id] = fresh
 		}
 	}
 	for id := range old {
@@ -102,6 +99,28 @@
 		}
 	}
 	p.targets.Store(&next)
+	p.scanned, p.queue = time.Time{}, nil
+}
+
+// configure returns a target that is new or has changed, or nil if it is not
+// to be probed.
+func (p *Prober) configure(t Target, known *target) *target {
+	if err := t.Plan.Validate(); err != nil {
+		p.emit(event.Event{Code: event.BudgetRejected, Upstream: t.Upstream, Detail: err.Error()})
+		return nil
+	}
+	if !t.Plan.Enabled() {
+		return nil
+	}
+	// The plan was checked; Configure reports nothing else.
+	_ = p.budget.Configure(time.Now(), t.Upstream, t.Plan)
+	fresh := &target{Target: t}
+	if known == nil {
+		p.budget.Stagger(t.Upstream, rand.N(t.Plan.Window()))
+	} else {
+		fresh.reported.Store(known.reported.Load())
+	}
+	return fresh
 }
 
 // Heard records that a report of an upstream rode on an answer. Traffic
@@ -135,25 +154,6 @@
 	}
 }
 
-// next takes a grant for the upstream with the stalest report.
-func (p *Prober) next(now time.Time) (*target, probebudget.Grant, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var stalest *target
-	age := p.conf.FreshFor
-	for id, t := range *p.targets.Load() {
-		due, ok := p.budget.Due(id)
-		if ok && !now.Before(due) && t.age(now) > age {
-			stalest, age = t, t.age(now)
-		}
-	}
-	if stalest == nil {
-		return nil, probebudget.Grant{}, false
-	}
-	g, ok := p.budget.Take(now, stalest.Upstream)
-	return stalest, g, ok
-}
-
 // probe sends one probe and ends its grant.
 func (p *Prober) probe(ctx context.Context, t *target, g probebudget.Grant) {
 	ctx, cancel := context.WithTimeout(ctx, p.conf.Timeout)
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"testing"
@@ -152,3 +153,35 @@
 	is.Equal(len(targets), 1)
 	is.Equal(targets["a"].Plan.SlotTimePercent, 1.0) // the strictest of both groups
 }
+
+// TestLargeFleetIsProbedInTurn has more upstreams than one scan may look at in
+// each poll, and probes due all the time.
+func TestLargeFleetIsProbedInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(0, "1")
+		r.SetTargets(manyTargets(1000, 1))
+		r.runFor(t, 65*time.Second)
+		least, most := math.MaxInt, 0
+		for _, sent := range r.upstreams.sent {
+			least, most = min(least, len(sent)), max(most, len(sent))
+		}
+		is.Equal(len(r.upstreams.sent), 1000) // none starves
+		is.True(most-least <= 2)
+		is.Equal(r.events.codes[event.ProbeOverBudget], 0)
+	})
+}
+
+func TestUpstreamsWithoutBudgetAreNoTargets(t *testing.T) {
+	is := is.New(t)
+	r := newRig(0, "1")
+	r.SetTargets(manyTargets(10, 1))
+	is.Equal(len(*r.targets.Load()), 10)
+	kept := (*r.targets.Load())["1"]
+	r.SetTargets(manyTargets(5, 1))
+	is.Equal((*r.targets.Load())["1"], kept) // its report and plan stay
+	r.SetTargets(manyTargets(10, 0))
+	is.Equal(len(*r.targets.Load()), 0)
+	_, due := r.budget.Due("1")
+	is.True(!due)
+}
