Publish waiting news of upstreams together

Cause: each piece of news was published by itself. Meanwhile leaving upstreams are still chosen. Ruled out: a timer, which delays a single piece of news. Now the first news puts a publication at the end of the loop's queue; what already waits goes with it.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -36,6 +36,9 @@
 
 	config    configfeed.Snapshot
 	revisions map[string]uint64 // of the documents that the registry has
+	// publishing is true while a publication waits in the loop's queue.
+	publishing bool
+
 	ready     bool
 	readyBy   time.Time // serve without a peer's notices from then on
 	nextTick  time.Time
@@ -200,6 +203,22 @@
 	}
 }
 
+// publishSoon publishes what is new after the news that already waits in the
+// queue: many upstreams that are lost at once cost one publication. Nothing
+// that comes later delays it.
+func (c *controller) publishSoon() {
+	if c.publishing || !c.registry.Changed() {
+		return
+	}
+	c.publishing = c.entry.loop.Post(func() {
+		c.publishing = false
+		c.publishChanged()
+	})
+	if !c.publishing {
+		c.publishChanged()
+	}
+}
+
 // reportDrained tells the registry which leaving upstreams have nothing of this
 // host in flight.
 func (c *controller) reportDrained(now time.Time) {
@@ -217,7 +236,7 @@
 	for _, n := range list {
 		c.registry.Merge(now, n)
 	}
-	c.publishChanged()
+	c.publishSoon()
 }
 
 // tellPeers publishes the watermark with this host's membership entry.
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -21,7 +21,7 @@
 	}
 	c.entry.loop.Post(func() {
 		c.registry.Refused(time.Now(), k, activation)
-		c.publishChanged()
+		c.publishSoon()
 	})
 }
 
@@ -29,7 +29,7 @@
 func (c *controller) ConnectFailed(k lifecycle.MemberKey) {
 	c.entry.loop.Post(func() {
 		c.registry.ConnectFailed(time.Now(), k)
-		c.publishChanged()
+		c.publishSoon()
 	})
 }
 
@@ -37,7 +37,7 @@
 func (c *controller) Reached(k lifecycle.MemberKey) {
 	c.entry.loop.Post(func() {
 		c.registry.Reached(time.Now(), k)
-		c.publishChanged()
+		c.publishSoon()
 	})
 }
 
