Look only at leaving upstreams when telling what has drained

An upstream in two groups also counted as drained as soon as one was idle. Now the registry names the leaving ones, and all groups of the service must be idle. The map of connection limits is made at its size.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -35,6 +35,7 @@
 	published *operator.Published
 
 	config    configfeed.Snapshot
+	addresses int               // of upstreams, as a hint
 	revisions map[string]uint64 // of the documents that the registry has
 	// publishing is true while a publication waits in the loop's queue.
 	publishing bool
@@ -185,7 +186,7 @@
 // shareConnections divides each upstream's connections among the entry hosts,
 // and closes those to upstreams that are gone.
 func (c *controller) shareConnections(hosts int) {
-	limits := make(map[string]int)
+	limits := make(map[string]int, c.addresses)
 	for _, d := range c.config.InForce {
 		for g := range d.Groups {
 			for _, u := range d.Groups[g].Upstreams {
@@ -193,6 +194,7 @@
 			}
 		}
 	}
+	c.addresses = len(limits)
 	c.entry.client.SetLimits(limits)
 }
 
@@ -220,15 +222,24 @@
 }
 
 // reportDrained tells the registry which leaving upstreams have nothing of this
-// host in flight.
+// host in flight, in any group of their service.
 func (c *controller) reportDrained(now time.Time) {
+	idle := make(map[lifecycle.MemberKey]bool)
+	leaving := c.registry.Leaving()
 	for key, g := range c.groups.groups {
-		for id, u := range g.upstreams {
-			if u.Outstanding() == 0 {
-				c.registry.InFlight(now, lifecycle.MemberKey{Service: key.service, Upstream: id}, 0)
+		for _, id := range leaving[key.service] {
+			if u := g.upstreams[id]; u != nil {
+				member := lifecycle.MemberKey{Service: key.service, Upstream: id}
+				before, known := idle[member]
+				idle[member] = u.Outstanding() == 0 && (before || !known)
 			}
 		}
 	}
+	for member, done := range idle {
+		if done {
+			c.registry.InFlight(now, member, 0)
+		}
+	}
 }
 
 // merge takes in notices of a peer.
--- a/internal/entry/publish_test.go
+++ b/internal/entry/publish_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/dapplespindle/dapplespindle/internal/control"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
 )
 
@@ -46,6 +49,33 @@
 	is.Equal(e.control.Snapshot().Version, before+1) // nothing new
 }
 
+// An upstream that two groups of a service list has drained when neither has
+// requests in flight there.
+func TestDrainedIsSaidOfAllGroups(t *testing.T) {
+	is := is.New(t)
+	e := newIdleEntry(t)
+	snapshot := fleetSize{services: 1, upstreams: 2}.snapshot()
+	doc := snapshot.InForce[0].Service
+	second := doc.Groups[0]
+	second.Name = "second"
+	doc.Groups = append(doc.Groups, second)
+	doc.Rules = append(doc.Rules, config.Rule{Name: "second", Group: "second", Repeat: config.Repeatable})
+	e.control.configured(snapshot)
+	id := doc.Groups[0].Upstreams[0].ID
+	key := lifecycle.MemberKey{Service: doc.Name, Upstream: id}
+	// Whether the upstream still counts as leaving after a look at all groups.
+	leaving := func() bool {
+		e.control.reportDrained(time.Now())
+		return len(e.control.registry.Leaving()[doc.Name]) > 0
+	}
+	u := e.control.groups.groups[groupKey{doc.Name, "second"}].upstreams[id]
+	started := u.Begin(time.Now())
+	e.control.registry.Refused(time.Now(), key, 0)
+	is.True(leaving()) // in flight in the second group
+	balancer.Finish(e.control.groups.groups[groupKey{doc.Name, "second"}].picker, started, balancer.Feedback{Now: time.Now()})
+	is.True(!leaving())
+}
+
 // BenchmarkLostDomain is the loss of one failure domain of 29 at once, as
 // failed connections: news of 1/29 of all upstreams.
 func BenchmarkLostDomain(b *testing.B) {
--- a/pkg/lifecycle/news.go
+++ b/pkg/lifecycle/news.go
@@ -160,6 +160,18 @@
 	}
 }
 
+// Leaving returns the ids of the upstreams that are leaving, by service: those
+// that InFlight matters for.
+func (r *Registry) Leaving() map[string][]string {
+	out := make(map[string][]string)
+	for k, m := range r.members {
+		if m.state == stLeaving {
+			out[k.Service] = append(out[k.Service], k.Upstream)
+		}
+	}
+	return out
+}
+
 // InFlight takes in the number of requests that this host has in flight at an
 // upstream; it matters only while the upstream is leaving.
 func (r *Registry) InFlight(now time.Time, k MemberKey, n int64) {
