--- a/internal/entry/capacity_test.go
+++ b/internal/entry/capacity_test.go
@@ -17,22 +17,27 @@
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
 )
 
-// fleetSize is a number of services and the upstreams of all together.
-type fleetSize struct{ services, upstreams int }
+// fleetSize is a number of services, the upstreams of all together, and the
+// measuring budget in percent of the slot time; 0 sends no probes.
+type fleetSize struct {
+	services, upstreams int
+	percent             float64
+}
 
-// capacitySizes end at the target of docs/DEVELOPERS.md. The second and third
-// have the same services and the last two the same upstreams, so that the two
-// slopes come apart.
-var capacitySizes = []fleetSize{{10, 366}, {100, 3659}, {100, 15000}, {410, 15000}}
+// capacitySizes end at the target of docs/DEVELOPERS.md, without and with
+// probes. The second and third have the same services, the third and fourth the
+// same upstreams, so that the two slopes come apart.
+var capacitySizes = []fleetSize{{10, 366, 0}, {100, 3659, 0}, {100, 15000, 0}, {410, 15000, 0}, {410, 15000, 1}}
 
 func (s fleetSize) String() string {
-	return fmt.Sprintf("services=%d/upstreams=%d", s.services, s.upstreams)
+	return fmt.Sprintf("services=%d/upstreams=%d/probes=%v%%", s.services, s.upstreams, s.percent)
 }
 
-// document returns service i. Probes are on, as they are the dearer case.
+// document returns service i.
 func (s fleetSize) document(i int) *config.Service {
 	name := fmt.Sprintf("service-%03d", i)
-	g := config.Group{Name: "main", Policy: "spindle", Probe: config.ProbeBudget{SlotTimePercent: 1, Cost: config.Duration(6 * time.Millisecond)}}
+	g := config.Group{Name: "main", Policy: "spindle"}
+	g.Probe = config.ProbeBudget{SlotTimePercent: s.percent, Cost: config.Duration(6 * time.Millisecond)}
 	for u := i; u < s.upstreams; u += s.services {
 		g.Upstreams = append(g.Upstreams, config.Upstream{
 			ID:             fmt.Sprintf("%s-%d", name, u),
@@ -191,6 +196,20 @@
 	})
 }
 
+// BenchmarkGroup is one group built anew, against its size.
+func BenchmarkGroup(b *testing.B) {
+	for _, n := range []int{10, 37, 100, 1000} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			e, snapshot := configuredEntry(b, fleetSize{services: 1, upstreams: n})
+			g := &snapshot.InForce[0].Groups[0]
+			st := e.control.groups.groups[groupKey{"service-000", "main"}]
+			for b.Loop() {
+				e.control.groups.rebuild("service-000", g, st)
+			}
+		})
+	}
+}
+
 // BenchmarkMemory is the heap of an entry host that serves nothing, documents
 // included, before and after a change of each document.
 func BenchmarkMemory(b *testing.B) {
--- /dev/null
+++ b/pkg/lifecycle/bench_test.go
@@ -0,0 +1,39 @@
+package lifecycle
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+)
+
+// BenchmarkNotices is what one exchange with a peer costs the control goroutine
+// when n configured upstreams have left or drained at some time: its own notices
+// encoded, and the peer's, which hold nothing new, taken in.
+func BenchmarkNotices(b *testing.B) {
+	for _, n := range []int{100, 1000, 15000} {
+		b.Run(fmt.Sprintf("notices=%d", n), func(b *testing.B) {
+			now := time.Unix(1_000_000, 0)
+			r := NewRegistry(DefaultConfig(), event.Discard{})
+			var list []Listing
+			for i := range n {
+				list = append(list, Listing{Upstream: fmt.Sprint(i), Draining: true})
+			}
+			r.Configure(now, "s", 1_000_000, list)
+			var size int
+			for b.Loop() {
+				text := EncodeNotices(r.Notices(now))
+				size = len(text)
+				known, err := DecodeNotices(text)
+				if err != nil {
+					b.Fatal(err)
+				}
+				for _, notice := range known {
+					r.Merge(now, notice)
+				}
+			}
+			b.ReportMetric(float64(size), "B/message")
+		})
+	}
+}
