--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -35,7 +35,11 @@
 	published *operator.Published
 
 	config    configfeed.Snapshot
-	names     map[string]bool // services that the registry knows
+	addresses int               // of upstreams, as a hint
+	revisions map[string]uint64 // of the documents that the registry has
+	// publishing is true while a publication waits in the loop's queue.
+	publishing bool
+
 	ready     bool
 	readyBy   time.Time // serve without a peer's notices from then on
 	nextTick  time.Time
@@ -52,7 +56,7 @@
 		groups:    newGroupStore(e.conf.FailureDomain),
 		registry:  lifecycle.NewRegistry(lifecycle.DefaultConfig(), hostSink{e}),
 		published: new(operator.Published),
-		names:     make(map[string]bool),
+		revisions: make(map[string]uint64),
 		started:   time.Now(),
 	}
 	c.readyBy = c.started.Add(e.conf.JoinTimeout)
@@ -64,17 +68,7 @@
 func (c *controller) configured(s configfeed.Snapshot) {
 	now := time.Now()
 	c.config = s
-	present := make(map[string]bool, len(s.InForce))
-	for _, d := range s.InForce {
-		present[d.Name] = true
-		c.registry.Configure(now, d.Name, d.Revision, lifecycle.Listings(d.Service, activation))
-	}
-	for name := range c.names {
-		if !present[name] {
-			c.registry.Configure(now, name, s.Frontier, nil)
-		}
-	}
-	c.names = present
+	c.list(now)
 	c.publish()
 	_, hosts := rank(c.entry.members.Snapshot())
 	c.shareConnections(hosts)
@@ -82,6 +76,24 @@
 	c.entry.prober.SetTargets(prober.Targets(services(s), c.entry.conf.MaxEntryHosts, c.entry.conf.Probe.Linger))
 }
 
+// list takes the documents that are new into the registry, and out of it the
+// services that have none any more.
+func (c *controller) list(now time.Time) {
+	present := make(map[string]uint64, len(c.config.InForce))
+	for _, d := range c.config.InForce {
+		present[d.Name] = d.Revision
+		if known, ok := c.revisions[d.Name]; !ok || known != d.Revision {
+			c.registry.Configure(now, d.Name, d.Revision, lifecycle.Listings(d.Service, activation))
+		}
+	}
+	for name := range c.revisions {
+		if _, ok := present[name]; !ok {
+			c.registry.Configure(now, name, c.config.Frontier, nil)
+		}
+	}
+	c.revisions = present
+}
+
 func activation(u *config.Upstream) uint64 { return u.Activation }
 
 func services(s configfeed.Snapshot) []*config.Service {
@@ -174,7 +186,7 @@
 // shareConnections divides each upstream's connections among the entry hosts,
 // and closes those to upstreams that are gone.
 func (c *controller) shareConnections(hosts int) {
-	limits := make(map[string]int)
+	limits := make(map[string]int, c.addresses)
 	for _, d := range c.config.InForce {
 		for g := range d.Groups {
 			for _, u := range d.Groups[g].Upstreams {
@@ -182,6 +194,7 @@
 			}
 		}
 	}
+	c.addresses = len(limits)
 	c.entry.client.SetLimits(limits)
 }
 
@@ -192,16 +205,41 @@
 	}
 }
 
+// publishSoon publishes what is new after the news that already waits in the
+// queue: many upstreams that are lost at once cost one publication. Nothing
+// that comes later delays it.
+func (c *controller) publishSoon() {
+	if c.publishing || !c.registry.Changed() {
+		return
+	}
+	c.publishing = c.entry.loop.Post(func() {
+		c.publishing = false
+		c.publishChanged()
+	})
+	if !c.publishing {
+		c.publishChanged()
+	}
+}
+
 // reportDrained tells the registry which leaving upstreams have nothing of this
-// host in flight.
+// host in flight, in any group of their service.
 func (c *controller) reportDrained(now time.Time) {
+	idle := make(map[lifecycle.MemberKey]bool)
+	leaving := c.registry.Leaving()
 	for key, g := range c.groups.groups {
-		for id, u := range g.upstreams {
-			if u.Outstanding() == 0 {
-				c.registry.InFlight(now, lifecycle.MemberKey{Service: key.service, Upstream: id}, 0)
+		for _, id := range leaving[key.service] {
+			if u := g.upstreams[id]; u != nil {
+				member := lifecycle.MemberKey{Service: key.service, Upstream: id}
+				before, known := idle[member]
+				idle[member] = u.Outstanding() == 0 && (before || !known)
 			}
 		}
 	}
+	for member, done := range idle {
+		if done {
+			c.registry.InFlight(now, member, 0)
+		}
+	}
 }
 
 // merge takes in notices of a peer.
@@ -209,7 +247,7 @@
 	for _, n := range list {
 		c.registry.Merge(now, n)
 	}
-	c.publishChanged()
+	c.publishSoon()
 }
 
 // tellPeers publishes the watermark with this host's membership entry.
--- /dev/null
+++ b/internal/entry/publish_test.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/internal/control"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+)
+
+// runQueue lets an idle entry host do what was posted so far, and what that
+// posted, without its timers.
+func runQueue(tb testing.TB, e *Entry) {
+	ctx, cancel := context.WithCancel(tb.Context())
+	defer cancel()
+	go e.loop.Run(ctx)
+	for range 2 {
+		if err := e.loop.Call(ctx, func() {}); err != nil {
+			tb.Fatal(err)
+		}
+	}
+}
+
+func TestNewsThatWaitsIsPublishedTogether(t *testing.T) {
+	is := is.New(t)
+	e, snapshot := configuredEntry(t, fleetSize{services: 2, upstreams: 200})
+	e.loop = control.NewLoop()
+	before := e.control.Snapshot().Version
+	for _, d := range snapshot.InForce {
+		for _, u := range d.Groups[0].Upstreams {
+			e.control.Leaving(lifecycle.MemberKey{Service: d.Name, Upstream: u.ID}, 0)
+		}
+	}
+	runQueue(t, e)
+	after := e.control.Snapshot()
+	is.Equal(after.Version, before+1) // one publication
+	for _, d := range snapshot.InForce {
+		for _, u := range d.Groups[0].Upstreams {
+			is.True(!after.Takes(lifecycle.MemberKey{Service: d.Name, Upstream: u.ID}))
+		}
+	}
+	e.control.ConnectFailed(lifecycle.MemberKey{Service: "service-000", Upstream: "none"})
+	runQueue(t, e)
+	is.Equal(e.control.Snapshot().Version, before+1) // nothing new
+}
+
+// An upstream that two groups of a service list has drained when neither has
+// requests in flight there.
+func TestDrainedIsSaidOfAllGroups(t *testing.T) {
+	is := is.New(t)
+	e := newIdleEntry(t)
+	snapshot := fleetSize{services: 1, upstreams: 2}.snapshot()
+	doc := snapshot.InForce[0].Service
+	second := doc.Groups[0]
+	second.Name = "second"
+	doc.Groups = append(doc.Groups, second)
+	doc.Rules = append(doc.Rules, config.Rule{Name: "second", Group: "second", Repeat: config.Repeatable})
+	e.control.configured(snapshot)
+	id := doc.Groups[0].Upstreams[0].ID
+	key := lifecycle.MemberKey{Service: doc.Name, Upstream: id}
+	// Whether the upstream still counts as leaving after a look at all groups.
+	leaving := func() bool {
+		e.control.reportDrained(time.Now())
+		return len(e.control.registry.Leaving()[doc.Name]) > 0
+	}
+	u := e.control.groups.groups[groupKey{doc.Name, "second"}].upstreams[id]
+	started := u.Begin(time.Now())
+	e.control.registry.Refused(time.Now(), key, 0)
+	is.True(leaving()) // in flight in the second group
+	balancer.Finish(e.control.groups.groups[groupKey{doc.Name, "second"}].picker, started, balancer.Feedback{Now: time.Now()})
+	is.True(!leaving())
+}
+
+// BenchmarkLostDomain is the loss of one failure domain of 29 at once, as
+// failed connections: news of 1/29 of all upstreams.
+func BenchmarkLostDomain(b *testing.B) {
+	eachSize(b, func(b *testing.B, s fleetSize) {
+		e, snapshot := configuredEntry(b, s)
+		e.loop = control.NewLoop()
+		for b.Loop() {
+			for _, d := range snapshot.InForce {
+				for _, u := range d.Groups[0].Upstreams {
+					if u.FailureDomain == "domain-07" {
+						loseAndRegain(e, lifecycle.MemberKey{Service: d.Name, Upstream: u.ID})
+					}
+				}
+			}
+			runQueue(b, e)
+		}
+	})
+}
+
+// loseAndRegain posts the news that an upstream can't be reached, and that it
+// is reached again, so that each round of a benchmark begins alike.
+func loseAndRegain(e *Entry, key lifecycle.MemberKey) {
+	for range lifecycle.DefaultConfig().ConnectFailures {
+		e.control.ConnectFailed(key)
+	}
+	e.control.Reached(key)
+}
--- a/pkg/lifecycle/news.go
+++ b/pkg/lifecycle/news.go
@@ -26,14 +26,14 @@
 	}
 	r.revisions[service] = revision
 	r.changed = true
-	listed := make(map[MemberKey]bool, len(listings))
+	r.touched[service] = true
+	listed := make(map[string]bool, len(listings))
 	for _, l := range listings {
-		k := MemberKey{service, l.Upstream}
-		listed[k] = true
-		r.list(now, k, revision, l, !known)
+		listed[l.Upstream] = true
+		r.list(now, MemberKey{service, l.Upstream}, revision, l, !known)
 	}
-	for k, m := range r.members {
-		if k.Service == service && !listed[k] {
+	for upstream, m := range r.services[service] {
+		if !listed[upstream] {
 			r.remove(now, m, revision)
 		}
 	}
@@ -43,12 +43,11 @@
 // list takes in one entry of a document. Upstreams of the first document that
 // a process sees are taken to be warm.
 func (r *Registry) list(now time.Time, k MemberKey, revision uint64, l Listing, first bool) {
-	m := r.members[k]
+	m := r.member(k)
 	isNew := m == nil
 	if isNew {
 		m = &member{key: k, warmSince: now, state: stWarming}
-		r.members[k] = m
-		r.byKey[KeyOf(k.Service, k.Upstream)] = m
+		r.add(m)
 	}
 	m.revision = revision
 	m.listing = l
@@ -67,8 +66,7 @@
 	r.learn(now, Notice{Key: key, DrainRevision: revision})
 	r.step(now, m, evRemove, fromDocument)
 	r.announce = append(r.announce, r.notice(m.key))
-	delete(r.members, m.key)
-	delete(r.byKey, key)
+	r.drop(m)
 	r.emit(now, event.UpstreamRemoved, m, fromDocument)
 }
 
@@ -94,12 +92,12 @@
 // request of an earlier activation changes nothing.
 func (r *Registry) Refused(now time.Time, k MemberKey, activation uint64) {
 	r.left(now, k, activation, fromUpstream)
-	if m := r.members[k]; m == nil || m.listing.Activation != activation {
+	if m := r.member(k); m == nil || m.listing.Activation != activation {
 		return
 	}
-	for other, m := range r.members {
-		if other.Upstream == k.Upstream && other.Service != k.Service {
-			r.left(now, other, m.listing.Activation, fromUpstream)
+	for service, members := range r.services {
+		if m := members[k.Upstream]; m != nil && service != k.Service {
+			r.left(now, m.key, m.listing.Activation, fromUpstream)
 		}
 	}
 }
@@ -108,7 +106,7 @@
 // The list has no order against documents, so the notice is about the
 // activation in force.
 func (r *Registry) HostLeaving(now time.Time, k MemberKey) {
-	if m := r.members[k]; m != nil {
+	if m := r.member(k); m != nil {
 		r.left(now, k, m.listing.Activation, fromHostList)
 	}
 }
@@ -138,7 +136,7 @@
 // ConnectFailed takes in a connection that could not be made. It is advice of
 // this host alone and is not told to peers.
 func (r *Registry) ConnectFailed(now time.Time, k MemberKey) {
-	m := r.members[k]
+	m := r.member(k)
 	if m == nil || (m.state != stWarming && m.state != stServing) {
 		return
 	}
@@ -152,7 +150,7 @@
 
 // Reached takes in a connection or a probe that succeeded.
 func (r *Registry) Reached(now time.Time, k MemberKey) {
-	m := r.members[k]
+	m := r.member(k)
 	if m == nil {
 		return
 	}
@@ -162,10 +160,24 @@
 	}
 }
 
+// Leaving returns the ids of the upstreams that are leaving, by service: those
+// that InFlight matters for.
+func (r *Registry) Leaving() map[string][]string {
+	out := make(map[string][]string)
+	for service, members := range r.services {
+		for upstream, m := range members {
+			if m.state == stLeaving {
+				out[service] = append(out[service], upstream)
+			}
+		}
+	}
+	return out
+}
+
 // InFlight takes in the number of requests that this host has in flight at an
 // upstream; it matters only while the upstream is leaving.
 func (r *Registry) InFlight(now time.Time, k MemberKey, n int64) {
-	m := r.members[k]
+	m := r.member(k)
 	if m != nil && n == 0 && m.state == stLeaving {
 		r.step(now, m, evIdle, fromTimer)
 	}
@@ -174,12 +186,9 @@
 // Tick does what is due at a time: ends slow starts, tries unreachable
 // upstreams again and forgets old notices. Once a second is enough.
 func (r *Registry) Tick(now time.Time) {
-	for _, m := range r.members {
-		switch {
-		case m.state == stWarming && now.Sub(m.warmSince) >= m.listing.SlowStart:
-			r.step(now, m, evWarm, fromTimer)
-		case m.state == stUnreachable && now.Sub(m.failedAt) >= r.conf.UnreachablePause:
-			r.step(now, m, evReached, fromTimer)
+	for _, members := range r.services {
+		for _, m := range members {
+			r.tick(now, m)
 		}
 	}
 	for key, n := range r.notices {
@@ -188,3 +197,12 @@
 		}
 	}
 }
+
+func (r *Registry) tick(now time.Time, m *member) {
+	switch {
+	case m.state == stWarming && now.Sub(m.warmSince) >= m.listing.SlowStart:
+		r.step(now, m, evWarm, fromTimer)
+	case m.state == stUnreachable && now.Sub(m.failedAt) >= r.conf.UnreachablePause:
+		r.step(now, m, evReached, fromTimer)
+	}
+}
