Check every specification with one script

Cause: spec/check.sh, spec/check-config.sh and scripts/check-leaving.sh did one job in three ways, and make test ran only two of the three specifications. A twin of single_execution or config_order passed for caught on any error. Conclusion: one script, as strict or stricter; make test runs it whole.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Commands for developers. `make test` is what CI runs; measurements are apart.
 BINARIES := spindled spindlectl spindle-standin spindle-load spindle-lab
 
-.PHONY: build demo test unit lint ldd charts check-leaving measure-lifecycle spec long-execution measure-membership long-membership bench-wire fuzz-wire
+.PHONY: build demo test unit lint ldd charts measure-lifecycle spec long-execution measure-membership long-membership bench-wire fuzz-wire
 
 build:
 	@mkdir -p bin
@@ -10,7 +10,7 @@
 demo:
 	@scripts/demo.sh
 
-test: lint build ldd unit check-leaving spec
+test: lint build ldd unit spec
 
 unit:
 	go test ./...
@@ -24,9 +24,9 @@
 ldd: build
 	@for b in $(BINARIES); do ldd bin/$$b | grep -q libc.so || { echo "$$b is not linked to libc"; exit 1; }; done
 
-# Model checks of the core protocols, and of their broken twins.
+# Model check of each spec/*.pml, and of its broken twins.
 spec:
-	spec/check.sh single_execution.pml
+	@spec/check.sh
 
 # A long randomised run of single execution; RUNS schedules of 300 steps.
 RUNS ?= 20000
@@ -38,10 +38,6 @@
 charts:
 	CHARTS_WRITE=1 go test -count=1 ./charts
 
-# Model check of spec/leaving.pml and of its broken twin.
-check-leaving:
-	@scripts/check-leaving.sh
-
 # Figures of docs/design/04 and 08: budget, drain and charts under faults.
 measure-lifecycle:
 	go test -count=1 -v -run 'Window|Restarts|News|Seconds|Bytes' ./pkg/probebudget ./pkg/lifecycle -rapid.checks=2000
@@ -58,16 +54,13 @@
 		go test -count=1 -timeout 60m -v -run RandomFaults ./pkg/membership
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 60s -parallel 2 ./pkg/membership/wire
 
-# Proof and figures of docs/design/02-configuration.md. check-config takes seconds;
+# Proof and figures of docs/design/02-configuration.md.
 # long-config takes CHECKS random runs of SEED.
-.PHONY: check-config fuzz-config long-config measure-config measure-overload
+.PHONY: fuzz-config long-config measure-config measure-overload
 CHECKS ?= 5000
 SEED ?= 2026
 FUZZTIME ?= 30s
 
-check-config:
-	spec/check-config.sh
-
 fuzz-config:
 	go test -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) -fuzzminimizetime 20x ./pkg/config
 	go test -run xxx -fuzz FuzzDeliver -fuzztime $(FUZZTIME) -fuzzminimizetime 20x ./internal/configfeed
--- a/spec/config_order.pml
+++ b/spec/config_order.pml
@@ -17,9 +17,11 @@
  *   - a host that begins to serve has at least what each peer it asked served;
  *   - after heal and one exchange between all, every host has the same.
  *
- * With -DNAIVE a host takes whatever the platform said last and serves after
- * its first read. With -DFIRST the first content of a revision that a host
- * saw wins. With -DALONE only the wait for peers is left out. Each must fail.
+ * A broken twin is this file with one macro defined; the check must catch it.
+ * With NAIVE a host takes whatever the platform said last and serves after its
+ * first read. With FIRST the first content of a revision that a host saw wins.
+ * With ALONE only the wait for peers is left out.
+ * broken: NAIVE FIRST ALONE
  */
 #ifndef HOSTS
 #define HOSTS 3
--- a/spec/leaving.pml
+++ b/spec/leaving.pml
@@ -7,8 +7,11 @@
  * leaves takes it back only for a document with more authority.
  *
  * The told_* variables are ghosts: sets of facts, kept apart from the joined
- * numbers that the product keeps. -DLAST_WINS is the broken twin: a notice
- * replaces what a host knew instead of being joined.
+ * numbers that the product keeps.
+ *
+ * A broken twin is this file with one macro defined; the check must catch it.
+ * With LAST_WINS a notice replaces what a host knew instead of being joined.
+ * broken: LAST_WINS
  */
 #define HOSTS 2
 #define DOCS 3
