Hedge overdue answers by the policy's word

Cause: the gain of the policy after a slow-down comes with a second attempt, but the daemon hedged only where a rule set a delay, which no operator knows. Result.OverdueAfter is now the delay where a rule sets neither hedge_after nor hedge_percentile; rules[].retry.hedge "off" turns it off. A value of hedge_after that means off was ruled out: 0 is its absence in a document, and a negative duration reads as a mistake. The bounds were there: retry budget with ten saved up per rule and entry host, one share of 10%, another upstream, enough time left, no hedge while requests wait. Tests hold each of them to the new delay, and the outcome Cancelled.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -28,6 +28,11 @@
 	// made from, and view what it said of the upstream.
 	lifecycle uint64
 	view      lifecycle.View
+	// overdue is the time from the send after which the policy expects no answer
+	// any more; 0 if it has no opinion.
+	overdue time.Duration
+	// retryAfter is when to pick again, in a binding that found no slot.
+	retryAfter time.Duration
 }
 
 // result is the end of one send. Exactly one of resp and err is set.
@@ -91,10 +96,10 @@
 		Waited:  waited,
 	})
 	if err != nil {
-		return binding{}, err
+		return binding{retryAfter: choice.RetryAfter}, err
 	}
 	u := choice.Upstream
-	b := binding{upstream: u, call: u.Begin(now), number: n, lifecycle: group.Lifecycle}
+	b := binding{upstream: u, call: u.Begin(now), number: n, lifecycle: group.Lifecycle, overdue: choice.OverdueAfter}
 	if x.proxy.upstreams != nil {
 		b.view, _ = x.proxy.upstreams.Snapshot().View(x.memberKey(b))
 	}
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/limit"
@@ -13,15 +14,22 @@
 // percent is the whole of a percentile.
 const percent = 100
 
-// hedgeDelay returns how long to wait for an answer before a second send, or 0
-// for no hedging. A percentile without enough samples hedges only after a
-// fixed delay, if the rule sets one.
-func (x *exchange) hedgeDelay() time.Duration {
+// hedgeDelay returns how long to wait for the answer to b before a second send,
+// or 0 for no hedging. Where the rule sets no delay, it is the policy's word on
+// when the answer is overdue. A percentile without enough samples hedges only
+// after a fixed delay, if the rule sets one.
+func (x *exchange) hedgeDelay(b binding) time.Duration {
 	rule := x.rule.Config.Retry
 	if !x.repeatable() || x.isRetry || x.sent >= rule.MaxAttempts {
 		return 0
 	}
+	if rule.Hedge == config.HedgeOff {
+		return 0
+	}
 	delay := rule.HedgeAfter.Std()
+	if delay == 0 && rule.HedgePercentile == 0 {
+		return b.overdue
+	}
 	if rule.HedgePercentile > 0 {
 		delay = max(delay, x.state.latency.Quantile(rule.HedgePercentile/percent))
 	}
@@ -32,7 +40,7 @@
 // it, a second time to another upstream. The first answer wins and the other
 // send is cancelled.
 func (x *exchange) sendHedged(ctx context.Context, b binding) result {
-	delay := x.hedgeDelay()
+	delay := x.hedgeDelay(b)
 	if delay == 0 {
 		return x.record(x.send(ctx, b))
 	}
--- /dev/null
+++ b/internal/proxy/overdue_test.go
@@ -0,0 +1,165 @@
+package proxy
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer/leastoutstanding"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/retry"
+	"github.com/dapplespindle/dapplespindle/pkg/routing"
+)
+
+// testOverdue is when the policy of these tests calls an answer overdue.
+const testOverdue = 20 * time.Millisecond
+
+// overduePicker is least outstanding with an opinion, and keeps the outcomes.
+type overduePicker struct {
+	balancer.Picker
+	mu       sync.Mutex
+	outcomes []balancer.Outcome
+}
+
+func (p *overduePicker) Pick(info balancer.PickInfo) (balancer.Result, error) {
+	r, err := p.Picker.Pick(info)
+	r.OverdueAfter = testOverdue
+	return r, err
+}
+
+func (p *overduePicker) Observe(_ *balancer.Upstream, f balancer.Feedback) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outcomes = append(p.outcomes, f.Outcome)
+}
+
+func (p *overduePicker) groups(_ *config.Service, g *config.Group) *routing.Group {
+	p.Picker = leastoutstanding.Builder{}.Build(balancer.Options{}).Update(records(g))
+	return &routing.Group{Config: g, Picker: p}
+}
+
+// stuckFirst never answers a first send, and answers a second at once.
+type stuckFirst struct {
+	mu    sync.Mutex
+	sends map[string][]string // upstreams by request
+}
+
+func (s *stuckFirst) Do(ctx context.Context, address string, req *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+	s.mu.Lock()
+	id := req.Header.Get("X-Request-Id")
+	s.sends[id] = append(s.sends[id], address)
+	s.mu.Unlock()
+	if req.Header.Get(HeaderAttempt) != "1" {
+		return ok(), nil
+	}
+	<-ctx.Done()
+	return nil, errkind.Wrap(errkind.DeadlineAfterSend, ctx.Err(), address)
+}
+
+// TestHedgeWhenOverdue checks where the delay comes from, and that the loser
+// ends as cancelled.
+func TestHedgeWhenOverdue(t *testing.T) {
+	const callerTimeout = 100 * time.Millisecond
+	tests := []struct {
+		name  string
+		retry config.Retry
+		took  time.Duration
+		sends int
+	}{
+		{"the policy's word by default", config.Retry{}, testOverdue, 2},
+		{"off", config.Retry{Hedge: config.HedgeOff}, callerTimeout, 1},
+		{"the rule's own delay", config.Retry{HedgeAfter: config.Duration(30 * time.Millisecond)}, 30 * time.Millisecond, 2},
+		{"a percentile without samples", config.Retry{HedgePercentile: 95}, callerTimeout, 1},
+		{"one attempt only", config.Retry{MaxAttempts: 1}, callerTimeout, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				rule := lookup()
+				rule.Retry = tt.retry
+				picker := &overduePicker{}
+				sender := &stuckFirst{sends: make(map[string][]string)}
+				p := newProxy(service(3, rule), picker.groups, sender, event.Discard{})
+				req := request("GET")
+				req.Header.Set(HeaderTimeout, "100")
+				start := time.Now()
+				p.Serve(t.Context(), req)
+				is.Equal(time.Since(start), tt.took) // virtual time
+				synctest.Wait()
+				for _, to := range sender.sends {
+					is.Equal(len(to), tt.sends)
+					is.Equal(len(slices.Compact(slices.Sorted(slices.Values(to)))), tt.sends) // never twice to one upstream
+				}
+				if tt.sends == 2 {
+					is.Equal(picker.outcomes, []balancer.Outcome{balancer.Answered, balancer.Cancelled})
+				}
+			})
+		})
+	}
+}
+
+// TestOverdueHedgesStayWithinBudget sends requests that all get stuck.
+func TestOverdueHedgesStayWithinBudget(t *testing.T) {
+	const (
+		requests = 200
+		share    = 10 // percent
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		events := &recorder{}
+		sender := &stuckFirst{sends: make(map[string][]string)}
+		p := newProxy(service(3, lookup()), (&overduePicker{}).groups, sender, events)
+		for range requests {
+			req := request("GET")
+			req.Header.Set(HeaderTimeout, "50")
+			p.Serve(t.Context(), req)
+		}
+		bound := retry.ReserveTokens + requests*share/100
+		is.True(events.count(event.HedgeSent) <= bound)
+		is.True(events.count(event.HedgeSent) >= bound-1)
+		is.Equal(events.reason(event.HedgeDenied), string(retry.DeniedBudget))
+	})
+}
+
+// TestNoOverdueHedgeBeforeTheDeadline has less time left than a send takes.
+func TestNoOverdueHedgeBeforeTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		events := &recorder{}
+		sender := &stuckFirst{sends: make(map[string][]string)}
+		p := newProxy(service(3, lookup()), (&overduePicker{}).groups, sender, events)
+		for range retry.MinSamples {
+			p.state.Load().byRule[name{"test", "lookup"}].latency.Observe(15 * time.Millisecond)
+		}
+		req := request("GET")
+		req.Header.Set(HeaderTimeout, "30")
+		p.Serve(t.Context(), req)
+		is.Equal(events.count(event.HedgeSent), 0)
+		is.Equal(events.reason(event.HedgeDenied), string(retry.DeniedDeadline))
+	})
+}
+
+// TestActionIsNotHedgedWhenOverdue keeps a non-repeatable request single.
+func TestActionIsNotHedgedWhenOverdue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		events := &recorder{}
+		sender := &stuckFirst{sends: make(map[string][]string)}
+		p := newProxy(service(3, sale()), (&overduePicker{}).groups, sender, events)
+		p.Serve(t.Context(), request("POST"))
+		is.Equal(events.count(event.HedgeSent), 0)
+		for _, to := range sender.sends {
+			is.Equal(len(to), 1)
+		}
+	})
+}
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -49,6 +49,17 @@
 	NonRepeatable Repeat = "non-repeatable"
 )
 
+// Hedge states where the delay of a hedge comes from when the rule sets none.
+type Hedge string
+
+const (
+	// HedgeOverdue is the default: a second attempt starts when the answer is
+	// overdue, as the group's policy sees it.
+	HedgeOverdue Hedge = "overdue"
+	// HedgeOff sends no second attempt while the first is in flight.
+	HedgeOff Hedge = "off"
+)
+
 // Priority orders requests when an upstream group is short of slots.
 type Priority string
 
@@ -179,9 +190,13 @@
 	MaxAttempts int `json:"max_attempts,omitempty"`
 	// BudgetPercent bounds extra sends as a share of first sends. Default: 10.
 	BudgetPercent float64 `json:"budget_percent,omitempty"`
-	// HedgeAfter sends a second attempt when no answer came in this time. Default: 0, off.
+	// Hedge applies while HedgeAfter and HedgePercentile are 0. Default: overdue.
+	Hedge Hedge `json:"hedge,omitempty"`
+	// HedgeAfter sends a second attempt when no answer came in this time.
+	// Default: 0, as Hedge says.
 	HedgeAfter Duration `json:"hedge_after,omitempty"`
 	// HedgePercentile sends a second attempt when the first took longer than this
-	// percentile of recent latencies, and longer than HedgeAfter. Default: 0, off.
+	// percentile of recent latencies, and longer than HedgeAfter.
+	// Default: 0, as Hedge says.
 	HedgePercentile float64 `json:"hedge_percentile,omitempty"`
 }
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -105,6 +105,7 @@
 	}
 	setDefault(&r.Retry.MaxAttempts, DefaultMaxAttempts)
 	setDefault(&r.Retry.BudgetPercent, DefaultBudgetPercent)
+	setDefault(&r.Retry.Hedge, HedgeOverdue)
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -244,11 +245,12 @@
 			return &FieldError{field + ".retry.budget_percent", "is outside 0 to 100", "write the share of extra sends"}
 		}
 		if r.Retry.HedgeAfter < 0 || r.Retry.HedgeAfter.Std() > maxDeadline {
-			return &FieldError{field + ".retry.hedge_after", "is outside 0 to 5m", "write 0 to turn hedging off"}
+			return &FieldError{field + ".retry.hedge_after", "is outside 0 to 5m", "leave it out to hedge overdue answers"}
 		}
 		if r.Retry.HedgePercentile < 0 || r.Retry.HedgePercentile >= 100 {
-			return &FieldError{field + ".retry.hedge_percentile", "is outside 0 to 100", "write for example 95, or 0 to turn it off"}
+			return &FieldError{field + ".retry.hedge_percentile", "is outside 0 to 100", "write for example 95, or leave it out to hedge overdue answers"}
 		}
+		return r.Retry.validateHedge(field + ".retry.hedge")
 	case NonRepeatable:
 		if r.Execution != ExecutionTicket && r.Execution != ExecutionDirect {
 			return &FieldError{field + ".execution", "is " + strconv.Quote(string(r.Execution)), "write \"ticket\" or \"direct\""}
@@ -262,6 +264,20 @@
 	return nil
 }
 
+func (r Retry) validateHedge(field string) error {
+	switch r.Hedge {
+	case HedgeOverdue:
+		return nil
+	case HedgeOff:
+		if r.HedgeAfter > 0 || r.HedgePercentile > 0 {
+			return &FieldError{field, "is \"off\" beside a hedging delay", "remove hedge_after and hedge_percentile"}
+		}
+		return nil
+	default:
+		return &FieldError{field, "is " + strconv.Quote(string(r.Hedge)), "write \"overdue\" or \"off\""}
+	}
+}
+
 func checkName(field, name string) error {
 	if namePattern.MatchString(name) {
 		return nil
--- a/pkg/config/parse_test.go
+++ b/pkg/config/parse_test.go
@@ -38,6 +38,10 @@
 		{"execution", `"repeat": "non-repeatable"`, `"repeat": "non-repeatable", "execution": "never"`, "rules[0].execution"},
 		{"execution of a lookup", `"repeat": "non-repeatable"`, `"repeat": "repeatable", "execution": "ticket"`, "rules[0].execution"},
 		{"retry", `"repeat": "non-repeatable"`, `"repeat": "non-repeatable", "retry": {"max_attempts": 2}`, "rules[0].retry"},
+		{"hedge", `"repeat": "non-repeatable"`, `"repeat": "repeatable", "retry": {"hedge": "later"}`, "rules[0].retry.hedge"},
+		{"hedge off with a delay", `"repeat": "non-repeatable"`, `"repeat": "repeatable", "retry": {"hedge": "off", "hedge_after": "5ms"}`, "rules[0].retry.hedge"},
+		{"hedge off with a percentile", `"repeat": "non-repeatable"`, `"repeat": "repeatable", "retry": {"hedge": "off", "hedge_percentile": 95}`, "rules[0].retry.hedge"},
+		{"hedge of an action", `"repeat": "non-repeatable"`, `"repeat": "non-repeatable", "retry": {"hedge": "off"}`, "rules[0].retry"},
 		{"method", `"POST"`, `"post"`, "rules[0].methods[0]"},
 	}
 	for _, tt := range tests {
--- a/pkg/plan/explain_rules.go
+++ b/pkg/plan/explain_rules.go
@@ -64,6 +64,9 @@
 	if r.Retry.HedgeAfter > 0 {
 		s += fmt.Sprintf(", a second one after %s without an answer", r.Retry.HedgeAfter.Std())
 	}
+	if r.Retry.Hedge == config.HedgeOff {
+		s += ", no second one while the first is in flight"
+	}
 	return s
 }
 
