Start the second send by a timer, not a goroutine for each request

Cause: with hedging armed by default, every repeatable request paid for a goroutine, a channel and a handover of its answer. The serving goroutine now makes the first send itself, and a timer's goroutine the second, which is rare. When the second wins, the first ends by its cancellation; the sender returns at once when its context ends. Ruled out: arming only while the budget has tokens, which would leave the cost where hedging matters.

--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/pkg/config"
@@ -36,6 +37,24 @@
 	return delay
 }
 
+// hedge is the second send of one request, if there is one. The goroutine that
+// serves the request makes the first send itself; a timer starts the second, so
+// that a request which is answered in time costs no goroutine.
+type hedge struct {
+	x      *exchange
+	delay  time.Duration
+	ctx    context.Context
+	cancel context.CancelFunc // ends both sends
+
+	// mu orders the start of the second send against the end of the first. The
+	// exchange belongs to the timer's goroutine while it holds mu.
+	mu      sync.Mutex
+	ended   bool // the first send has ended
+	won     bool // the second was answered before
+	second  binding
+	results chan result // nil without a second send
+}
+
 // sendHedged sends b and, if no answer comes in time and every bound allows
 // it, a second time to another upstream. The first answer wins and the other
 // send is cancelled.
@@ -44,23 +63,72 @@
 	if delay == 0 {
 		return x.record(x.send(ctx, b))
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan result, 2)
-	go func() { results <- x.send(ctx, b) }()
-	timer := time.NewTimer(delay)
+	h := &hedge{x: x, delay: delay}
+	h.ctx, h.cancel = context.WithCancel(ctx)
+	defer h.cancel()
+	timer := time.AfterFunc(delay, h.run)
 	defer timer.Stop()
-	select {
-	case r := <-results:
-		return x.record(r)
-	case <-timer.C:
+	return h.settle(x.send(h.ctx, b))
+}
+
+// run makes the second send on the timer's goroutine.
+func (h *hedge) run() {
+	if !h.start() {
+		return
 	}
-	second, ok := x.bindHedge(delay)
+	r := h.x.send(h.ctx, h.second)
+	h.mu.Lock()
+	h.won = r.err == nil && !h.ended
+	won := h.won
+	h.mu.Unlock()
+	h.results <- r
+	if won {
+		h.cancel()
+	}
+}
+
+// start binds the second send, unless the first has ended.
+func (h *hedge) start() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended {
+		return false
+	}
+	second, ok := h.x.bindHedge(h.delay)
 	if !ok {
+		return false
+	}
+	h.second = second
+	h.results = make(chan result, 1)
+	return true
+}
+
+// settle returns the first answer, or the second failure. First is the end of
+// the first send, which is its cancellation when the second has won.
+func (h *hedge) settle(first result) result {
+	h.mu.Lock()
+	h.ended = true
+	won, second, results := h.won, h.second, h.results
+	h.mu.Unlock()
+	x := h.x
+	switch {
+	case won:
+		x.emit(event.Event{Code: event.HedgeWon, Upstream: second.upstream.ID, Attempt: second.number})
+		x.emit(event.Event{Code: event.HedgeCancelled, Upstream: first.binding.upstream.ID, Attempt: first.binding.number})
+		return <-results
+	case results == nil:
+		return x.record(first)
+	case first.err != nil:
+		x.record(first)
 		return x.record(<-results)
 	}
-	go func() { results <- x.send(ctx, second) }()
-	return x.fasterOf(b, second, results)
+	select {
+	case r := <-results: // it has failed already
+		x.record(r)
+	default:
+		x.emit(event.Event{Code: event.HedgeCancelled, Upstream: second.upstream.ID, Attempt: second.number})
+	}
+	return first
 }
 
 // bindHedge binds a second send without waiting for a slot.
@@ -85,21 +153,6 @@
 	x.emit(event.Event{Code: event.HedgeDenied, Attempt: x.sent + 1, Reason: string(reason), Value: delay.Microseconds()})
 }
 
-// fasterOf returns the first answer, or the second failure.
-func (x *exchange) fasterOf(first, second binding, results <-chan result) result {
-	r := x.record(<-results)
-	if r.err != nil {
-		return x.record(<-results)
-	}
-	loser := second
-	if r.binding == second {
-		loser = first
-		x.emit(event.Event{Code: event.HedgeWon, Upstream: second.upstream.ID, Attempt: second.number})
-	}
-	x.emit(event.Event{Code: event.HedgeCancelled, Upstream: loser.upstream.ID, Attempt: loser.number})
-	return r
-}
-
 // record keeps what a failed send means for the request.
 func (x *exchange) record(r result) result {
 	if r.err != nil {
--- a/internal/proxy/overdue_test.go
+++ b/internal/proxy/overdue_test.go
@@ -163,3 +163,60 @@
 		}
 	})
 }
+
+// TestHedgeEnds walks through the ways in which two sends can end; the second
+// starts after 20 ms.
+func TestHedgeEnds(t *testing.T) {
+	type send struct {
+		lasts time.Duration
+		fails bool
+	}
+	const ms = time.Millisecond
+	tests := []struct {
+		name           string
+		first, second  send
+		took           time.Duration
+		answered       bool
+		won, cancelled int
+	}{
+		{"second wins", send{90 * ms, false}, send{5 * ms, false}, 25 * ms, true, 1, 1},
+		{"first wins", send{30 * ms, false}, send{50 * ms, false}, 30 * ms, true, 0, 1},
+		{"first fails", send{22 * ms, true}, send{5 * ms, false}, 25 * ms, true, 0, 0},
+		{"second fails", send{30 * ms, false}, send{5 * ms, true}, 30 * ms, true, 0, 0},
+		{"both fail, the first last", send{30 * ms, true}, send{5 * ms, true}, 30 * ms, false, 0, 0},
+		{"both fail, the second last", send{22 * ms, true}, send{5 * ms, true}, 25 * ms, false, 0, 0},
+		{"answered before the delay", send{10 * ms, false}, send{}, 10 * ms, true, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				sender := senderFunc(func(ctx context.Context, address string, req *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+					s := tt.first
+					if req.Header.Get(HeaderAttempt) != "1" {
+						s = tt.second
+					}
+					select {
+					case <-time.After(s.lasts):
+					case <-ctx.Done():
+						return nil, errkind.Wrap(errkind.CallerGone, ctx.Err(), address)
+					}
+					if s.fails {
+						return nil, errkind.New(errkind.UpstreamBroken, address)
+					}
+					return ok(), nil
+				})
+				events := &recorder{}
+				p := newProxy(service(3, lookup()), (&overduePicker{}).groups, sender, events)
+				start := time.Now()
+				resp := p.Serve(t.Context(), request("GET"))
+				is.Equal(time.Since(start), tt.took) // virtual time
+				is.Equal(resp.Status == 200, tt.answered)
+				is.Equal(events.count(event.HedgeWon), tt.won)
+				is.Equal(events.count(event.HedgeCancelled), tt.cancelled)
+				synctest.Wait()
+				nothingLeft(t, p)
+			})
+		})
+	}
+}
