Let the lab's hosts run the product's limit, queue and retry budget

They now run pkg/limit, pkg/queue, pkg/retry and retry.Decide in the product's order of steps, with its bounds (moved from internal/proxy to pkg/limit), its deadline and its default of two sends.

--- a/internal/lab/hedge.go
+++ b/internal/lab/hedge.go
@@ -3,69 +3,66 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/retry"
 )
 
-const (
-	// hedgeShare is the largest share of extra sends.
-	hedgeShare = 0.1
-	// hedgeBurst is the number of extra sends that may be saved up.
-	hedgeBurst = 10
-)
+// errLimit means that the limit is reached, or that others wait.
+var errLimit = errors.New("limit reached")
 
-// hedgingHost sends a second attempt of a request whose answer is overdue, as
-// the policy sees it, within a budget. It stands for the part that hedges
-// repeatable requests and shows what that adds to a choice. The first answer
-// wins; the loser is cancelled.
-type hedgingHost struct {
-	*basicHost
-	tokens float64
-	fixed  time.Duration // replaces the policy's opinion; 0 keeps it
+// hedging is when a host sends a second attempt.
+type hedging struct {
+	// overdue goes by the policy's opinion.
+	overdue bool
+	// fixed is a delay of its own.
+	fixed time.Duration
 }
 
-// NewHedgingHost returns a Host that hedges every request.
-func NewHedgingHost(env Env) Host {
-	h := &hedgingHost{basicHost: &basicHost{env: env}}
-	h.sent = h.watch
-	return h
+// delay is the time to wait for an answer, or 0 for no second attempt.
+func (g hedging) delay(res balancer.Result) time.Duration {
+	if g.overdue {
+		return res.OverdueAfter
+	}
+	return g.fixed
 }
 
+// NewHedgingHost returns a Host that hedges when the policy calls an answer
+// overdue, as the product does for repeatable requests.
+func NewHedgingHost(env Env) Host { return newPartsHost(env, hedging{overdue: true}) }
+
 // fixedHedge is the delay, in mean service times, of a host that hedges
 // without a policy's opinion. No real host knows the mean this well.
 const fixedHedge = 3
 
 // NewFixedHedgingHost returns a Host that hedges after a fixed delay.
 func NewFixedHedgingHost(env Env) Host {
-	h := NewHedgingHost(env).(*hedgingHost)
-	h.fixed = fixedHedge * env.(*hostEnv).world.run.Workload.Mean
-	return h
+	return newPartsHost(env, hedging{fixed: fixedHedge * env.(*hostEnv).world.run.Workload.Mean})
 }
 
 // watch starts the timer of a first send.
-func (h *hedgingHost) watch(r *Request, overdue time.Duration) {
-	if h.fixed > 0 {
-		overdue = h.fixed
-	}
-	if overdue <= 0 || r.Attempts > 1 {
+func (h *partsHost) watch(r *Request, res balancer.Result) {
+	delay := h.hedge.delay(res)
+	if delay <= 0 {
 		return
 	}
-	h.tokens = min(h.tokens+hedgeShare, hedgeBurst)
-	h.env.Clock().After(overdue, func() { h.hedge(r) })
+	h.env.Clock().After(delay, func() { h.second(r) })
 }
 
-func (h *hedgingHost) hedge(r *Request) {
-	if r.finished || r.Attempts > 1 || h.tokens < 1 {
+// second sends a second attempt within every bound of the product.
+func (h *partsHost) second(r *Request) {
+	if r.finished || r.sending == 0 {
+		return
+	}
+	if retry.Decide(h.attempt(r, errkind.None), h.budget) != retry.Allowed {
 		return
 	}
-	now := h.env.Clock().Now()
-	res, err := h.env.Picker().Pick(balancer.PickInfo{
-		Now:     now,
-		Random:  h.env.Random().Uint64(),
-		Exclude: r.Tried,
-	})
+	res, err := h.tryBind(r)
 	if err != nil {
+		h.budget.Refund()
 		return
 	}
-	h.tokens--
 	h.send(r, res)
 }
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -41,7 +41,7 @@
 // hosts.
 func (g *groupState) configure(group *routing.Group, hosts int) {
 	g.current.Store(group)
-	g.limiter.SetBounds(limitBounds(slotsOf(group.Config), hosts))
+	g.limiter.SetBounds(limit.GroupBounds(slotsOf(group.Config), hosts))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.queue.SetMax(group.Config.Queue.MaxWaiting)
--- a/internal/proxy/overload_test.go
+++ b/internal/proxy/overload_test.go
@@ -282,7 +282,7 @@
 		events := &recorder{}
 		p := newProxy(s, lateBinding, block, events)
 		var wg sync.WaitGroup
-		for range minFloor + 2 {
+		for range limit.MinFloor + 2 {
 			wg.Go(func() { p.Serve(t.Context(), request("GET")) })
 		}
 		synctest.Wait()
--- a/internal/proxy/snapshot.go
+++ b/internal/proxy/snapshot.go
@@ -78,20 +78,6 @@
 	return g
 }
 
-// Bounds of a group's adaptive limit on one entry host.
-const (
-	// fleetSize is the largest number of entry hosts that share a group today.
-	fleetSize = 18
-	// minFloor is the smallest limit of a group, in requests in flight.
-	minFloor = 2
-	// initialDivisor divides the group's slots for the limit of a new group.
-	initialDivisor = 4
-	// ceilingFactor times the entry host's share of the group's slots is the
-	// largest limit. It bounds the harm where upstreams send no reports, and
-	// leaves room for load that is spread unevenly over entry hosts.
-	ceilingFactor = 4
-)
-
 func slotsOf(g *config.Group) int {
 	slots := 0
 	for i := range g.Upstreams {
@@ -102,15 +88,7 @@
 	return slots
 }
 
-// limitBounds returns the bounds of a group's limit on one of hosts entry hosts.
-func limitBounds(slots, hosts int) limit.Bounds {
-	floor := max(slots/fleetSize, minFloor)
-	return limit.Bounds{Floor: floor, Ceiling: max(slots*ceilingFactor/hosts, floor)}
-}
-
-func newLimiter(slots int) *limit.Limiter {
-	return limit.New(slots/initialDivisor, limitBounds(slots, 1))
-}
+func newLimiter(slots int) *limit.Limiter { return limit.ForGroup(slots, 1) }
 
 // currentGroup is the group's newest snapshot. A request that waits or is
 // retried reads it anew, so that it never goes to an upstream that left.
