Let a hedge go beyond a limit full of stuck requests

Cause: after a slow-down, requests at the slow upstream hold the places in the group's limit, and a hedge was denied while the limit was reached or others waited: just when it is worth most. Its request holds a place already and gives it back sooner by the hedge, so a hedge may use the headroom of the high priority and need not queue. The retry budget bounds it.

--- a/internal/lab/hedge.go
+++ b/internal/lab/hedge.go
@@ -7,6 +7,7 @@
 
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/limit"
 	"github.com/dapplespindle/dapplespindle/pkg/retry"
 )
 
@@ -59,10 +60,18 @@
 	if retry.Decide(h.attempt(r, errkind.None), h.budget) != retry.Allowed {
 		return
 	}
-	res, err := h.tryBind(r)
+	res, err := h.tryHedge(r)
 	if err != nil {
 		h.budget.Refund()
 		return
 	}
 	h.send(r, res)
 }
+
+// tryHedge picks if a place is free within the headroom of the limit.
+func (h *partsHost) tryHedge(r *Request) (balancer.Result, error) {
+	if !h.limiter.Acquire(limit.Headroom) {
+		return balancer.Result{}, errLimit
+	}
+	return h.pick(r, 0)
+}
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -138,7 +138,7 @@
 		x.hedgeDenied(reason, delay)
 		return binding{}, false
 	}
-	b, err := x.tryBind(x.sent + 1)
+	b, err := x.tryHedge(x.sent + 1)
 	if err != nil {
 		x.state.budget.Refund()
 		x.hedgeDenied(retry.DeniedNoOther, delay)
@@ -161,15 +161,31 @@
 	return r
 }
 
+// tryHedge binds send number n as a hedge. Its request holds a place in the
+// limit already, and an upstream that is stuck holds many: so a hedge may go
+// beyond the limit as far as the high priority, and past those who wait.
+func (x *exchange) tryHedge(n int) (binding, error) {
+	g := x.state.group
+	if !g.limiter.Acquire(limit.Headroom) {
+		return binding{}, errLimit
+	}
+	return x.pickHeld(n)
+}
+
 // tryBind binds send number n if a place in the limit and a slot are free now.
 func (x *exchange) tryBind(n int) (binding, error) {
 	g := x.state.group
 	if !g.acquire(priorityOf(x.rule.Config)) {
 		return binding{}, errLimit
 	}
+	return x.pickHeld(n)
+}
+
+// pickHeld picks with a place in the limit held, or gives it back.
+func (x *exchange) pickHeld(n int) (binding, error) {
 	b, err := x.pick(n, 0)
 	if err != nil {
-		g.limiter.Release(limit.Sample{Outcome: limit.Ignored})
+		x.state.group.limiter.Release(limit.Sample{Outcome: limit.Ignored})
 	}
 	return b, err
 }
--- a/internal/proxy/overdue_test.go
+++ b/internal/proxy/overdue_test.go
@@ -16,6 +16,7 @@
 	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/limit"
 	"github.com/dapplespindle/dapplespindle/pkg/retry"
 	"github.com/dapplespindle/dapplespindle/pkg/routing"
 )
@@ -220,3 +221,25 @@
 		})
 	}
 }
+
+// TestHedgeGoesBeyondALimitFullOfStuckRequests has more requests than the
+// limit has places, all with a first send that gets stuck.
+func TestHedgeGoesBeyondALimitFullOfStuckRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		events := &recorder{}
+		sender := &stuckFirst{sends: make(map[string][]string)}
+		p := newProxy(service(3, lookup()), (&overduePicker{}).groups, sender, events)
+		var wg sync.WaitGroup
+		start := time.Now()
+		for range limit.MinFloor + 1 {
+			wg.Go(func() { is.Equal(p.Serve(t.Context(), request("GET")).Status, 200) })
+		}
+		synctest.Wait()
+		is.Equal(events.count(event.RequestQueued), 1)
+		wg.Wait()
+		is.Equal(time.Since(start), 2*testOverdue) // the third waited for the first two
+		synctest.Wait()
+		nothingLeft(t, p)
+	})
+}
