Keep the fixed hint interval of the queue

A try without gain: the lab's queue picked again after Result.RetryAfter, at most 5 ms, instead of always 5 ms. The switch is removed.

--- a/internal/lab/parts.go
+++ b/internal/lab/parts.go
@@ -95,7 +95,7 @@
 	if full == errLimit {
 		h.wake(1)
 	}
-	h.tick(res.RetryAfter)
+	h.tick()
 }
 
 // notSent gives a request up that found no place.
@@ -162,29 +162,24 @@
 		h.send(r, res)
 	case balancer.ErrNoSlot:
 		h.queue.Return(e)
-		h.tick(res.RetryAfter)
+		h.tick()
 	default:
 		h.notSent(r)
 	}
 }
 
-// tick wakes the queue again if nothing else does: after the hint interval, or
-// earlier where the policy's hint is in use.
-func (h *partsHost) tick(after time.Duration) {
+// tick wakes the queue after the hint interval if nothing else does.
+func (h *partsHost) tick() {
 	if h.ticking || h.queue.Len() == 0 {
 		return
 	}
-	interval := hintInterval
-	if h.env.world.run.PolicyHint && after > 0 {
-		interval = min(interval, after)
-	}
 	h.ticking = true
-	h.env.Clock().After(interval, func() {
+	h.env.Clock().After(hintInterval, func() {
 		h.ticking = false
-		if h.now().Sub(h.lastWake) >= interval {
+		if h.now().Sub(h.lastWake) >= hintInterval {
 			h.wake(1)
 		}
-		h.tick(after)
+		h.tick()
 	})
 }
 
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -27,9 +27,6 @@
 	NewHost func(Env) Host
 	// ProbePercent is the measuring budget in percent of slot time; 0 sends no probe.
 	ProbePercent float64
-	// PolicyHint lets the queue try again when the policy says, not after a
-	// fixed time.
-	PolicyHint bool
 	// Duration is the virtual time of the run after the warm-up.
 	Duration time.Duration
 	// Seed determines the run.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -31,8 +31,6 @@
 	// overdue is the time from the send after which the policy expects no answer
 	// any more; 0 if it has no opinion.
 	overdue time.Duration
-	// retryAfter is when to pick again, in a binding that found no slot.
-	retryAfter time.Duration
 }
 
 // result is the end of one send. Exactly one of resp and err is set.
@@ -96,7 +94,7 @@
 		Waited:  waited,
 	})
 	if err != nil {
-		return binding{retryAfter: choice.RetryAfter}, err
+		return binding{}, err
 	}
 	u := choice.Upstream
 	b := binding{upstream: u, call: u.Begin(now), number: n, lifecycle: group.Lifecycle, overdue: choice.OverdueAfter}
