--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/limit"
@@ -13,46 +15,120 @@
 // percent is the whole of a percentile.
 const percent = 100
 
-// hedgeDelay returns how long to wait for an answer before a second send, or 0
-// for no hedging. A percentile without enough samples hedges only after a
-// fixed delay, if the rule sets one.
-func (x *exchange) hedgeDelay() time.Duration {
+// hedgeDelay returns how long to wait for the answer to b before a second send,
+// or 0 for no hedging. Where the rule sets no delay, it is the policy's word on
+// when the answer is overdue. A percentile without enough samples hedges only
+// after a fixed delay, if the rule sets one.
+func (x *exchange) hedgeDelay(b binding) time.Duration {
 	rule := x.rule.Config.Retry
 	if !x.repeatable() || x.isRetry || x.sent >= rule.MaxAttempts {
 		return 0
 	}
+	if rule.Hedge == config.HedgeOff {
+		return 0
+	}
 	delay := rule.HedgeAfter.Std()
+	if delay == 0 && rule.HedgePercentile == 0 {
+		return b.overdue
+	}
 	if rule.HedgePercentile > 0 {
 		delay = max(delay, x.state.latency.Quantile(rule.HedgePercentile/percent))
 	}
 	return delay
 }
 
+// hedge is the second send of one request, if there is one. The goroutine that
+// serves the request makes the first send itself; a timer starts the second, so
+// that a request which is answered in time costs no goroutine.
+type hedge struct {
+	x      *exchange
+	delay  time.Duration
+	ctx    context.Context
+	cancel context.CancelFunc // ends both sends
+
+	// mu orders the start of the second send against the end of the first. The
+	// exchange belongs to the timer's goroutine while it holds mu.
+	mu      sync.Mutex
+	ended   bool // the first send has ended
+	won     bool // the second was answered before
+	second  binding
+	results chan result // nil without a second send
+}
+
 // sendHedged sends b and, if no answer comes in time and every bound allows
 // it, a second time to another upstream. The first answer wins and the other
 // send is cancelled.
 func (x *exchange) sendHedged(ctx context.Context, b binding) result {
-	delay := x.hedgeDelay()
+	delay := x.hedgeDelay(b)
 	if delay == 0 {
 		return x.record(x.send(ctx, b))
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan result, 2)
-	go func() { results <- x.send(ctx, b) }()
-	timer := time.NewTimer(delay)
+	h := &hedge{x: x, delay: delay}
+	h.ctx, h.cancel = context.WithCancel(ctx)
+	defer h.cancel()
+	timer := time.AfterFunc(delay, h.run)
 	defer timer.Stop()
-	select {
-	case r := <-results:
-		return x.record(r)
-	case <-timer.C:
+	return h.settle(x.send(h.ctx, b))
+}
+
+// run makes the second send on the timer's goroutine.
+func (h *hedge) run() {
+	if !h.start() {
+		return
 	}
-	second, ok := x.bindHedge(delay)
+	r := h.x.send(h.ctx, h.second)
+	h.mu.Lock()
+	h.won = r.err == nil && !h.ended
+	won := h.won
+	h.mu.Unlock()
+	h.results <- r
+	if won {
+		h.cancel()
+	}
+}
+
+// start binds the second send, unless the first has ended.
+func (h *hedge) start() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended {
+		return false
+	}
+	second, ok := h.x.bindHedge(h.delay)
 	if !ok {
+		return false
+	}
+	h.second = second
+	h.results = make(chan result, 1)
+	return true
+}
+
+// settle returns the first answer, or the second failure. First is the end of
+// the first send, which is its cancellation when the second has won.
+func (h *hedge) settle(first result) result {
+	h.mu.Lock()
+	h.ended = true
+	won, second, results := h.won, h.second, h.results
+	h.mu.Unlock()
+	x := h.x
+	switch {
+	case won:
+		x.emit(event.Event{Code: event.HedgeWon, Upstream: second.upstream.ID, Attempt: second.number})
+		x.emit(event.Event{Code: event.HedgeCancelled, Upstream: first.binding.upstream.ID, Attempt: first.binding.number})
+		return <-results
+	case results == nil:
+		return x.record(first)
+	case first.err != nil:
+		x.record(first)
 		return x.record(<-results)
 	}
-	go func() { results <- x.send(ctx, second) }()
-	return x.fasterOf(b, second, results)
+	select {
+	case r := <-results: // it has failed already
+		x.record(r)
+	default:
+		x.emit(event.Event{Code: event.HedgeCancelled, Upstream: second.upstream.ID, Attempt: second.number})
+	}
+	return first
 }
 
 // bindHedge binds a second send without waiting for a slot.
@@ -62,7 +138,7 @@
 		x.hedgeDenied(reason, delay)
 		return binding{}, false
 	}
-	b, err := x.tryBind(x.sent + 1)
+	b, err := x.tryHedge(x.sent + 1)
 	if err != nil {
 		x.state.budget.Refund()
 		x.hedgeDenied(retry.DeniedNoOther, delay)
@@ -77,21 +153,6 @@
 	x.emit(event.Event{Code: event.HedgeDenied, Attempt: x.sent + 1, Reason: string(reason), Value: delay.Microseconds()})
 }
 
-// fasterOf returns the first answer, or the second failure.
-func (x *exchange) fasterOf(first, second binding, results <-chan result) result {
-	r := x.record(<-results)
-	if r.err != nil {
-		return x.record(<-results)
-	}
-	loser := second
-	if r.binding == second {
-		loser = first
-		x.emit(event.Event{Code: event.HedgeWon, Upstream: second.upstream.ID, Attempt: second.number})
-	}
-	x.emit(event.Event{Code: event.HedgeCancelled, Upstream: loser.upstream.ID, Attempt: loser.number})
-	return r
-}
-
 // record keeps what a failed send means for the request.
 func (x *exchange) record(r result) result {
 	if r.err != nil {
@@ -100,15 +161,31 @@
 	return r
 }
 
+// tryHedge binds send number n as a hedge. Its request holds a place in the
+// limit already, and an upstream that is stuck holds many: so a hedge may go
+// beyond the limit as far as the high priority, and past those who wait.
+func (x *exchange) tryHedge(n int) (binding, error) {
+	g := x.state.group
+	if !g.limiter.Acquire(limit.Headroom) {
+		return binding{}, errLimit
+	}
+	return x.pickHeld(n)
+}
+
 // tryBind binds send number n if a place in the limit and a slot are free now.
 func (x *exchange) tryBind(n int) (binding, error) {
 	g := x.state.group
 	if !g.acquire(priorityOf(x.rule.Config)) {
 		return binding{}, errLimit
 	}
+	return x.pickHeld(n)
+}
+
+// pickHeld picks with a place in the limit held, or gives it back.
+func (x *exchange) pickHeld(n int) (binding, error) {
 	b, err := x.pick(n, 0)
 	if err != nil {
-		g.limiter.Release(limit.Sample{Outcome: limit.Ignored})
+		x.state.group.limiter.Release(limit.Sample{Outcome: limit.Ignored})
 	}
 	return b, err
 }
