Measure added latency by turns over warm raw connections

Now each worker owns one warm raw connection to each way, asks all ways by turns in random order, and times each from its send. Loads take turns over several rounds; the median and the range over rounds of the difference of quantiles are printed, with the achieved rate. A second entry host, such as an older build, can be measured in the same run.

The script also gives the entry host its own peer and operator ports, so that two measurements on one machine don't meet.

--- a/cmd/spindle-load/main.go
+++ b/cmd/spindle-load/main.go
@@ -85,8 +85,3 @@
 func millis(s *loadgen.Stats, quantile float64) float64 {
 	return float64(s.Latency.ValueAtQuantile(quantile)) / 1000
 }
-
-// millisFromSend leaves out the generator's own delay.
-func millisFromSend(s *loadgen.Stats, quantile float64) float64 {
-	return float64(s.FromSend.ValueAtQuantile(quantile)) / 1000
-}
--- a/internal/loadgen/compare.go
+++ b/internal/loadgen/compare.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,86 +9,106 @@
 	"github.com/cockroachdb/errors"
 )
 
-// CompareConfig configures a comparison of two ways to the same upstream.
+// Through is one way through an entry host.
+type Through struct {
+	// Name labels the way.
+	Name string
+	// URL is the way's URL; it must be loopback.
+	URL string
+	// PID is the process id of the entry host, for its CPU time.
+	PID int
+	// Admin is the IP:port of its metrics, for its allocations; empty is none.
+	Admin string
+}
+
+// CompareConfig configures a comparison of ways to the same upstream.
 type CompareConfig struct {
-	// Direct and Through are the URLs of the two ways; both must be loopback.
-	Direct, Through string
-	// EntryPID is the process id of the entry host, for its CPU time.
-	EntryPID int
-	// Shares are the loads to compare at, as shares of saturation.
+	// Direct is the URL of the direct way; it must be loopback.
+	Direct string
+	// Through are the ways through entry hosts, such as an old and a new build.
+	Through []Through
+	// Shares are the loads to compare at, as shares of the first way's saturation.
 	Shares []float64
-	// Duration bounds each load in time.
+	// Duration bounds each round of each load in time.
 	Duration time.Duration
-	// Workers is the number of connections that saturate the entry host.
+	// Rounds is how often each load is measured; loads take turns.
+	Rounds int
+	// Workers is the number of connections to each way.
 	Workers int
 	// Seed makes the arrivals reproducible.
 	Seed uint64
 }
 
-// Saturation is what the entry host serves to callers that never wait.
+// Saturation is what an entry host serves to callers that never wait.
 type Saturation struct {
 	// Rate is requests per second.
 	Rate float64
 	// PerCore is requests per second of CPU time of the entry host.
 	PerCore float64
+	// Allocations and AllocatedBytes are per request, over the whole process;
+	// -1 where they were not asked for.
+	Allocations, AllocatedBytes float64
 	// Errors counts requests without a good answer.
 	Errors int64
 }
 
-// Level is the comparison at one load.
-type Level struct {
-	// Share is the load as a share of saturation.
-	Share float64
-	// Report has the direct way first.
-	Report *Report
-}
-
-// maxLevelRequests bounds the requests of one load.
-const maxLevelRequests = 500_000
+// Bounds of a comparison.
+const (
+	maxWorkers     = 1000
+	maxRounds      = 100
+	maxRoundLength = time.Minute
+)
 
-// Compare measures saturation through the entry host and then sends each load
-// half directly and half through it, interleaved at random in one run.
-func Compare(ctx context.Context, conf CompareConfig) (*Saturation, []Level, error) {
-	if err := checkLoopback(conf.Direct); err != nil {
-		return nil, nil, err
+func (c *CompareConfig) validate() error {
+	if c.Workers <= 0 || c.Workers > maxWorkers || c.Rounds <= 0 || c.Rounds > maxRounds {
+		return errors.Newf("workers and rounds must be positive, at most %d and %d", maxWorkers, maxRounds)
 	}
-	if err := checkLoopback(conf.Through); err != nil {
-		return nil, nil, err
+	if c.Duration <= 0 || c.Duration > maxRoundLength {
+		return errors.Newf("duration must be positive, at most %s", maxRoundLength)
 	}
-	if conf.Workers <= 0 || conf.Duration <= 0 {
-		return nil, nil, errors.New("workers and duration must be positive")
+	if len(c.Through) == 0 {
+		return errors.New("no way through an entry host")
 	}
-	sat, err := saturate(ctx, conf)
-	if err != nil {
+	if err := checkLoopback(c.Direct); err != nil {
+		return err
+	}
+	for _, t := range c.Through {
+		if err := checkLoopback(t.URL); err != nil {
+			return err
+		}
+		if t.Admin == "" {
+			continue
+		}
+		if err := checkLoopback("http://" + t.Admin); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Compare measures the saturation of each entry host and then sends each load
+// directly and through each of them, interleaved in one run.
+func Compare(ctx context.Context, conf CompareConfig) ([]Saturation, []Level, error) {
+	if err := conf.validate(); err != nil {
 		return nil, nil, err
 	}
-	var levels []Level
-	for _, share := range conf.Shares {
-		report, err := Run(ctx, Config{
-			Rate:        2 * share * sat.Rate,
-			Duration:    conf.Duration,
-			MaxRequests: maxLevelRequests,
-			MaxInFlight: 4 * conf.Workers,
-			Seed:        conf.Seed,
-			Targets: []Target{
-				{Name: "direct", Method: http.MethodGet, URL: conf.Direct, Weight: 1},
-				{Name: "through", Method: http.MethodGet, URL: conf.Through, Weight: 1},
-			},
-		})
+	var sats []Saturation
+	for _, t := range conf.Through {
+		sat, err := saturate(ctx, conf, t)
 		if err != nil {
 			return nil, nil, err
 		}
-		levels = append(levels, Level{share, report})
+		sats = append(sats, *sat)
 	}
-	return sat, levels, nil
+	levels, err := measureLevels(ctx, conf, sats[0].Rate)
+	return sats, levels, err
 }
 
-// saturate sends requests back to back through the entry host.
-func saturate(ctx context.Context, conf CompareConfig) (*Saturation, error) {
+// saturate sends requests back to back through an entry host.
+func saturate(ctx context.Context, conf CompareConfig, way Through) (*Saturation, error) {
 	ctx, cancel := context.WithTimeout(ctx, conf.Duration)
 	defer cancel()
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: conf.Workers}}
-	before, err := cpuTime(conf.EntryPID)
+	before, err := usageOf(way)
 	if err != nil {
 		return nil, err
 	}
@@ -98,46 +116,51 @@
 	start := time.Now()
 	var wg sync.WaitGroup
 	for range conf.Workers {
-		wg.Go(func() {
-			for ctx.Err() == nil {
-				countOne(ctx, client, conf.Through, &served, &failed)
-			}
-		})
+		wg.Go(func() { askUntil(ctx, way.URL, &served, &failed) })
 	}
 	wg.Wait()
 	elapsed := time.Since(start)
-	after, err := cpuTime(conf.EntryPID)
+	after, err := usageOf(way)
 	if err != nil {
 		return nil, err
 	}
 	n := float64(served.Load())
-	return &Saturation{
-		Rate:    n / elapsed.Seconds(),
-		PerCore: n / (after - before).Seconds(),
-		Errors:  failed.Load(),
-	}, nil
+	sat := &Saturation{
+		Rate:           n / elapsed.Seconds(),
+		PerCore:        n / (after.cpu - before.cpu).Seconds(),
+		Allocations:    -1,
+		AllocatedBytes: -1,
+		Errors:         failed.Load(),
+	}
+	if way.Admin != "" {
+		sat.Allocations = float64(after.Objects-before.Objects) / n
+		sat.AllocatedBytes = float64(after.Bytes-before.Bytes) / n
+	}
+	return sat, nil
 }
 
-func countOne(ctx context.Context, client *http.Client, url string, served, failed *atomic.Int64) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		failed.Add(1)
-		return
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		if ctx.Err() == nil {
-			failed.Add(1)
+// askUntil asks back to back until ctx ends. A failed connection is replaced.
+func askUntil(ctx context.Context, url string, served, failed *atomic.Int64) {
+	for ctx.Err() == nil {
+		w, err := dialWire(ctx, url)
+		if err != nil {
+			if ctx.Err() == nil {
+				failed.Add(1)
+				time.Sleep(redialPause)
+			}
+			continue
 		}
-		return
-	}
-	_, err = io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close()
-	if err != nil || resp.StatusCode != http.StatusOK {
-		if ctx.Err() == nil {
+		for ctx.Err() == nil && err == nil {
+			if err = w.ask(); err == nil {
+				served.Add(1)
+			}
+		}
+		if err != nil {
 			failed.Add(1)
 		}
-		return
+		w.close()
 	}
-	served.Add(1)
 }
+
+// redialPause is waited after a connection that could not be made.
+const redialPause = 10 * time.Millisecond
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -140,8 +140,8 @@
 	for _, t := range conf.Targets {
 		g.total += t.Weight
 		g.report.ByTarget = append(g.report.ByTarget, &Stats{
-			Latency:  hdrhistogram.New(1, maxLatencyMicros, significantDigit),
-			FromSend: hdrhistogram.New(1, maxLatencyMicros, significantDigit),
+			Latency:  newLatencies(),
+			FromSend: newLatencies(),
 			Outcomes: make(map[string]int),
 		})
 	}
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -53,6 +53,9 @@
 	nameWatchers      = "events.ring.watchers"
 	nameGoroutines    = "process.goroutines"
 	nameHeap          = "process.heap"
+	nameAllocations   = "process.allocated.objects"
+	nameAllocated     = "process.allocated.bytes"
+	nameCollections   = "process.collections"
 )
 
 // Catalogue describes every metric.
@@ -76,4 +79,7 @@
 	{nameWatchers, GaugeKind, "watchers", "Live watchers."},
 	{nameGoroutines, GaugeKind, "goroutines", "Goroutines of the process."},
 	{nameHeap, GaugeKind, "bytes", "Memory in the heap's live and unswept objects."},
+	{nameAllocations, GaugeKind, "objects", "Heap objects allocated since the start."},
+	{nameAllocated, GaugeKind, "bytes", "Heap memory allocated since the start."},
+	{nameCollections, GaugeKind, "cycles", "Garbage collections since the start."},
 }
--- a/internal/metrics/sink.go
+++ b/internal/metrics/sink.go
@@ -152,6 +152,9 @@
 	}
 	register(nameGoroutines, "/sched/goroutines:goroutines")
 	register(nameHeap, "/memory/classes/heap/objects:bytes")
+	register(nameAllocations, "/gc/heap/allocs:objects")
+	register(nameAllocated, "/gc/heap/allocs:bytes")
+	register(nameCollections, "/gc/cycles/total:gc-cycles")
 }
 
 func readRuntime(name string) int64 {
--- a/scripts/bench-wire.sh
+++ b/scripts/bench-wire.sh
@@ -1,6 +1,9 @@
 #!/usr/bin/env bash
-# Measures what one entry host adds: one upstream without service time, one
-# entry host, direct and through it, interleaved. Stops what it started.
+# Measures what an entry host adds: one upstream without service time, direct
+# and through an entry host, by turns. With OTHER=path/to/spindled a second
+# entry host runs beside it, so that two builds are compared in one run;
+# OTHER_ENV and OTHER_FLAGS are added to its environment and flags, and
+# ENTRY_ENV and ENTRY_FLAGS to those of the first. Stops what it started.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 make --no-print-directory build
@@ -8,16 +11,31 @@
 base=${BASE_PORT:-20100}
 platform=127.0.0.1:$base
 upstream=127.0.0.1:$((base + 1))
-entry=127.0.0.1:$((base + 2))
-admin=127.0.0.1:$((base + 3))
 out=$(mktemp -d)
 pids=()
+ways=()
 stop() {
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
   wait 2>/dev/null || true
 }
 trap stop EXIT
 
+# entry NAME BINARY PORT ENVIRONMENT FLAGS starts an entry host.
+entry() {
+  local name=$1 binary=$2 port=$3 pid
+  # shellcheck disable=SC2086
+  env $4 "$binary" --listen "127.0.0.1:$port" --admin-listen "127.0.0.1:$((port + 1))" \
+    --peer-listen "127.0.0.1:$((port + 2))" --operator-listen "127.0.0.1:$((port + 3))" \
+    --failure-domain a --platform "http://$platform" --log-level warn $5 >"$out/$name.log" 2>&1 &
+  pid=$!
+  pids+=("$pid")
+  for _ in $(seq 1 100); do
+    curl -fs -o /dev/null "http://127.0.0.1:$((port + 1))/readyz" && break
+    sleep 0.1
+  done
+  ways+=(--through "$name,http://127.0.0.1:$port/bench/x,$pid,127.0.0.1:$((port + 1))")
+}
+
 bin/spindle-standin platform --listen "$platform" >"$out/platform.log" 2>&1 & pids+=($!)
 bin/spindle-standin upstream --port $((base + 1)) --slots 1000 --mean 0s >"$out/upstream.log" 2>&1 & pids+=($!)
 sleep 0.5
@@ -25,12 +43,8 @@
   "name": "bench", "match": {"path_prefix": "/bench/"},
   "groups": [{"name": "main", "upstreams": [{"id": "u1", "address": "'"$upstream"'", "failure_domain": "a", "slots": 1000, "max_connections": 1000}]}],
   "rules": [{"name": "all", "group": "main", "repeat": "repeatable", "deadline": "5s"}]}'
-bin/spindled --listen "$entry" --admin-listen "$admin" --failure-domain a \
-  --platform "http://$platform" --log-level warn >"$out/entry.log" 2>&1 & pids+=($!)
-entry_pid=$!
-for _ in $(seq 1 50); do
-  curl -fs "http://$admin/readyz" >/dev/null && break
-  sleep 0.1
-done
-bin/spindle-load compare --direct "http://$upstream/bench/x" --through "http://$entry/bench/x" \
-  --entry-pid "$entry_pid" "$@"
+entry entry bin/spindled $((base + 10)) "${ENTRY_ENV:-}" "${ENTRY_FLAGS:-}"
+if [ -n "${OTHER:-}" ]; then
+  entry other "$OTHER" $((base + 20)) "${OTHER_ENV:-}" "${OTHER_FLAGS:-}"
+fi
+bin/spindle-load compare --direct "http://$upstream/bench/x" "${ways[@]}" "$@"
