--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync/atomic"
 	"time"
 
@@ -20,16 +21,26 @@
 	ready  atomic.Bool
 }
 
-func newAdmin(address string, m *metrics.Sink) *admin {
+func newAdmin(address string, m *metrics.Sink, profiles bool) *admin {
 	a := new(admin)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /livez", a.serveLive)
 	mux.HandleFunc("GET /readyz", a.serveReady)
 	mux.Handle("GET /metrics", metrics.Handler(m.Registry()))
+	if profiles {
+		handleProfiles(mux)
+	}
 	a.server = &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: adminStopTimeout}
 	return a
 }
 
+// handleProfiles serves the runtime's profiles; the index lists them.
+func handleProfiles(mux *http.ServeMux) {
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+}
+
 func (a *admin) start() error {
 	ln, err := net.Listen("tcp", a.server.Addr)
 	if err != nil {
--- /dev/null
+++ b/internal/entry/admin_test.go
@@ -0,0 +1,21 @@
+package entry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/internal/metrics"
+)
+
+func TestProfilesAreOffUnlessSet(t *testing.T) {
+	is := is.New(t)
+	for profiles, want := range map[bool]int{false: http.StatusNotFound, true: http.StatusOK} {
+		a := newAdmin("127.0.0.1:0", metrics.New(), profiles)
+		w := httptest.NewRecorder()
+		a.server.Handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/debug/pprof/goroutine", nil))
+		is.Equal(w.Code, want)
+	}
+}
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -176,7 +176,7 @@
 		OnChange: e.control.configured,
 	})
 	e.loop.Every(heartbeatEvery, e.control.tick)
-	e.admin = newAdmin(e.conf.AdminListen, e.metrics)
+	e.admin = newAdmin(e.conf.AdminListen, e.metrics, e.conf.AdminPprof)
 	return nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,8 @@
 	Listen string
 	// AdminListen is the IP:port for health and metrics.
 	AdminListen string
+	// AdminPprof serves the runtime's profiles on AdminListen.
+	AdminPprof bool
 	// PeerListen is the IP:port for other entry hosts. Peers reach this host there.
 	PeerListen string
 	// FailureDomain is where this host runs.
@@ -96,6 +98,7 @@
 func (e *Entry) Register(fs *pflag.FlagSet) {
 	fs.StringVar(&e.Listen, "listen", "127.0.0.1:8080", "IP:port for callers")
 	fs.StringVar(&e.AdminListen, "admin-listen", "127.0.0.1:8081", "IP:port for health and metrics")
+	fs.BoolVar(&e.AdminPprof, "admin-pprof", false, "serve the runtime's profiles under /debug/pprof/ on admin-listen")
 	fs.StringVar(&e.PeerListen, "peer-listen", "127.0.0.1:8082", "IP:port for other entry hosts, TCP and UDP")
 	fs.StringVar(&e.FailureDomain, "failure-domain", "", "failure domain of this host (required)")
 	fs.StringVar(&e.Platform, "platform", "", "base URL of the platform, http://IP:port (required)")
