Saturate by turns and print the range over rounds

One second of saturation for each build varied by 3% between equal builds. Cause: other work on the machine. Now as many rounds as for the loads.

--- a/cmd/spindle-load/compare.go
+++ b/cmd/spindle-load/compare.go
@@ -76,8 +76,8 @@
 
 func printSaturation(ways []loadgen.Through, sats []loadgen.Saturation) {
 	for i, sat := range sats {
-		fmt.Printf("%s: saturation %.0f requests/s, %.0f requests/s per core, %.1f allocations and %.0f bytes per request, errors %d\n",
-			ways[i].Name, sat.Rate, sat.PerCore, sat.Allocations, sat.AllocatedBytes, sat.Errors)
+		fmt.Printf("%s: saturation %.0f requests/s, %.0f requests/s per core (%.0f to %.0f), %.1f allocations and %.0f bytes per request, errors %d\n",
+			ways[i].Name, sat.Rate, sat.PerCore, sat.PerCoreLow, sat.PerCoreHigh, sat.Allocations, sat.AllocatedBytes, sat.Errors)
 	}
 }
 
--- a/internal/loadgen/compare.go
+++ b/internal/loadgen/compare.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,12 +40,14 @@
 	Seed uint64
 }
 
-// Saturation is what an entry host serves to callers that never wait.
+// Saturation is what an entry host serves to callers that never wait; medians
+// over the rounds.
 type Saturation struct {
 	// Rate is requests per second.
 	Rate float64
-	// PerCore is requests per second of CPU time of the entry host.
-	PerCore float64
+	// PerCore is requests per second of CPU time of the entry host, and
+	// PerCoreLow and PerCoreHigh its range over the rounds.
+	PerCore, PerCoreLow, PerCoreHigh float64
 	// Allocations and AllocatedBytes are per request, over the whole process;
 	// -1 where they were not asked for.
 	Allocations, AllocatedBytes float64
@@ -92,18 +95,59 @@
 	if err := conf.validate(); err != nil {
 		return nil, nil, err
 	}
-	var sats []Saturation
-	for _, t := range conf.Through {
-		sat, err := saturate(ctx, conf, t)
-		if err != nil {
-			return nil, nil, err
-		}
-		sats = append(sats, *sat)
+	sats, err := saturateAll(ctx, conf)
+	if err != nil {
+		return nil, nil, err
 	}
 	levels, err := measureLevels(ctx, conf, sats[0].Rate)
 	return sats, levels, err
 }
 
+// saturateAll saturates the entry hosts by turns.
+func saturateAll(ctx context.Context, conf CompareConfig) ([]Saturation, error) {
+	rounds := make([][]Saturation, len(conf.Through))
+	for range conf.Rounds {
+		for i, t := range conf.Through {
+			sat, err := saturate(ctx, conf, t)
+			if err != nil {
+				return nil, err
+			}
+			rounds[i] = append(rounds[i], *sat)
+		}
+	}
+	out := make([]Saturation, 0, len(rounds))
+	for _, r := range rounds {
+		out = append(out, summary(r))
+	}
+	return out, nil
+}
+
+// summary returns the medians of rounds.
+func summary(rounds []Saturation) Saturation {
+	sorted := func(of func(*Saturation) float64) []float64 {
+		values := make([]float64, 0, len(rounds))
+		for i := range rounds {
+			values = append(values, of(&rounds[i]))
+		}
+		slices.Sort(values)
+		return values
+	}
+	middle := len(rounds) / 2
+	perCore := sorted(func(s *Saturation) float64 { return s.PerCore })
+	out := Saturation{
+		Rate:           sorted(func(s *Saturation) float64 { return s.Rate })[middle],
+		PerCore:        perCore[middle],
+		PerCoreLow:     perCore[0],
+		PerCoreHigh:    perCore[len(perCore)-1],
+		Allocations:    sorted(func(s *Saturation) float64 { return s.Allocations })[middle],
+		AllocatedBytes: sorted(func(s *Saturation) float64 { return s.AllocatedBytes })[middle],
+	}
+	for i := range rounds {
+		out.Errors += rounds[i].Errors
+	}
+	return out
+}
+
 // saturate sends requests back to back through an entry host.
 func saturate(ctx context.Context, conf CompareConfig, way Through) (*Saturation, error) {
 	ctx, cancel := context.WithTimeout(ctx, conf.Duration)
