Let the first send use the caller's request and its header

Now the first send has the caller's request itself; a later one, which may run beside it, has a copy that a lock orders behind it. Values share one array in the exchange, absent headers aren't converted, and the caller's IP is cut out of the address. Not copying only where a rule never hedges was ruled out: it would rest on a decision taken elsewhere. A Sender must leave the header alone; the tests' stand-in for a layer below, which changed it, copies it first.

--- a/internal/proxy/amplification_test.go
+++ b/internal/proxy/amplification_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"testing"
@@ -66,10 +67,12 @@
 // hop sends to the proxy below as an upstream; without marks it strips them.
 func hop(below *Proxy, v variant) Sender {
 	return senderFunc(func(ctx context.Context, _ string, req *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+		own := *req // what arrives below is another request, with a header of its own
+		own.Header = maps.Clone(req.Header)
 		if !v.marks {
-			delete(req.Header, HeaderAttempt)
+			delete(own.Header, HeaderAttempt)
 		}
-		resp := below.Serve(ctx, req)
+		resp := below.Serve(ctx, &own)
 		if !v.marks {
 			delete(resp.Header, HeaderNoRetry)
 		}
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -16,16 +16,27 @@
 func (x *exchange) answer(r result) *httpwire.Response {
 	h := r.resp.Header
 	if !declaresOutcome(h) {
-		h[HeaderOutcome] = []string{errkind.Ran.String()}
+		h[HeaderOutcome] = ranValues
 	}
 	delete(h, HeaderNotRun)
 	delete(h, HeaderLoad)
-	h[HeaderUpstream] = []string{r.binding.upstream.ID}
-	h[HeaderRequestID] = []string{x.id}
+	h[HeaderUpstream] = x.answerValue(r.binding.upstream.ID)
+	h[HeaderRequestID] = x.answerValue(x.id)
 	x.emit(event.Event{Code: event.RequestAnswered, Upstream: r.binding.upstream.ID, Attempt: r.binding.number, Value: int64(r.resp.Status)})
 	return r.resp
 }
 
+// ranValues is the outcome of an answer that an upstream gave.
+var ranValues = []string{errkind.Ran.String()}
+
+// answerValue returns a list of one value. A send that lost may still be under
+// way, so that the lock is needed.
+func (x *exchange) answerValue(value string) []string {
+	x.sendMu.Lock()
+	defer x.sendMu.Unlock()
+	return x.values.one(value)
+}
+
 // declaresOutcome reports whether the answer comes from an entry host below
 // that could not give its upstream's answer.
 func declaresOutcome(h http.Header) bool {
--- a/internal/proxy/deadline.go
+++ b/internal/proxy/deadline.go
@@ -14,9 +14,11 @@
 // caller's value that is not a positive number of milliseconds is ignored.
 func (x *exchange) limitDeadline() time.Time {
 	limit := x.rule.Config.Deadline.Std()
-	ms, err := strconv.ParseInt(x.req.Header.Get(HeaderTimeout), 10, 64)
-	if err == nil && ms > 0 && ms < limit.Milliseconds() {
-		limit = time.Duration(ms) * time.Millisecond
+	if value := x.req.Header.Get(HeaderTimeout); value != "" {
+		ms, err := strconv.ParseInt(value, 10, 64)
+		if err == nil && ms > 0 && ms < limit.Milliseconds() {
+			limit = time.Duration(ms) * time.Millisecond
+		}
 	}
 	x.deadline = x.req.Received.Add(limit)
 	return x.deadline
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -1,7 +1,7 @@
 package proxy
 
 import (
-	"net/http"
+	"sync"
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
@@ -15,7 +15,7 @@
 
 // exchange is the state of one request on this hop. The goroutine that serves
 // the request owns it; a send on a goroutine of its own only reads the fields
-// set before the first send, and guard.
+// set before the first send, and guard and those under sendMu.
 type exchange struct {
 	proxy    *Proxy
 	req      *httpwire.Request
@@ -23,7 +23,6 @@
 	rule     *routing.Rule
 	state    *ruleState
 	deadline time.Time
-	header   http.Header
 	isRetry  bool
 	hop      *tracing.Hop // nil without a tracer
 
@@ -33,8 +32,17 @@
 	first   *errkind.Error // the first failure of a send
 	noRetry bool           // an upstream said not to retry
 	guard   guard
+
+	triedFirst [typicalTries]*balancer.Upstream // memory of tried
+
+	sendMu sync.Mutex
+	lent   bool   // req was given to a send
+	values values // of the headers that are set
 }
 
+// typicalTries is the number of upstreams tried without more memory.
+const typicalTries = 2
+
 // admit finds the rule of the request. A process that was paused learns first.
 func (x *exchange) admit() *errkind.Error {
 	if u := x.proxy.upstreams; u != nil && u.Waking() {
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -2,8 +2,10 @@
 
 import (
 	"maps"
+	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
@@ -52,6 +54,9 @@
 	return p.prefix + strconv.FormatUint(p.nextID.Add(1), 36)
 }
 
+// viaValues is the Via header of a request that came without one.
+var viaValues = []string{viaValue}
+
 // prepareHeader builds what all sends of the request have in common. All other
 // end-to-end headers, such as traceparent, are carried on as they are. The
 // request belongs to the proxy, so that its map is used.
@@ -59,21 +64,64 @@
 	x.isRetry = arrivedAsRetry(x.req.Header)
 	httpwire.RemoveHopByHop(x.req.Header)
 	h := x.req.Header
-	h[HeaderRequestID] = []string{x.id}
-	appendValue(h, headerForwardedFor, callerIP(x.req.RemoteAddr))
-	appendValue(h, headerVia, viaValue)
-	x.header = h
+	h[HeaderRequestID] = x.values.one(x.id)
+	if ip := callerIP(x.req.RemoteAddr); ip != "" {
+		h[headerForwardedFor] = x.appended(h[headerForwardedFor], ip)
+	}
+	if len(h[headerVia]) == 0 {
+		h[headerVia] = viaValues
+	} else {
+		h[headerVia] = x.appended(h[headerVia], viaValue)
+	}
+}
+
+// appended joins value to a list header without touching the old slice.
+func (x *exchange) appended(old []string, value string) []string {
+	if len(old) == 0 {
+		return x.values.one(value)
+	}
+	return append(slices.Clip(old), value)
 }
 
-// attemptRequest returns a request of its own for send number n. Hedged sends
-// run in parallel, so that the map must not be shared; the values are.
+// attemptRequest returns the request for send number n. The first to be sent is
+// the caller's own, with its map; the next, which may run beside it, has a
+// copy. The lock orders the copy behind what is set in the map here; nothing
+// is set in it afterwards.
 func (x *exchange) attemptRequest(n int) *httpwire.Request {
-	req := *x.req
-	req.Header = maps.Clone(x.header)
-	req.Header[HeaderTimeout] = []string{x.timeoutValue()}
-	req.Header[HeaderAttempt] = []string{x.attemptValue(n)}
+	x.sendMu.Lock()
+	defer x.sendMu.Unlock()
+	req := x.req
+	if x.lent {
+		own := *x.req
+		own.Header = maps.Clone(x.req.Header)
+		req = &own
+	}
+	x.lent = true
+	req.Header[HeaderTimeout] = x.values.one(x.timeoutValue())
+	req.Header[HeaderAttempt] = x.values.one(x.attemptValue(n))
 	x.hop.Inject(n, req.Header)
-	return &req
+	return req
+}
+
+// valueSlots is the number of header values that a request sent once needs.
+const valueSlots = 8
+
+// values holds the values of headers with one value, so that each needs no
+// memory of its own. One goroutine may use it at a time.
+type values struct {
+	slots [valueSlots]string
+	used  int
+}
+
+// one returns a list of one value. It has no room, so that appending copies.
+func (v *values) one(value string) []string {
+	if v.used == valueSlots {
+		return []string{value}
+	}
+	at := v.used
+	v.used++
+	v.slots[at] = value
+	return v.slots[at:v.used:v.used]
 }
 
 // attemptValue marks every send below a retry as a retry, at any depth.
@@ -85,33 +133,34 @@
 }
 
 func arrivedAsRetry(h http.Header) bool {
-	n, err := strconv.Atoi(h.Get(HeaderAttempt))
-	return err == nil && n > 1
-}
-
-// appendValue joins value to a list header without touching the old slice.
-func appendValue(h http.Header, key, value string) {
+	value := h.Get(HeaderAttempt)
 	if value == "" {
-		return
+		return false // the usual case; a failed conversion allocates
 	}
-	old := h[key]
-	joined := make([]string, 0, len(old)+1)
-	joined = append(joined, old...)
-	h[key] = append(joined, value)
+	n, err := strconv.Atoi(value)
+	return err == nil && n > 1
 }
 
+// callerIP returns the IP of an address that it has checked.
 func callerIP(remote string) string {
-	ap, err := netip.ParseAddrPort(remote)
+	if _, err := netip.ParseAddrPort(remote); err != nil {
+		return ""
+	}
+	ip, _, err := net.SplitHostPort(remote)
 	if err != nil {
 		return ""
 	}
-	return ap.Addr().String()
+	return ip
 }
 
 // loadReport returns the requests in flight that an upstream reports, or
 // noReport.
 func loadReport(h http.Header) int64 {
-	n, err := strconv.ParseInt(h.Get(HeaderLoad), 10, 64)
+	value := h.Get(HeaderLoad)
+	if value == "" {
+		return noReport
+	}
+	n, err := strconv.ParseInt(value, 10, 64)
 	if err != nil || n < 0 {
 		return noReport
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -23,8 +23,8 @@
 	"github.com/dapplespindle/dapplespindle/pkg/routing"
 )
 
-// Sender sends one request to one upstream. It must not change the request's
-// header values. When ctx ends it gives up and lets the upstream stop its work.
+// Sender sends one request to one upstream. It must not change the request or
+// its header, and not use it after it returned. When ctx ends it gives up and lets the upstream stop its work.
 type Sender interface {
 	Do(ctx context.Context, address string, req *httpwire.Request) (*httpwire.Response, *errkind.Error)
 }
@@ -134,6 +134,7 @@
 
 func (p *Proxy) newExchange(req *httpwire.Request) *exchange {
 	x := &exchange{proxy: p, req: req, id: p.requestID(req)}
+	x.tried = x.triedFirst[:0]
 	x.hop = p.tracer.Begin(x.id, req.Header, req.Received)
 	return x
 }
