Print each round, and how long the entry host waited for a processor

--each shows, for each round, the direct way's p99, what is added, and the time that the entry host's threads stood on a run queue for each request, from the kernel's schedstat.

--- a/cmd/spindle-load/compare.go
+++ b/cmd/spindle-load/compare.go
@@ -21,6 +21,7 @@
 		conf loadgen.CompareConfig
 		ways []string
 		idle int
+		each bool
 	)
 	cmd := &cobra.Command{
 		Use:   "compare",
@@ -44,6 +45,11 @@
 				return err
 			}
 			printSaturation(conf.Through, sats)
+			if each {
+				if err := printRounds(conf.Through, levels); err != nil {
+					return err
+				}
+			}
 			return printLevels(conf.Through, levels)
 		},
 	}
@@ -56,9 +62,28 @@
 	f.IntVar(&conf.Workers, "workers", 32, "connections to each way")
 	f.Uint64Var(&conf.Seed, "seed", 1, "seed of the arrivals")
 	f.IntVar(&idle, "idle", 2000, "idle connections to measure memory with; 0 is none")
+	f.BoolVar(&each, "each", false, "print each round")
 	return cmd
 }
 
+// printRounds prints the tail of each round beside the time that the entry
+// host's threads waited for a processor, which tells a busy machine.
+func printRounds(ways []loadgen.Through, levels []loadgen.Level) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "load\tround\tway\tdirect p99 ms\tadded p50 ms\tadded p99 ms\twaited for a processor, us/request\t")
+	for i := range levels {
+		for n := range levels[i].Rounds {
+			r := &levels[i].Rounds[n]
+			for j, way := range ways {
+				fmt.Fprintf(w, "%.0f%%\t%d\t%s\t%.3f\t%.3f\t%.3f\t%.1f\t\n", levels[i].Share*100, n+1, way.Name,
+					inMillis(float64(r.Ways[0].FromSend.ValueAtQuantile(99))),
+					inMillis(r.Added(j+1, 50)), inMillis(r.Added(j+1, 99)), r.Delays[j])
+			}
+		}
+	}
+	return w.Flush()
+}
+
 // wayFields is the number of parts of --through.
 const wayFields = 4
 
--- a/internal/loadgen/compare_test.go
+++ b/internal/loadgen/compare_test.go
@@ -54,6 +54,7 @@
 	is.Equal(len(levels[0].Added(2, 50)), 2)
 	for _, r := range levels[0].Rounds {
 		is.Equal(len(r.Ways), 3)
+		is.Equal(len(r.Delays), 2)
 		for _, s := range r.Ways {
 			is.True(s.FromSend.TotalCount() > 0)
 			is.Equal(s.Errors, 0)
--- a/internal/loadgen/level.go
+++ b/internal/loadgen/level.go
@@ -26,14 +26,22 @@
 	Ways []*Stats
 	// Achieved is the requests per second of each way.
 	Achieved float64
+	// Delays is how long the threads of each entry host waited for a processor,
+	// in microseconds for each request, of the ways through one.
+	Delays []float64
 }
 
 // Added returns how much longer a quantile of a way is than of the direct way,
-// in microseconds, for each round. Way 1 is the first through an entry host.
+// in microseconds.
+func (r *Round) Added(way int, quantile float64) float64 {
+	return float64(r.Ways[way].FromSend.ValueAtQuantile(quantile) - r.Ways[0].FromSend.ValueAtQuantile(quantile))
+}
+
+// Added returns Round.Added of each round, sorted. Way 1 is the first through an entry host.
 func (l *Level) Added(way int, quantile float64) []float64 {
 	out := make([]float64, 0, len(l.Rounds))
 	for _, r := range l.Rounds {
-		out = append(out, float64(r.Ways[way].FromSend.ValueAtQuantile(quantile)-r.Ways[0].FromSend.ValueAtQuantile(quantile)))
+		out = append(out, r.Added(way, quantile))
 	}
 	slices.Sort(out)
 	return out
@@ -89,6 +97,10 @@
 		}
 		workers = append(workers, w)
 	}
+	before, err := runDelays(conf)
+	if err != nil {
+		return nil, err
+	}
 	runCtx, cancel := context.WithTimeout(ctx, conf.Duration)
 	defer cancel()
 	start := time.Now()
@@ -97,7 +109,28 @@
 		wg.Go(func() { w.run(runCtx) })
 	}
 	wg.Wait()
-	return merge(workers, time.Since(start)), nil
+	round := merge(workers, time.Since(start))
+	after, err := runDelays(conf)
+	if err != nil {
+		return nil, err
+	}
+	for i := range after {
+		micros := float64((after[i] - before[i]).Microseconds())
+		round.Delays = append(round.Delays, micros/float64(max(round.Ways[i+1].FromSend.TotalCount(), 1)))
+	}
+	return round, nil
+}
+
+func runDelays(conf CompareConfig) ([]time.Duration, error) {
+	out := make([]time.Duration, 0, len(conf.Through))
+	for _, t := range conf.Through {
+		d, err := runDelay(t.PID)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, d)
+	}
+	return out, nil
 }
 
 func merge(workers []*worker, elapsed time.Duration) *Round {
--- a/internal/loadgen/process.go
+++ b/internal/loadgen/process.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -18,6 +19,8 @@
 	// The fields of user and system time in /proc/PID/stat, behind the name.
 	userTimeField   = 11
 	systemTimeField = 12
+	// runDelayField is the time on a run queue in /proc/PID/task/TID/schedstat.
+	runDelayField = 1
 )
 
 // cpuTime returns the CPU time that a process has used.
@@ -41,6 +44,32 @@
 	return time.Duration(ticks) * time.Second / ticksPerSecond, nil
 }
 
+// runDelay returns how long the threads of a process have waited for a
+// processor while they could run. Threads that ended are not counted.
+func runDelay(pid int) (time.Duration, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "waits of the entry host")
+	}
+	total := time.Duration(0)
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			continue // the thread has ended
+		}
+		fields := strings.Fields(string(raw))
+		if len(fields) <= runDelayField {
+			return 0, errors.New("waits of the entry host: short line")
+		}
+		nanos, err := strconv.ParseInt(fields[runDelayField], 10, 64)
+		if err != nil {
+			return 0, errors.Wrap(err, "waits of the entry host")
+		}
+		total += time.Duration(nanos)
+	}
+	return total, nil
+}
+
 // residentBytes returns the resident memory of a process, in bytes.
 func residentBytes(pid int) (int, error) {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
