--- a/cmd/spindle-load/main.go
+++ b/cmd/spindle-load/main.go
@@ -104,8 +104,3 @@
 func millis(s *loadgen.Stats, quantile float64) float64 {
 	return float64(s.Latency.ValueAtQuantile(quantile)) / 1000
 }
-
-// millisFromSend leaves out the generator's own delay.
-func millisFromSend(s *loadgen.Stats, quantile float64) float64 {
-	return float64(s.FromSend.ValueAtQuantile(quantile)) / 1000
-}
