TLS towards callers and upstreams on the event loop

Go's own crypto/tls runs over the loop's connections: a goroutine for the handshake, none afterwards. Groups ask for TLS in their document; without an authority their requests are refused, never sent in the clear.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"net/netip"
 	"os"
 	"strconv"
@@ -40,9 +42,45 @@
 	if err != nil {
 		return nil, err
 	}
+	e.warnExpired(t.Files.Certificate, r)
 	return r.Credentials(t.ServerName), nil
 }
 
+// callerTLS reads the files for callers; nil means without TLS.
+func (e *Entry) callerTLS() (*tls.Config, error) {
+	t := e.conf.CallerTLS
+	if !t.Files.Enabled() {
+		return nil, nil
+	}
+	r, err := tlsconf.LoadCallers(t.Files, tlsconf.Options{OnReload: e.reloaded})
+	if err != nil {
+		return nil, err
+	}
+	e.warnExpired(t.Files.Certificate, r)
+	return r.CallerConfig(), nil
+}
+
+// upstreamTLS reads the files for upstreams; nil means that none is set.
+func (e *Entry) upstreamTLS() (func(string) *tls.Config, error) {
+	t := e.conf.UpstreamTLS
+	if !t.Files.Enabled() {
+		return nil, nil
+	}
+	r, err := tlsconf.LoadUpstreams(t.Files, tlsconf.Options{OnReload: e.reloaded})
+	if err != nil {
+		return nil, err
+	}
+	e.warnExpired(t.Files.Certificate, r)
+	return func(name string) *tls.Config { return r.UpstreamConfig(cmp.Or(name, t.ServerName)) }, nil
+}
+
+// warnExpired reports a certificate that the other side will refuse.
+func (e *Entry) warnExpired(file string, r *tlsconf.Reloader) {
+	if at := r.Expires(); !at.IsZero() && at.Before(time.Now()) {
+		e.emit(event.Event{Code: event.CertificateExpired, Detail: file + " expired at " + at.UTC().Format(time.RFC3339)})
+	}
+}
+
 // reloaded reports a change of the certificate files.
 func (e *Entry) reloaded(err error) {
 	if err != nil {
@@ -119,10 +157,19 @@
 
 func (e *Entry) buildCallPath() error {
 	limits := e.conf.Limits
+	callerTLS, err := e.callerTLS()
+	if err != nil {
+		return err
+	}
+	upstreamTLS, err := e.upstreamTLS()
+	if err != nil {
+		return err
+	}
 	e.control = newController(e)
 	e.client = upstream.New(upstream.Config{
 		DialTimeout:      limits.DialTimeout,
 		MaxResponseBytes: limits.MaxBodyBytes,
+		TLS:              upstreamTLS,
 	})
 	e.prober = prober.New(prober.Config{
 		EntryHost: e.host,
@@ -146,6 +193,7 @@
 		HeadTimeout:  limits.HeadTimeout,
 		BodyTimeout:  limits.BodyTimeout,
 		IdleTimeout:  limits.IdleTimeout,
+		TLS:          callerTLS,
 		Handler:      e.proxy,
 		Refuse:       e.proxy.RefuseUnread,
 	})
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -8,6 +8,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/configfeed"
 	"github.com/dapplespindle/dapplespindle/internal/operator"
 	"github.com/dapplespindle/dapplespindle/internal/prober"
+	"github.com/dapplespindle/dapplespindle/internal/upstream"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/configsync"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
@@ -178,7 +179,7 @@
 	for _, d := range c.config.InForce {
 		for g := range d.Groups {
 			for _, u := range d.Groups[g].Upstreams {
-				limits[u.Address] = max(u.MaxConnections/hosts, 1)
+				limits[upstream.Target(u.Address, d.Groups[g].TLS)] = max(u.MaxConnections/hosts, 1)
 			}
 		}
 	}
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/upstream"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/registry"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/spindle"
@@ -114,8 +115,8 @@
 	for i := range g.Upstreams {
 		cu := &g.Upstreams[i]
 		u := st.upstreams[cu.ID]
-		if u == nil || u.Address != cu.Address {
-			u = newUpstream(cu)
+		if u == nil || u.Address != upstream.Target(cu.Address, g.TLS) {
+			u = newUpstream(cu, g.TLS)
 			if joined {
 				u.Added = now
 			}
@@ -125,10 +126,10 @@
 	st.upstreams = known
 }
 
-func newUpstream(cu *config.Upstream) *balancer.Upstream {
+func newUpstream(cu *config.Upstream, t config.TLS) *balancer.Upstream {
 	return &balancer.Upstream{
 		ID:             cu.ID,
-		Address:        cu.Address,
+		Address:        upstream.Target(cu.Address, t),
 		FailureDomain:  cu.FailureDomain,
 		Slots:          cu.Slots,
 		MaxConnections: cu.MaxConnections,
--- a/internal/httpwire/config.go
+++ b/internal/httpwire/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/internal/httpwire/framing"
@@ -22,6 +23,8 @@
 	DefaultWriteTimeout   = 30 * time.Second
 	DefaultIdleTimeout    = 120 * time.Second
 	DefaultMaxConnections = 100_000
+
+	DefaultHandshakeTimeout = 10 * time.Second
 )
 
 // ServerConfig configures a Server. A zero limit or timeout takes its default.
@@ -42,6 +45,10 @@
 	WriteTimeout time.Duration
 	// IdleTimeout closes a connection without a request.
 	IdleTimeout time.Duration
+	// TLS is the configuration of callers' connections; nil serves without TLS.
+	TLS *tls.Config
+	// HandshakeTimeout bounds the time from the connection to the end of its TLS handshake.
+	HandshakeTimeout time.Duration
 	// Handler serves the requests.
 	Handler Handler
 	// Refuse builds the answer to a request that is refused before it reaches
@@ -62,6 +69,7 @@
 	setDefault(&c.BodyTimeout, DefaultBodyTimeout)
 	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&c.HandshakeTimeout, DefaultHandshakeTimeout)
 	if c.Refuse == nil {
 		c.Refuse = plainRefusal
 	}
--- a/internal/httpwire/guard.go
+++ b/internal/httpwire/guard.go
@@ -139,6 +139,9 @@
 	c.state = connClosing
 	c.buf = nil
 	c.held = nil
+	if c.tls != nil {
+		c.tls.CloseWrite()
+	}
 	socket.EndWrite(c.conn)
 	c.alarm.set(time.Now(), lingerTimeout, c.onAlarm)
 }
@@ -165,7 +168,7 @@
 		c.refuse(errkind.New(errkind.RequestTimeout, "head not complete in time"))
 	case connBody:
 		c.refuse(errkind.New(errkind.RequestTimeout, "body not complete in time"))
-	case connIdle, connClosing:
+	case connIdle, connClosing, connShaking:
 		socket.End(c.conn)
 	}
 }
--- a/internal/httpwire/serverconn.go
+++ b/internal/httpwire/serverconn.go
@@ -12,6 +12,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"github.com/dapplespindle/dapplespindle/internal/httpwire/framing"
+	"github.com/dapplespindle/dapplespindle/internal/httpwire/socket"
 )
 
 // connState is what a caller's connection is doing.
@@ -30,6 +31,8 @@
 	connClosing
 	// connClosed is gone.
 	connClosed
+	// connShaking is in its TLS handshake.
+	connShaking
 )
 
 // serverConn is one caller's connection. It implements nbhttp.ParserCloser, so
@@ -40,6 +43,7 @@
 type serverConn struct {
 	server *Server
 	conn   *nbio.Conn
+	tls    *socket.TLS // nil without TLS
 	parser *nbhttp.Parser
 	remote string
 	ctx    context.Context
@@ -80,6 +84,10 @@
 	c.scanner.ResetRequest(s.conf.limits())
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if s.conf.TLS != nil {
+		c.awaitHandshake()
+		return c
+	}
 	c.alarm.set(time.Now(), s.conf.IdleTimeout, c.onAlarm)
 	return c
 }
@@ -90,6 +98,14 @@
 // Parse implements nbhttp.ParserCloser; the event loop calls it with the bytes
 // that arrived, which are only valid during the call.
 func (c *serverConn) Parse(data []byte) error {
+	if c.tls != nil {
+		return c.tls.Feed(data, c.shaken)
+	}
+	return c.plain(data)
+}
+
+// plain takes the caller's bytes, decrypted if there is TLS.
+func (c *serverConn) plain(data []byte) error {
 	began, err := c.take(data)
 	if began {
 		// The loop goes into a system call next and would hold the processor on
@@ -121,6 +137,9 @@
 // connection has ended. It does not wait behind any work.
 func (c *serverConn) CloseAndClean(err error) {
 	c.cancel()
+	if c.tls != nil {
+		c.tls.Ended()
+	}
 	c.server.forget(c)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -172,7 +191,7 @@
 func (c *serverConn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == connIdle {
+	if c.state == connIdle || c.state == connShaking {
 		c.linger()
 	}
 	return c.state == connClosing || c.state == connClosed
--- a/internal/httpwire/write.go
+++ b/internal/httpwire/write.go
@@ -141,6 +141,14 @@
 	if len(b) == 0 {
 		return nil
 	}
+	if c.tls != nil {
+		return c.tls.Write(b)
+	}
+	return c.writeRaw(b)
+}
+
+// writeRaw sends or queues what goes over the wire.
+func (c *serverConn) writeRaw(b []byte) error {
 	queued := c.unwritten.Add(int64(len(b))) != int64(len(b))
 	return socket.Write(c.conn, b, queued, c)
 }
--- a/internal/prober/plans.go
+++ b/internal/prober/plans.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/upstream"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/probebudget"
 )
@@ -29,7 +30,7 @@
 		}
 		out = append(out, Target{
 			Upstream: u.ID,
-			Address:  u.Address,
+			Address:  upstream.Target(u.Address, g.TLS),
 			Plan: probebudget.Plan{
 				MaxHosts:        maxHosts,
 				Slots:           u.Slots,
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/internal/upstream"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/probebudget"
@@ -215,7 +216,7 @@
 		Method: http.MethodGet,
 		Target: p.conf.Path,
 		Path:   p.conf.Path,
-		Host:   t.Address,
+		Host:   upstream.HostOf(t.Address),
 		Header: http.Header{"User-Agent": {"dapplespindle-probe"}},
 	}
 }
--- a/internal/prober/target.go
+++ b/internal/prober/target.go
@@ -11,7 +11,7 @@
 type Target struct {
 	// Upstream is its id.
 	Upstream string
-	// Address is "IP:port".
+	// Address is what the sender takes: "IP:port", with its TLS settings if there are.
 	Address string
 	// Plan is its measuring budget.
 	Plan probebudget.Plan
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,10 @@
 	Stop Stop
 	// PeerTLS is mutual TLS between entry hosts.
 	PeerTLS TLS
+	// CallerTLS is TLS towards callers.
+	CallerTLS CallerTLS
+	// UpstreamTLS is TLS towards the upstreams of groups that ask for it.
+	UpstreamTLS UpstreamTLS
 	// Operators is for operators, events and traces.
 	Operators Operators
 }
@@ -110,6 +114,8 @@
 	fs.DurationVar(&e.Stop.Grace, "stop-grace", 2*time.Second, "time a stopping host still accepts")
 	fs.DurationVar(&e.Stop.Timeout, "stop-timeout", 30*time.Second, "time to finish requests in flight when stopping")
 	e.PeerTLS.Register(fs, "peer-tls", "between entry hosts")
+	e.CallerTLS.Register(fs)
+	e.UpstreamTLS.Register(fs)
 	e.Operators.Register(fs)
 }
 
--- a/internal/settings/tls.go
+++ b/internal/settings/tls.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"github.com/cockroachdb/errors"
 	"github.com/spf13/pflag"
 
 	"github.com/dapplespindle/dapplespindle/internal/tlsconf"
@@ -26,3 +27,56 @@
 
 // Validate reports files that are not whole.
 func (t *TLS) Validate() error { return t.Files.Validate() }
+
+// CallerTLS names the files of TLS towards callers.
+type CallerTLS struct {
+	// Files are the certificate, the key and, if callers must show certificates,
+	// the authority that signed those.
+	Files tlsconf.Files
+}
+
+// Register adds the flags to fs.
+func (c *CallerTLS) Register(fs *pflag.FlagSet) {
+	fs.StringVar(&c.Files.Certificate, "caller-tls-cert", "", "PEM file of the certificate shown to callers, with intermediates (default none, no TLS)")
+	fs.StringVar(&c.Files.Key, "caller-tls-key", "", "PEM file of its private key (default none)")
+	fs.StringVar(&c.Files.Authority, "caller-tls-ca", "", "PEM file of the authority that callers' certificates must be signed by (default none, callers need no certificate)")
+}
+
+// Validate reports files that are not whole or can't be used.
+func (c *CallerTLS) Validate() error {
+	if !c.Files.Enabled() {
+		return nil
+	}
+	_, err := tlsconf.LoadCallers(c.Files, tlsconf.Options{})
+	return err
+}
+
+// UpstreamTLS names the files of TLS towards upstreams.
+type UpstreamTLS struct {
+	// Files are the authority that signed the upstreams' certificates and, for
+	// upstreams that ask for one, this side's certificate and key.
+	Files tlsconf.Files
+	// ServerName is the name that an upstream's certificate must carry, unless its
+	// group states one; empty takes the upstream's IP.
+	ServerName string
+}
+
+// Register adds the flags to fs.
+func (u *UpstreamTLS) Register(fs *pflag.FlagSet) {
+	fs.StringVar(&u.Files.Authority, "upstream-tls-ca", "", "PEM file of the authority that signed the upstreams' certificates (default none, groups with TLS are refused)")
+	fs.StringVar(&u.Files.Certificate, "upstream-tls-cert", "", "PEM file of the certificate shown to upstreams that ask for one (default none)")
+	fs.StringVar(&u.Files.Key, "upstream-tls-key", "", "PEM file of its private key (default none)")
+	fs.StringVar(&u.ServerName, "upstream-tls-server-name", "", "name that an upstream's certificate must carry, unless its group states one (default the upstream's IP)")
+}
+
+// Validate reports files that are not whole or can't be used.
+func (u *UpstreamTLS) Validate() error {
+	if !u.Files.Enabled() {
+		if u.ServerName != "" {
+			return errors.New("upstream-tls-server-name is set without upstream-tls-ca")
+		}
+		return nil
+	}
+	_, err := tlsconf.LoadUpstreams(u.Files, tlsconf.Options{})
+	return err
+}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -136,6 +136,12 @@
 	if err := e.PeerTLS.Validate(); err != nil {
 		return errors.Wrap(err, "peer-tls")
 	}
+	if err := e.CallerTLS.Validate(); err != nil {
+		return errors.Wrap(err, "caller-tls")
+	}
+	if err := e.UpstreamTLS.Validate(); err != nil {
+		return errors.Wrap(err, "upstream-tls")
+	}
 	if e.PeerTLS.Files.Enabled() && e.FleetKeyFile == "" {
 		return errors.New("fleet-key-file: is empty; with peer-tls-cert, membership datagrams need keys too")
 	}
--- a/internal/tlsconf/files.go
+++ b/internal/tlsconf/files.go
@@ -1,7 +1,8 @@
 // Package tlsconf gives mutual TLS to gRPC listeners and connections, between
-// entry hosts and towards operators.
+// entry hosts and towards operators, and TLS to callers and upstreams.
 //
-// Both sides must show a certificate that the agreed authority signed. The
+// With mutual TLS both sides must show a certificate that the agreed authority
+// signed. The
 // files are read again when they change, checked at a handshake and at most
 // once a second, so that certificates are replaced without a restart.
 package tlsconf
@@ -47,35 +48,53 @@
 }
 
 func (f Files) read() (*contents, error) {
-	certificate, err := os.ReadFile(f.Certificate)
+	certificate, err := readSet(f.Certificate)
 	if err != nil {
 		return nil, errors.Wrap(err, "certificate")
 	}
-	key, err := os.ReadFile(f.Key)
+	key, err := readSet(f.Key)
 	if err != nil {
 		return nil, errors.Wrap(err, "key")
 	}
-	authority, err := os.ReadFile(f.Authority)
+	authority, err := readSet(f.Authority)
 	if err != nil {
 		return nil, errors.Wrap(err, "authority")
 	}
 	return &contents{certificate, key, authority}, nil
 }
 
+// readSet reads a file that is set.
+func readSet(path string) ([]byte, error) {
+	if path == "" {
+		return nil, nil
+	}
+	return os.ReadFile(path)
+}
+
 // material is what a handshake needs. It is immutable.
 type material struct {
+	// certificate is empty and authority nil where their files are not set.
 	certificate tls.Certificate
 	authority   *x509.CertPool
+	// callers is for the handshakes of callers; it holds their session keys.
+	callers *tls.Config
 }
 
 func (c *contents) parse(f Files) (*material, error) {
-	pair, err := tls.X509KeyPair(c.certificate, c.key)
-	if err != nil {
-		return nil, errors.Wrapf(err, "%s with %s", f.Certificate, f.Key)
+	m := new(material)
+	if f.Certificate != "" {
+		pair, err := tls.X509KeyPair(c.certificate, c.key)
+		if err != nil {
+			return nil, errors.Wrapf(err, "%s with %s", f.Certificate, f.Key)
+		}
+		m.certificate = pair
 	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(c.authority) {
-		return nil, errors.Newf("%s: holds no certificate in PEM", f.Authority)
+	if f.Authority != "" {
+		m.authority = x509.NewCertPool()
+		if !m.authority.AppendCertsFromPEM(c.authority) {
+			return nil, errors.Newf("%s: holds no certificate in PEM", f.Authority)
+		}
 	}
-	return &material{pair, pool}, nil
+	m.callers = m.callerConfig()
+	return m, nil
 }
--- a/internal/tlsconf/reloader.go
+++ b/internal/tlsconf/reloader.go
@@ -35,6 +35,11 @@
 	if err := f.Validate(); err != nil {
 		return nil, err
 	}
+	return load(f, opts)
+}
+
+// load reads those of the files that are set.
+func load(f Files, opts Options) (*Reloader, error) {
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
@@ -52,8 +57,14 @@
 	return &Reloader{files: f, opts: opts, checked: opts.Now(), seen: c, current: m}, nil
 }
 
-// Expires returns the end of validity of this side's certificate in force.
-func (r *Reloader) Expires() time.Time { return r.material().certificate.Leaf.NotAfter }
+// Expires returns the end of validity of this side's certificate in force, or
+// the zero time without one.
+func (r *Reloader) Expires() time.Time {
+	if leaf := r.material().certificate.Leaf; leaf != nil {
+		return leaf.NotAfter
+	}
+	return time.Time{}
+}
 
 // material returns the certificates in force, after a look at the files if
 // the last one is a second ago. Files that can't be used leave the old ones.
--- a/internal/tlsconf/tlsconf_test.go
+++ b/internal/tlsconf/tlsconf_test.go
@@ -78,7 +78,7 @@
 func (c *clock) now() time.Time { return time.Now().Add(time.Duration(c.offset.Load())) }
 func (c *clock) advance()       { c.offset.Add(int64(checkEvery)) }
 
-func load(t *testing.T, f Files, c *clock, onReload func(error)) *Reloader {
+func mustLoad(t *testing.T, f Files, c *clock, onReload func(error)) *Reloader {
 	t.Helper()
 	r, err := Load(f, Options{Now: c.now, OnReload: onReload})
 	is.New(t).NoErr(err)
@@ -112,15 +112,15 @@
 	is := is.New(t)
 	agreed, wrong := newAuthority(t), newAuthority(t)
 	var c clock
-	server := load(t, agreed.issue(t, t.TempDir(), "server", agreed), &c, nil)
+	server := mustLoad(t, agreed.issue(t, t.TempDir(), "server", agreed), &c, nil)
 	address := serve(t, server.Credentials(""))
 
-	good := load(t, agreed.issue(t, t.TempDir(), "peer", agreed), &c, nil)
+	good := mustLoad(t, agreed.issue(t, t.TempDir(), "peer", agreed), &c, nil)
 	is.NoErr(call(t, address, good.Credentials("")))
 	is.NoErr(call(t, address, good.Credentials("entry")))
 	is.True(call(t, address, good.Credentials("other")) != nil) // another name than the certificate's
 
-	stranger := load(t, wrong.issue(t, t.TempDir(), "stranger", agreed), &c, nil)
+	stranger := mustLoad(t, wrong.issue(t, t.TempDir(), "stranger", agreed), &c, nil)
 	is.True(call(t, address, stranger.Credentials("")) != nil) // wrong authority
 
 	pool := x509.NewCertPool()
@@ -128,7 +128,7 @@
 	is.True(call(t, address, credentials.NewTLS(&tls.Config{RootCAs: pool})) != nil) // no certificate
 	is.True(call(t, address, insecure.NewCredentials()) != nil)                      // no TLS
 
-	distrustful := load(t, agreed.issue(t, t.TempDir(), "peer", wrong), &c, nil)
+	distrustful := mustLoad(t, agreed.issue(t, t.TempDir(), "peer", wrong), &c, nil)
 	is.True(call(t, address, distrustful.Credentials("")) != nil) // the client refuses the server
 }
 
@@ -139,7 +139,7 @@
 	var reloads, failures atomic.Int32
 	dir := t.TempDir()
 	files := old.issue(t, dir, "server", old)
-	server := load(t, files, &c, func(err error) {
+	server := mustLoad(t, files, &c, func(err error) {
 		if err != nil {
 			failures.Add(1)
 			return
@@ -147,8 +147,8 @@
 		reloads.Add(1)
 	})
 	address := serve(t, server.Credentials(""))
-	before := load(t, old.issue(t, t.TempDir(), "peer", old), &c, nil)
-	after := load(t, renewed.issue(t, t.TempDir(), "peer", renewed), &c, nil)
+	before := mustLoad(t, old.issue(t, t.TempDir(), "peer", old), &c, nil)
+	after := mustLoad(t, renewed.issue(t, t.TempDir(), "peer", renewed), &c, nil)
 	is.NoErr(call(t, address, before.Credentials("")))
 	is.True(call(t, address, after.Credentials("")) != nil)
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"time"
@@ -46,6 +47,10 @@
 	MaxHeadBytes int
 	// MaxResponseBytes bounds the body of an answer, in bytes.
 	MaxResponseBytes int
+	// TLS returns the configuration of one handshake with an upstream whose
+	// certificate must carry a name, or its IP if the name is empty; nil if no
+	// authority is set, and then nothing is sent to upstreams with TLS.
+	TLS func(name string) *tls.Config
 }
 
 func (c Config) withDefaults() Config {
@@ -135,6 +140,9 @@
 // ends the connection is closed, so that the upstream can stop its work.
 func (c *Client) Do(ctx context.Context, address string, req *httpwire.Request) (*httpwire.Response, *errkind.Error) {
 	p := c.pool(address)
+	if p.target.tls && c.conf.TLS == nil {
+		return nil, errkind.New(errkind.UpstreamTLSNotSet, p.target.address)
+	}
 	for {
 		cn, err := c.acquire(ctx, p)
 		if err != nil {
@@ -187,8 +195,13 @@
 
 func (c *Client) dial(ctx context.Context, p *pool) (*conn, error) {
 	d := net.Dialer{Timeout: c.conf.DialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", p.address)
+	nc, err := d.DialContext(ctx, "tcp", p.target.address)
+	if err != nil {
+		return nil, err
+	}
+	session, err := c.handshake(ctx, p, nc)
 	if err != nil {
+		_ = nc.Close()
 		return nil, err
 	}
 	nbc, err := nbio.NBConn(nc)
@@ -197,6 +210,10 @@
 		return nil, err
 	}
 	cn := newConn(c, p, nbc)
+	if err := cn.secure(session); err != nil {
+		_ = nbc.Close()
+		return nil, err
+	}
 	socket.SetSession(nbc, cn)
 	nbc.OnData(c.engine.DataHandler)
 	if _, err := c.engine.AddConn(nbc); err != nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -34,6 +34,7 @@
 type conn struct {
 	pool   *pool
 	nbc    *nbio.Conn
+	tls    *socket.TLS // nil without TLS
 	parser *nbhttp.Parser
 	limits framing.Limits
 	result chan result
@@ -43,10 +44,10 @@
 	reused    bool
 	idleSince time.Time
 
-	// queued counts the bytes of the request that were written; the goroutine
-	// that holds the connection owns it.
-	queued int64
-	// sent counts the bytes of the request that the kernel has taken.
+	// queued counts the bytes that were written for the request.
+	queued atomic.Int64
+	// sent counts those that the kernel has taken. With TLS both count encrypted
+	// bytes, which are never fewer than the request's.
 	sent atomic.Int64
 
 	mu      sync.Mutex
@@ -97,7 +98,7 @@
 	}
 	// An answer that came before the whole request was sent is passed on, but
 	// what is left of the request must not follow on this connection.
-	whole := c.sent.Load() == int64(head+len(req.Body))
+	whole := c.sent.Load() == c.queued.Load()
 	c.giveBack(r.reusable && whole)
 	return r.resp, nil
 }
@@ -106,7 +107,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent.Store(0)
-	c.queued = 0
+	c.queued.Store(0)
 	if c.closed {
 		return false
 	}
@@ -148,9 +149,17 @@
 
 // Write implements io.Writer for the request.
 func (c *conn) Write(b []byte) (int, error) {
-	queued := c.sent.Load() != c.queued
-	c.queued += int64(len(b))
-	return len(b), socket.Write(c.nbc, b, queued, c)
+	if c.tls != nil {
+		return len(b), c.tls.Write(b)
+	}
+	return len(b), c.writeRaw(b)
+}
+
+// writeRaw sends or queues what goes over the wire.
+func (c *conn) writeRaw(b []byte) error {
+	queued := c.sent.Load() != c.queued.Load()
+	c.queued.Add(int64(len(b)))
+	return socket.Write(c.nbc, b, queued, c)
 }
 
 // Taken implements socket.Counter.
@@ -166,6 +175,14 @@
 // that arrived, which are only valid during the call. An error closes the
 // connection.
 func (c *conn) Parse(data []byte) error {
+	if c.tls != nil {
+		return c.tls.Feed(data, nil)
+	}
+	return c.plain(data)
+}
+
+// plain takes the upstream's bytes, decrypted if there is TLS.
+func (c *conn) plain(data []byte) error {
 	answered, err := c.take(data)
 	if answered {
 		// The loop goes into a system call next and would hold the processor on
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,6 +8,7 @@
 // pool holds the connections to one upstream.
 type pool struct {
 	address string
+	target  target
 
 	mu sync.Mutex
 	// idle is a stack: the connection used last is taken first.
@@ -94,7 +95,7 @@
 	if p := c.pools[address]; p != nil {
 		return p
 	}
-	p := &pool{address: address, maxIdle: c.conf.IdlePerUpstream, limit: c.limit(address)}
+	p := &pool{address: address, target: parseTarget(address), maxIdle: c.conf.IdlePerUpstream, limit: c.limit(address)}
 	c.pools[address] = p
 	return p
 }
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -109,6 +109,8 @@
 	Policy string `json:"policy,omitempty"`
 	// Upstreams are the members.
 	Upstreams []Upstream `json:"upstreams"`
+	// TLS states how the members are reached.
+	TLS TLS `json:"tls,omitzero"`
 	// Probe is the measuring budget.
 	Probe ProbeBudget `json:"probe,omitempty"`
 	// SlowStart is the time over which a new upstream's share grows to full. Default: 0, off.
@@ -136,6 +138,16 @@
 	Activation uint64 `json:"activation,omitempty"`
 }
 
+// TLS states whether a group's upstreams are reached by TLS. Requests are never
+// sent in the clear to a group that asks for it.
+type TLS struct {
+	// Enabled asks for TLS. Default: false, plain HTTP.
+	Enabled bool `json:"enabled,omitempty"`
+	// ServerName is the DNS name that the upstreams' certificates carry. Default:
+	// the entry host's setting, or else the upstream's IP.
+	ServerName string `json:"server_name,omitempty"`
+}
+
 // ProbeBudget bounds the work of measuring one upstream, over the whole fleet.
 type ProbeBudget struct {
 	// SlotTimePercent is the largest share of an upstream's slot time that probes
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -30,11 +30,14 @@
 	maxConns     = 100_000
 	maxAttempts  = 10
 	maxUpstreams = 4096
+
+	maxServerName = 253 // bytes
 )
 
 var (
-	namePattern   = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
-	methodPattern = regexp.MustCompile(`^[A-Z][A-Z-]{0,31}$`)
+	namePattern       = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	serverNamePattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9-]{0,62}\.)*[A-Za-z0-9-]{1,63}$`)
+	methodPattern     = regexp.MustCompile(`^[A-Z][A-Z-]{0,31}$`)
 )
 
 // FieldError names the field that is wrong and how to mend it.
@@ -163,6 +166,9 @@
 	if g.Probe.Cost <= 0 || g.Probe.Cost.Std() > maxDeadline {
 		return &FieldError{field + ".probe.cost", "is outside 0 to 5m", "write the slot time of one probe, such as \"6ms\""}
 	}
+	if err := g.TLS.validate(field + ".tls"); err != nil {
+		return err
+	}
 	if g.SlowStart < 0 || g.SlowStart.Std() > maxDeadline {
 		return &FieldError{field + ".slow_start", "is outside 0 to 5m", "write for example \"10s\""}
 	}
@@ -183,6 +189,19 @@
 	return nil
 }
 
+func (t *TLS) validate(field string) error {
+	if t.ServerName == "" {
+		return nil
+	}
+	if !t.Enabled {
+		return &FieldError{field + ".server_name", "is set without enabled", "set enabled to true or remove it"}
+	}
+	if len(t.ServerName) > maxServerName || !serverNamePattern.MatchString(t.ServerName) {
+		return &FieldError{field + ".server_name", strconv.Quote(t.ServerName) + " is not a DNS name", "write for example \"upstream.example\""}
+	}
+	return nil
+}
+
 func (u *Upstream) validate(field string) error {
 	if err := checkName(field+".id", u.ID); err != nil {
 		return err
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -69,6 +69,9 @@
 	AnswerNotKept
 	// SendFailed is a connection that ended before an upstream can have had the whole head.
 	SendFailed
+	// UpstreamTLSNotSet is a group that asks for TLS on an entry host without an
+	// authority for upstreams; nothing was sent.
+	UpstreamTLSNotSet
 
 	numKinds
 )
@@ -131,6 +134,7 @@
 	IssuerGone:         {"issuer-gone", http.StatusGone, Unknown, false},
 	AnswerNotKept:      {"answer-not-kept", http.StatusGone, Ran, false},
 	SendFailed:         {"send-failed", http.StatusBadGateway, NotRun, true},
+	UpstreamTLSNotSet:  {"upstream-tls-not-set", http.StatusBadGateway, NotRun, false},
 }
 
 // Answer returns the reply for k. An out-of-range kind answers as Internal.
--- a/pkg/event/process_events.go
+++ b/pkg/event/process_events.go
@@ -10,6 +10,7 @@
 
 	CertificatesReloaded Code = 1006
 	CertificatesRejected Code = 1007
+	CertificateExpired   Code = 1008
 )
 
 // processEvents describes the codes 1xxx: the process.
@@ -20,5 +21,6 @@
 	ProcessStopped:       {"process-stopped", Info, "The entry host stopped.", "requests cut off"},
 	CertificatesReloaded: {"certificates-reloaded", Info, "Changed certificate files are in use.", ""},
 	CertificatesRejected: {"certificates-rejected", Warn, "Changed certificate files can't be used; the old ones stay.", ""},
+	CertificateExpired:   {"certificate-expired", Warn, "This side's certificate had expired at the start; the other side will refuse it.", ""},
 	LibraryMessage:       {"library-message", Warn, "The event loop library reported a problem.", ""},
 }
