--- a/internal/httpwire/server_test.go
+++ b/internal/httpwire/server_test.go
@@ -18,28 +18,35 @@
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 )
 
+// refusals are requests that no handler may see, and the kind of the answer.
+var refusals = map[string]struct {
+	request string
+	kind    errkind.Kind
+}{
+	"smuggled length": {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /", errkind.BadRequest},
+	"two lengths":     {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\nGET /", errkind.BadRequest},
+	"space in name":   {"GET / HTTP/1.1\r\nHost : a\r\n\r\n", errkind.BadRequest},
+	"no host":         {"GET / HTTP/1.1\r\n\r\n", errkind.BadRequest},
+	"bad chunk":       {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nxy\r\n", errkind.BadRequest},
+	"bad escape":      {"GET /%zz HTTP/1.1\r\nHost: a\r\n\r\n", errkind.BadRequest},
+	"dot segment":     {"GET /lookup/%2e%2e/sale HTTP/1.1\r\nHost: a\r\n\r\n", errkind.BadRequest},
+	"absolute form":   {"GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n", errkind.BadRequest},
+	"long head":       {"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("y", testMaxHead) + "\r\n\r\n", errkind.HeaderTooLarge},
+	"long body":       {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + strconv.Itoa(testMaxBody+1) + "\r\n\r\n", errkind.BodyTooLarge},
+}
+
 func TestRefusalsAnswerAndClose(t *testing.T) {
+	checkRefusals(t, dial, nil)
+}
+
+// checkRefusals sends the refusals over connections that connect makes.
+func checkRefusals(t *testing.T, connect func(*testing.T, *Server) *caller, change func(*ServerConfig)) {
 	var served atomic.Int64
-	s := startServer(t, echo(&served), nil)
-	tests := map[string]struct {
-		request string
-		kind    errkind.Kind
-	}{
-		"smuggled length": {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /", errkind.BadRequest},
-		"two lengths":     {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\nGET /", errkind.BadRequest},
-		"space in name":   {"GET / HTTP/1.1\r\nHost : a\r\n\r\n", errkind.BadRequest},
-		"no host":         {"GET / HTTP/1.1\r\n\r\n", errkind.BadRequest},
-		"bad chunk":       {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nxy\r\n", errkind.BadRequest},
-		"bad escape":      {"GET /%zz HTTP/1.1\r\nHost: a\r\n\r\n", errkind.BadRequest},
-		"dot segment":     {"GET /lookup/%2e%2e/sale HTTP/1.1\r\nHost: a\r\n\r\n", errkind.BadRequest},
-		"absolute form":   {"GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n", errkind.BadRequest},
-		"long head":       {"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("y", testMaxHead) + "\r\n\r\n", errkind.HeaderTooLarge},
-		"long body":       {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + strconv.Itoa(testMaxBody+1) + "\r\n\r\n", errkind.BodyTooLarge},
-	}
-	for name, test := range tests {
+	s := startServer(t, echo(&served), change)
+	for name, test := range refusals {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			c := dial(t, s)
+			c := connect(t, s)
 			c.send(t, test.request)
 			resp, _ := c.answer(t, "GET")
 			is.Equal(resp.StatusCode, test.kind.Answer().Status)
