--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -36,6 +36,10 @@
 		{"timeout", "--dial-timeout=0s", "dial-timeout: 0s is not positive"},
 		{"grace", "--stop-grace=-1s", "stop-grace: -1s is negative"},
 		{"key without cert", "--peer-tls-key=/none", "peer-tls: TLS needs the certificate, the key and the authority: set all three or none"},
+		{"caller key without cert", "--caller-tls-key=/none", "caller-tls: TLS towards callers needs the certificate and the key"},
+		{"upstream cert without authority", "--upstream-tls-cert=/none", "upstream-tls: TLS towards upstreams needs the authority that signed their certificates"},
+		{"upstream authority", "--upstream-tls-ca=/none", "upstream-tls: authority: open /none: no such file or directory"},
+		{"upstream name", "--upstream-tls-server-name=a", "upstream-tls: upstream-tls-server-name is set without upstream-tls-ca"},
 		{"no fleet key", "--fleet-key-file=/none", "fleet-key-file: stat /none: no such file or directory"},
 	}
 	for _, tt := range tests {
--- /dev/null
+++ b/internal/tlsconf/wire_test.go
@@ -0,0 +1,118 @@
+package tlsconf
+
+import (
+	"crypto/tls"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// accept serves TLS handshakes, one byte each, with the configuration that
+// conf returns for each of them.
+func accept(t *testing.T, conf func() *tls.Config) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				_, _ = tls.Server(c, conf()).Write([]byte{1})
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// connect makes a handshake and reads the byte behind it.
+func connect(address string, conf *tls.Config) error {
+	d := net.Dialer{Timeout: 10 * time.Second}
+	c, err := tls.DialWithDialer(&d, "tcp", address, conf)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	var one [1]byte
+	_, err = c.Read(one[:])
+	return err
+}
+
+func upstreams(t *testing.T, f Files, c *clock) *Reloader {
+	t.Helper()
+	r, err := LoadUpstreams(f, Options{Now: c.now})
+	is.New(t).NoErr(err)
+	return r
+}
+
+func TestCallersAndUpstreamsTakeReplacedFiles(t *testing.T) {
+	is := is.New(t)
+	old, renewed := newAuthority(t), newAuthority(t)
+	var c clock
+	dir, clientDir := t.TempDir(), t.TempDir()
+	files := old.issue(t, dir, "entry", old)
+	callers, err := LoadCallers(files, Options{Now: c.now}) // callers must show a certificate
+	is.NoErr(err)
+	conf := callers.CallerConfig()
+	address := accept(t, func() *tls.Config { return conf })
+	client := upstreams(t, old.issue(t, clientDir, "client", old), &c)
+	stale := upstreams(t, old.issue(t, t.TempDir(), "client", old), &c)
+	sessions := tls.NewLRUClientSessionCache(1)
+	resuming := func(r *Reloader) *tls.Config {
+		conf := r.UpstreamConfig("entry")
+		conf.ClientSessionCache = sessions
+		return conf
+	}
+	is.NoErr(connect(address, resuming(stale)))
+	is.NoErr(connect(address, client.UpstreamConfig("entry")))
+	is.True(connect(address, client.UpstreamConfig("other")) != nil)
+
+	renewed.issue(t, dir, "entry", renewed)
+	c.advance()
+	is.True(connect(address, stale.UpstreamConfig("entry")) != nil)
+	is.True(connect(address, resuming(stale)) != nil) // nor by the session from before
+	renewed.issue(t, clientDir, "client", renewed)
+	c.advance()
+	is.NoErr(connect(address, client.UpstreamConfig("entry")))
+	is.NoErr(os.WriteFile(files.Key, []byte("half written"), 0o600))
+	c.advance()
+	is.NoErr(connect(address, client.UpstreamConfig("entry"))) // the ones in force stay
+}
+
+func TestFilesOfCallersAndUpstreams(t *testing.T) {
+	is := is.New(t)
+	f := newAuthority(t).issue(t, t.TempDir(), "entry", newAuthority(t))
+	other := newAuthority(t).issue(t, t.TempDir(), "entry", newAuthority(t))
+	tests := map[string]struct {
+		load  func(Files, Options) (*Reloader, error)
+		files Files
+		ok    bool
+	}{
+		"callers":                          {LoadCallers, Files{f.Certificate, f.Key, ""}, true},
+		"callers with certificates":        {LoadCallers, f, true},
+		"callers without a key":            {LoadCallers, Files{f.Certificate, "", f.Authority}, false},
+		"callers without a certificate":    {LoadCallers, Files{"", "", f.Authority}, false},
+		"callers, another key":             {LoadCallers, Files{f.Certificate, other.Key, ""}, false},
+		"callers, a missing authority":     {LoadCallers, Files{f.Certificate, f.Key, f.Key + "x"}, false},
+		"upstreams":                        {LoadUpstreams, Files{"", "", f.Authority}, true},
+		"upstreams with a certificate":     {LoadUpstreams, f, true},
+		"upstreams without an authority":   {LoadUpstreams, Files{f.Certificate, f.Key, ""}, false},
+		"upstreams without a key":          {LoadUpstreams, Files{f.Certificate, "", f.Authority}, false},
+		"upstreams, another key":           {LoadUpstreams, Files{f.Certificate, other.Key, f.Authority}, false},
+		"upstreams, no authority in a key": {LoadUpstreams, Files{"", "", f.Key}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := test.load(test.files, Options{})
+			is.New(t).Equal(err == nil, test.ok)
+		})
+	}
+	is.Equal(upstreams(t, Files{Authority: f.Authority}, new(clock)).Expires(), time.Time{})
+}
--- a/pkg/config/parse_test.go
+++ b/pkg/config/parse_test.go
@@ -38,6 +38,8 @@
 		{"execution", `"repeat": "non-repeatable"`, `"repeat": "non-repeatable", "execution": "never"`, "rules[0].execution"},
 		{"execution of a lookup", `"repeat": "non-repeatable"`, `"repeat": "repeatable", "execution": "ticket"`, "rules[0].execution"},
 		{"retry", `"repeat": "non-repeatable"`, `"repeat": "non-repeatable", "retry": {"max_attempts": 2}`, "rules[0].retry"},
+		{"server name without TLS", `"name": "main",`, `"name": "main", "tls": {"server_name": "a"},`, "groups[0].tls.server_name"},
+		{"server name", `"name": "main",`, `"name": "main", "tls": {"enabled": true, "server_name": "a b@c"},`, "groups[0].tls.server_name"},
 		{"method", `"POST"`, `"post"`, "rules[0].methods[0]"},
 	}
 	for _, tt := range tests {
--- a/pkg/plan/explain.go
+++ b/pkg/plan/explain.go
@@ -57,6 +57,9 @@
 	if old.Probe != g.Probe {
 		out = append(out, fmt.Sprintf("group %s: probes may take %g%% of an upstream's slot time over the fleet, instead of %g%%", g.Name, g.Probe.SlotTimePercent, old.Probe.SlotTimePercent))
 	}
+	if old.TLS != g.TLS {
+		out = append(out, tlsText(g))
+	}
 	if old.Queue != g.Queue {
 		out = append(out, fmt.Sprintf("group %s: %d requests may wait on each entry host, instead of %d; more are refused as overloaded", g.Name, g.Queue.MaxWaiting, old.Queue.MaxWaiting))
 	}
@@ -66,6 +69,18 @@
 	return append(out, explainUpstreams(old, g)...)
 }
 
+// tlsText says how the members of g are reached from now on.
+func tlsText(g *config.Group) string {
+	switch {
+	case !g.TLS.Enabled:
+		return fmt.Sprintf("group %s: its upstreams are reached in the clear, without TLS", g.Name)
+	case g.TLS.ServerName != "":
+		return fmt.Sprintf("group %s: its upstreams are reached by TLS and must show a certificate for %s; entry hosts without --upstream-tls-ca refuse its requests", g.Name, g.TLS.ServerName)
+	default:
+		return fmt.Sprintf("group %s: its upstreams are reached by TLS; entry hosts without --upstream-tls-ca refuse its requests", g.Name)
+	}
+}
+
 func explainUpstreams(old, g *config.Group) []string {
 	var out []string
 	byID := upstreamsByID(old)
