--- a/pkg/config/parse_test.go
+++ b/pkg/config/parse_test.go
@@ -42,6 +42,8 @@
 		{"hedge off with a delay", `"repeat": "non-repeatable"`, `"repeat": "repeatable", "retry": {"hedge": "off", "hedge_after": "5ms"}`, "rules[0].retry.hedge"},
 		{"hedge off with a percentile", `"repeat": "non-repeatable"`, `"repeat": "repeatable", "retry": {"hedge": "off", "hedge_percentile": 95}`, "rules[0].retry.hedge"},
 		{"hedge of an action", `"repeat": "non-repeatable"`, `"repeat": "non-repeatable", "retry": {"hedge": "off"}`, "rules[0].retry"},
+		{"server name without TLS", `"name": "main",`, `"name": "main", "tls": {"server_name": "a"},`, "groups[0].tls.server_name"},
+		{"server name", `"name": "main",`, `"name": "main", "tls": {"enabled": true, "server_name": "a b@c"},`, "groups[0].tls.server_name"},
 		{"method", `"POST"`, `"post"`, "rules[0].methods[0]"},
 	}
 	for _, tt := range tests {
