Prove configuration and follow with real processes

Each test also reads the hosts' logs: no broken invariant. The stand-in upstream can say that it is leaving, records probes and answers with content that depends on the request's id.

--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
 )
 
 // Upstream is a server with a fixed number of slots that records what it ran.
@@ -18,13 +20,15 @@
 	// Mean is the mean service time.
 	Mean time.Duration
 
-	slots  chan struct{}
-	active atomic.Int64
-	slowed atomic.Int64
-	served atomic.Int64
+	slots   chan struct{}
+	active  atomic.Int64
+	slowed  atomic.Int64
+	served  atomic.Int64
+	leaving atomic.Bool
 
 	mu     sync.Mutex
 	ledger map[string]int
+	probes []int64 // arrivals, in nanoseconds of Unix time
 }
 
 // NewUpstream returns an upstream with the given number of slots.
@@ -39,13 +43,17 @@
 )
 
 // Handler returns the HTTP interface: /_ledger lists what ran, /_served counts
-// the requests that arrived, /_slow?factor=N
-// slows the upstream down, and every other path is work.
+// the requests that arrived, /_slow?factor=N slows the upstream down,
+// /_leaving?say=true lets its answers say that it is leaving, /_probe is a
+// probe, /_probes lists when probes arrived, and every other path is work.
 func (u *Upstream) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /_ledger", u.getLedger)
 	mux.HandleFunc("GET /_served", u.getServed)
 	mux.HandleFunc("POST /_slow", u.slow)
+	mux.HandleFunc("POST /_leaving", u.setLeaving)
+	mux.HandleFunc("GET /_probe", u.probe)
+	mux.HandleFunc("GET /_probes", u.getProbes)
 	mux.HandleFunc("/", u.work)
 	return mux
 }
@@ -78,6 +86,13 @@
 	time.Sleep(u.serviceTime())
 	u.record(r.Header.Get(HeaderAction))
 	w.Header().Set(HeaderLoad, strconv.FormatInt(u.active.Load(), 10))
+	if u.leaving.Load() {
+		w.Header().Set(lifecycle.HeaderLeaving, "1")
+	}
+	if r.Header.Get(HeaderAnswerBytes) != "" {
+		answerBytes(w, r, body)
+		return
+	}
 	w.Header().Set("Content-Type", "text/plain")
 	_, _ = io.WriteString(w, u.ID+" "+r.Method+" "+r.URL.Path+" "+r.Header.Get("X-Request-Id")+" "+strconv.Itoa(len(body))+"\n")
 }
@@ -116,3 +131,29 @@
 	u.slowed.Store(factor)
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// setLeaving lets answers say that this upstream is leaving, or stops that.
+func (u *Upstream) setLeaving(w http.ResponseWriter, r *http.Request) {
+	say, err := strconv.ParseBool(r.URL.Query().Get("say"))
+	if err != nil {
+		http.Error(w, "say: not a boolean", http.StatusBadRequest)
+		return
+	}
+	u.leaving.Store(say)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// probe records its arrival and answers with the load.
+func (u *Upstream) probe(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	u.probes = append(u.probes, time.Now().UnixNano())
+	u.mu.Unlock()
+	w.Header().Set(HeaderLoad, strconv.FormatInt(u.active.Load(), 10))
+	w.WriteHeader(http.StatusOK)
+}
+
+func (u *Upstream) getProbes(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	writeJSON(w, u.probes)
+}
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/internal/platform"
+	"github.com/dapplespindle/dapplespindle/internal/standin"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
 )
 
@@ -47,6 +48,17 @@
 	log *os.File
 }
 
+// long reports whether the long versions of the tests were asked for.
+func long() bool { return os.Getenv("E2E_LONG") != "" }
+
+// times returns short, or ten times that for the long versions.
+func times(short int) int {
+	if long() {
+		return 10 * short
+	}
+	return short
+}
+
 func start(t *testing.T, name string, args ...string) *process {
 	t.Helper()
 	log, err := os.Create(filepath.Join(t.TempDir(), filepath.Base(name)+".log"))
@@ -106,6 +118,9 @@
 	upstreams []string
 	entries   []*entryHost
 	client    *http.Client
+	hostArgs  []string // further arguments of each entry host
+	policy    string   // of the document's group; empty for the default
+	logs      hostLogs
 }
 
 // fleets counts the fleets of this process; each has a loopback network of its
@@ -139,9 +154,12 @@
 )
 
 // newFleet starts a platform, a service with the given upstreams, and entry hosts.
-func newFleet(t *testing.T, upstreams, entries int) *fleet {
+// Each entry host gets hostArgs besides its own arguments.
+func newFleet(t *testing.T, upstreams, entries int, hostArgs ...string) *fleet {
 	t.Helper()
-	f := &fleet{t: t, network: network(), client: &http.Client{Timeout: 5 * time.Second}}
+	f := &fleet{t: t, network: network(), client: &http.Client{Timeout: 5 * time.Second}, hostArgs: hostArgs}
+	_ = t.TempDir() // made first, so that it is removed after the check of the logs
+	t.Cleanup(func() { f.logs.check(t) })
 	listen := f.address(platformByte, platformPort)
 	f.platform = "http://" + listen
 	start(t, "spindle-standin", "platform", "--listen", listen)
@@ -182,7 +200,8 @@
 		"--listen", e.caller, "--admin-listen", e.admin, "--peer-listen", e.peer, "--operator-listen", e.operator,
 		"--failure-domain", e.domain, "--platform", f.platform, "--stop-grace", "500ms",
 	}
-	e.process = start(f.t, "spindled", e.args...)
+	e.args = append(e.args, f.hostArgs...)
+	f.restart(e)
 	f.entries = append(f.entries, e)
 	return e
 }
@@ -190,6 +209,7 @@
 // restart starts the same entry host again after it was killed or stopped.
 func (f *fleet) restart(e *entryHost) {
 	e.process = start(f.t, "spindled", e.args...)
+	f.logs.add(e.log.Name())
 }
 
 func (f *fleet) publishHosts() {
@@ -200,11 +220,25 @@
 	f.put("/v1/hosts", hosts)
 }
 
-func (f *fleet) publish(s *config.Service) { f.put("/v1/config/services/"+s.Name, s) }
+// publish returns the revision of the document.
+func (f *fleet) publish(s *config.Service) uint64 {
+	f.t.Helper()
+	var got platform.Changes
+	if err := json.Unmarshal(f.put("/v1/config/services/"+s.Name, s), &got); err != nil {
+		f.t.Fatal(err)
+	}
+	return got.Revision
+}
+
+// faults sets how the platform misbehaves from now on.
+func (f *fleet) faults(to standin.Faults) {
+	f.t.Helper()
+	f.put("/v1/faults", to)
+}
 
 // document has one repeatable and one non-repeatable rule over all upstreams.
 func (f *fleet) document() *config.Service {
-	group := config.Group{Name: "main"}
+	group := config.Group{Name: "main", Policy: f.policy}
 	for i, addr := range f.upstreams {
 		group.Upstreams = append(group.Upstreams, config.Upstream{
 			ID: fmt.Sprintf("up%d-1", i+1), Address: addr, FailureDomain: domains[i%len(domains)],
@@ -223,7 +257,8 @@
 	return s
 }
 
-func (f *fleet) put(path string, v any) {
+// put returns the answer of the platform.
+func (f *fleet) put(path string, v any) []byte {
 	f.t.Helper()
 	body, err := json.Marshal(v)
 	if err != nil {
@@ -234,10 +269,12 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	answer, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
-	if resp.StatusCode/100 != 2 {
-		f.t.Fatalf("PUT %s: %s", path, resp.Status)
+	if err != nil || resp.StatusCode/100 != 2 {
+		f.t.Fatalf("PUT %s: %s %v", path, resp.Status, err)
 	}
+	return answer
 }
 
 func (f *fleet) get(url string) error {
@@ -253,6 +290,18 @@
 	return nil
 }
 
+// status returns the status of a caller's GET through an entry host.
+func (f *fleet) status(e *entryHost, path string) int {
+	f.t.Helper()
+	resp, err := f.client.Get("http://" + e.caller + path)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
 func (f *fleet) waitReady(e *entryHost) {
 	f.t.Helper()
 	f.waitFor("entry host "+e.caller, func() bool { return f.get("http://"+e.admin+"/readyz") == nil })
