Hear which upstreams left before serving after a pause

Cause: a paused host that woke served as soon as its configuration was confirmed, or for up to 20 ms before the feed noticed the pause, with the notices of before the pause. Ruled out: documents, which the host learns of before it serves.

Now the control goroutine notices the pause before its heartbeat, asks four peers for their notices, and serves when one that is not waking itself has answered, or after 2 s. Answers to what was asked before the pause do not count. The check before each send asks too, so that a request that was admitted before the pause is not sent by old news.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -160,6 +160,7 @@
 		Peers:  e.peerAddresses,
 		Known:  e.control.registry.Notices,
 		Merge:  e.control.merge,
+		Waking: e.control.Waking,
 	})
 	e.feed = configfeed.New(ctx, configfeed.Config{
 		Host: e.host,
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -23,6 +23,8 @@
 	// pausedAfter is the silence of the control goroutine after which the
 	// process is taken to have been paused.
 	pausedAfter = 2 * time.Second
+	// wakeWait bounds waiting for a peer's notices after a pause.
+	wakeWait = 2 * time.Second
 )
 
 // controller owns the configuration in force and the lifecycle of upstreams.
@@ -44,6 +46,8 @@
 
 	started   time.Time
 	heartbeat atomic.Int64 // nanoseconds after started
+	waking    atomic.Bool  // paused, and no peer's notices were taken in since
+	wakeBy    time.Time    // serve without them from then on
 }
 
 func newController(e *Entry) *controller {
@@ -122,6 +126,7 @@
 
 // tick runs every heartbeatEvery.
 func (c *controller) tick(now time.Time) {
+	c.stepWake(now)
 	c.heartbeat.Store(int64(time.Since(c.started)))
 	if now.After(c.nextTick) {
 		c.nextTick = now.Add(registryEvery)
@@ -136,6 +141,24 @@
 	c.tellPeers()
 }
 
+// silent is how long the control goroutine has not run.
+func (c *controller) silent() time.Duration {
+	return time.Since(c.started) - time.Duration(c.heartbeat.Load())
+}
+
+// stepWake asks peers which upstreams left while this process was paused. It
+// runs before the heartbeat, so that Waking has no gap.
+func (c *controller) stepWake(now time.Time) {
+	if c.ready && c.silent() > pausedAfter {
+		c.waking.Store(true)
+		c.wakeBy = now.Add(wakeWait)
+		c.entry.notices.Refetch()
+	}
+	if c.waking.Load() && (c.entry.notices.Fetched() || len(c.entry.peerAddresses()) == 0 || now.After(c.wakeBy)) {
+		c.waking.Store(false)
+	}
+}
+
 // shareFleet adapts this host's shares to the entry hosts that are alive. No
 // promise rests on them: they bound queues and connections.
 func (c *controller) shareFleet() {
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -52,8 +52,7 @@
 	if !c.entry.proxy.Ready() {
 		return false
 	}
-	silent := time.Since(c.started) - time.Duration(c.heartbeat.Load())
-	return silent > pausedAfter || c.entry.feed.Learning()
+	return c.silent() > pausedAfter || c.waking.Load() || c.entry.feed.Learning()
 }
 
 // probed hands the report of a probe to the groups that list the upstream.
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -10,6 +10,9 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	noticesv1 "github.com/dapplespindle/dapplespindle/api/notices/v1"
 	"github.com/dapplespindle/dapplespindle/internal/control"
 	"github.com/dapplespindle/dapplespindle/internal/peer"
@@ -23,6 +26,7 @@
 	pushFanOut    = 2
 	exchangeEvery = time.Second
 	callTimeout   = 500 * time.Millisecond
+	refetchFanOut = 4
 )
 
 // Config is what New needs. All fields are required.
@@ -39,28 +43,43 @@
 	Known func(now time.Time) []lifecycle.Notice
 	// Merge takes in notices of a peer. It runs on the control goroutine.
 	Merge func(now time.Time, notices []lifecycle.Notice)
+	// Waking reports whether this host was paused and may lack notices, so that
+	// it must not answer for others. It runs on any goroutine.
+	Waking func() bool
 }
 
 // Spreader spreads notices. Tell belongs to the control goroutine.
 type Spreader struct {
 	noticesv1.UnimplementedNoticesServer
-	conf    Config
-	news    []lifecycle.Notice
-	rounds  int
-	fetched atomic.Bool
+	conf   Config
+	news   []lifecycle.Notice
+	rounds int
+	// awake counts the starts and wakings of this process, and fetched is the
+	// last of them after which a peer's notices were taken in.
+	awake, fetched atomic.Uint64
 }
 
 // New registers a spreader with the loop and the peers' server.
 func New(conf Config) *Spreader {
 	s := &Spreader{conf: conf}
+	s.awake.Store(1)
 	noticesv1.RegisterNoticesServer(conf.Server, s)
 	conf.Loop.Every(pushEvery, s.push)
 	conf.Loop.Every(exchangeEvery, s.exchange)
 	return s
 }
 
-// Fetched reports whether a peer's notices were taken in since the start.
-func (s *Spreader) Fetched() bool { return s.fetched.Load() }
+// Fetched reports whether a peer's notices were taken in since the start, or
+// since the last Refetch.
+func (s *Spreader) Fetched() bool { return s.fetched.Load() == s.awake.Load() }
+
+// Refetch asks several peers for their notices, since this process was paused.
+// Answers to what was asked before do not count. It belongs to the control
+// goroutine.
+func (s *Spreader) Refetch() {
+	s.awake.Add(1)
+	s.ask(time.Now(), refetchFanOut)
+}
 
 // Tell pushes news to peers in the next rounds.
 func (s *Spreader) Tell(news []lifecycle.Notice) {
@@ -82,19 +101,23 @@
 	s.rounds--
 	text := lifecycle.EncodeNotices(s.news)
 	for _, p := range choose(s.conf.Peers(), pushFanOut) {
-		go s.call(p, &noticesv1.ExchangeRequest{Notices: text})
+		go s.call(p, &noticesv1.ExchangeRequest{Notices: text}, s.awake.Load())
 	}
 }
 
-func (s *Spreader) exchange(now time.Time) {
+func (s *Spreader) exchange(now time.Time) { s.ask(now, 1) }
+
+// ask exchanges everything known with n peers.
+func (s *Spreader) ask(now time.Time, n int) {
 	text := lifecycle.EncodeNotices(s.conf.Known(now))
-	for _, p := range choose(s.conf.Peers(), 1) {
-		go s.call(p, &noticesv1.ExchangeRequest{Notices: text, Want: true})
+	for _, p := range choose(s.conf.Peers(), n) {
+		go s.call(p, &noticesv1.ExchangeRequest{Notices: text, Want: true}, s.awake.Load())
 	}
 }
 
 // call sends one message. A peer that does not answer hears it from another.
-func (s *Spreader) call(address string, req *noticesv1.ExchangeRequest) {
+// Awake is when it was asked for.
+func (s *Spreader) call(address string, req *noticesv1.ExchangeRequest, awake uint64) {
 	conn, err := s.conf.Pool.Conn(address)
 	if err != nil {
 		return
@@ -106,7 +129,7 @@
 		return
 	}
 	if s.take(ctx, resp.GetNotices()) == nil {
-		s.fetched.Store(true)
+		s.fetched.Store(awake)
 	}
 }
 
@@ -119,6 +142,9 @@
 	if !req.GetWant() {
 		return resp, nil
 	}
+	if s.conf.Waking() {
+		return nil, status.Error(codes.Unavailable, "waking from a pause")
+	}
 	err := s.conf.Loop.Call(ctx, func() {
 		resp.Notices = lifecycle.EncodeNotices(s.conf.Known(time.Now()))
 	})
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -38,7 +38,7 @@
 // admit finds the rule of the request. A process that was paused learns first.
 func (x *exchange) admit() *errkind.Error {
 	if u := x.proxy.upstreams; u != nil && u.Waking() {
-		return errkind.New(errkind.NotReady, "waking from a pause")
+		return errkind.New(errkind.NotReady, wakingDetail)
 	}
 	s := x.proxy.state.Load()
 	if s == nil {
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -29,6 +29,8 @@
 	Waking() bool
 }
 
+const wakingDetail = "waking from a pause"
+
 // WithUpstreams checks each send against u and reports to it.
 func WithUpstreams(u Upstreams) Option { return func(p *Proxy) { p.upstreams = u } }
 
@@ -43,6 +45,9 @@
 	if u == nil {
 		return nil
 	}
+	if u.Waking() {
+		return errkind.New(errkind.NotReady, wakingDetail)
+	}
 	switch u.Snapshot().CheckSend(x.memberKey(b), b.lifecycle) {
 	case lifecycle.Send:
 		return nil
