--- a/Makefile
+++ b/Makefile
@@ -103,3 +103,19 @@
 
 	go test -run '^$$' -fuzz FuzzGuard -fuzztime $(FUZZTIME) -parallel 2 ./internal/httpwire
 	go test -run '^$$' -fuzz FuzzAnswer -fuzztime $(FUZZTIME) -parallel 2 ./internal/upstream
+
+# Slopes behind docs/CAPACITY.md: the real parts at several sizes up to the
+# target. Membership and configuration are measure-membership, measure-config.
+.PHONY: measure-capacity
+CAPACITY := go test -run '^$$'
+measure-capacity:
+	$(CAPACITY) -bench Route ./pkg/routing
+	$(CAPACITY) -bench 'Start|Change|Lifecycle|Tick|Lost|Group' -benchtime 20x ./internal/entry
+	$(CAPACITY) -bench Memory -benchtime 2x ./internal/entry ./internal/metrics ./pkg/atmostonce
+	$(CAPACITY) -bench . -benchtime 500x ./internal/prober
+	$(CAPACITY) -bench 'Notices|Refused' ./pkg/lifecycle
+	$(CAPACITY) -bench 'Pick/spindle' ./pkg/balancer/registry
+	$(CAPACITY) -bench 'Ledger|Request' ./pkg/atmostonce
+	$(CAPACITY) -bench 'Emit' -benchtime 200ms ./internal/events ./internal/metrics
+	$(CAPACITY) -bench Hop -benchtime 200ms ./internal/tracing
+	$(CAPACITY) -bench Cost -benchtime 1x ./pkg/membership
