Let go of the last entry host before its memory is measured

Cause: the capture of the library's log lines holds the newest event sink, and so the ring of the entry host before; from the second iteration on BenchmarkMemory showed 5.8 MB too little.

--- a/internal/entry/capacity_test.go
+++ b/internal/entry/capacity_test.go
@@ -11,9 +11,11 @@
 	"github.com/spf13/pflag"
 
 	"github.com/dapplespindle/dapplespindle/internal/configfeed"
+	"github.com/dapplespindle/dapplespindle/internal/logging"
 	"github.com/dapplespindle/dapplespindle/internal/settings"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/configsync"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
 )
 
@@ -215,6 +217,7 @@
 func BenchmarkMemory(b *testing.B) {
 	eachSize(b, func(b *testing.B, s fleetSize) {
 		for b.Loop() {
+			logging.CaptureLibrary(event.Discard{}) // lets go of the entry host before
 			before := heapBytes()
 			e, snapshot := configuredEntry(b, s)
 			b.ReportMetric(float64(heapBytes()-before)/1e6, "MB")
