Forget the groups that no document has any more

Cause: the store of groups kept the policy and the records of each group that was ever configured, so memory grew with the names ever used.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -69,6 +69,7 @@
 	now := time.Now()
 	c.config = s
 	c.list(now)
+	c.groups.prune(services(s))
 	c.publish()
 	_, hosts := rank(c.entry.members.Snapshot())
 	c.shareConnections(hosts)
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
@@ -76,6 +77,17 @@
 	return &routing.Group{Config: g, Picker: st.picker, Lifecycle: s.lifecycle.Version}
 }
 
+// prune forgets the groups that no document has any more.
+func (s *groupStore) prune(services []*config.Service) {
+	present := make(map[groupKey]bool, len(s.groups))
+	for _, svc := range services {
+		for i := range svc.Groups {
+			present[groupKey{svc.Name, svc.Groups[i].Name}] = true
+		}
+	}
+	maps.DeleteFunc(s.groups, func(k groupKey, _ *groupState) bool { return !present[k] })
+}
+
 // rebuild makes the picker of a group anew.
 func (s *groupStore) rebuild(service string, g *config.Group, st *groupState) {
 	if st.policyName != g.Policy {
--- a/internal/entry/groups_test.go
+++ b/internal/entry/groups_test.go
@@ -106,3 +106,15 @@
 	is.True(f.store.share(1, 2))
 	is.True(f.store.Group(&f.service, g).Picker != left) // the policy was built anew
 }
+
+func TestGroupsOfRemovedServicesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	e, snapshot := configuredEntry(t, fleetSize{services: 3, upstreams: 30})
+	is.Equal(len(e.control.groups.groups), 3)
+	kept := e.control.groups.groups[groupKey{"service-000", "main"}]
+	snapshot.InForce = snapshot.InForce[:1]
+	snapshot.Frontier++
+	e.control.configured(snapshot)
+	is.Equal(len(e.control.groups.groups), 1)
+	is.Equal(e.control.groups.groups[groupKey{"service-000", "main"}], kept)
+}
