Say which charts the daemon interprets

Cause: docs/CHARTS.md said that the program interprets every file. Only upstream and entry-host are stepped through, in pkg/lifecycle; no code steps configuration or request. Ruled out: stepping the configuration chart in internal/configfeed here. Its state unrefreshed has no counterpart in configsync.Node, which reports staleness through no effect, so it would not be small. Conclusion: the page says so; the interpretation is still to do.

--- a/charts/charts.go
+++ b/charts/charts.go
@@ -48,8 +48,12 @@
 
 const pageHead = `# State charts
 
-Rendered from charts/*.yaml, the files that the program interprets. A test
-compares this page with them; ` + "`make charts`" + ` writes it anew.
+Rendered from charts/*.yaml. A test compares this page with them;
+` + "`make charts`" + ` writes it anew.
+
+Every chart is checked when the program starts. The daemon interprets two:
+upstream and entry-host, in ` + "`pkg/lifecycle`" + `. Configuration and request are
+descriptions so far: the code follows them, but no step goes through the chart.
 
 `
 
