Name a document in force Document

Cause: configsync.Versioned said nothing of what it is; its users hold service documents in force. Ruled out: an alias for the old name; nobody outside the tree uses it yet. go build and go vet of all users pass; no behaviour changes.

--- a/internal/configfeed/feed.go
+++ b/internal/configfeed/feed.go
@@ -49,7 +49,7 @@
 // Snapshot is the configuration part of a host at one moment.
 type Snapshot struct {
 	// InForce are the documents in force, ordered by name.
-	InForce []configsync.Versioned
+	InForce []configsync.Document
 	// Frontier is the revision up to which no change is missing.
 	Frontier uint64
 	// Ready is true when the host may serve.
--- a/pkg/configsync/node.go
+++ b/pkg/configsync/node.go
@@ -79,7 +79,7 @@
 func (n *Node) Learning() bool { return !n.wakeUntil.IsZero() }
 
 // InForce returns the documents in force, ordered by name.
-func (n *Node) InForce() []Versioned { return n.state.InForce() }
+func (n *Node) InForce() []Document { return n.state.InForce() }
 
 // State returns the state, for reading.
 func (n *Node) State() *State { return n.state }
--- a/pkg/configsync/state.go
+++ b/pkg/configsync/state.go
@@ -20,8 +20,8 @@
 // bucketCount is the number of parts in which two states are compared.
 const bucketCount = 64
 
-// Versioned is a document in force with the version it came from.
-type Versioned struct {
+// Document is a service document in force with the version it came from.
+type Document struct {
 	*config.Service
 	// Revision is the platform's revision.
 	Revision uint64
@@ -157,14 +157,14 @@
 }
 
 // InForce returns the documents in force, ordered by name.
-func (s *State) InForce() []Versioned {
-	out := make([]Versioned, 0, len(s.entries))
+func (s *State) InForce() []Document {
+	out := make([]Document, 0, len(s.entries))
 	for _, e := range s.entries {
 		if e.service != nil {
-			out = append(out, Versioned{e.service, e.inForce.ID.Revision, e.inForce.ID.Digest})
+			out = append(out, Document{e.service, e.inForce.ID.Revision, e.inForce.ID.Digest})
 		}
 	}
-	slices.SortFunc(out, func(a, b Versioned) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(out, func(a, b Document) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
