Check positive settings in one place; mend doc comments

Cause: internal/settings had two types and two loops for the same check, and constants of atmostonce, lifecycle and probebudget had no heading; two comments named a wrong thing. Ruled out: merging the lists, whose values have different types. After: one generic check with the same messages; the tests of the four packages pass.

--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -12,16 +12,20 @@
 
 const maxEntryHostsBound = 100_000
 
-// duration pairs a setting's name with its value.
-type duration struct {
+// setting pairs a setting's name with its value.
+type setting[T int | time.Duration] struct {
 	name  string
-	value time.Duration
+	value T
 }
 
-// count pairs a setting's name with its value.
-type count struct {
-	name  string
-	value int
+// checkPositive reports the first setting that is not positive.
+func checkPositive[T int | time.Duration](settings []setting[T]) error {
+	for _, s := range settings {
+		if s.value <= 0 {
+			return errors.Newf("%s: %v is not positive", s.name, s.value)
+		}
+	}
+	return nil
 }
 
 // Validate reports the first setting that is wrong, by its flag name.
@@ -89,23 +93,17 @@
 }
 
 func (e *Entry) validateCounts() error {
-	counts := []count{
+	return checkPositive([]setting[int]{
 		{"max-entry-hosts", e.MaxEntryHosts},
 		{"max-head-bytes", e.Limits.MaxHeadBytes},
 		{"max-body-bytes", e.Limits.MaxBodyBytes},
 		{"ticket-max-records", e.Tickets.MaxRecords},
 		{"ticket-max-bytes", e.Tickets.MaxBytes},
-	}
-	for _, c := range counts {
-		if c.value <= 0 {
-			return errors.Newf("%s: %d is not positive", c.name, c.value)
-		}
-	}
-	return nil
+	})
 }
 
 func (e *Entry) validateDurations() error {
-	durations := []duration{
+	err := checkPositive([]setting[time.Duration]{
 		{"watch-wait", e.WatchWait},
 		{"join-timeout", e.JoinTimeout},
 		{"idle-timeout", e.Limits.IdleTimeout},
@@ -117,11 +115,9 @@
 		{"probe-fresh-for", e.Probe.FreshFor},
 		{"probe-linger", e.Probe.Linger},
 		{"stop-timeout", e.Stop.Timeout},
-	}
-	for _, d := range durations {
-		if d.value <= 0 {
-			return errors.Newf("%s: %s is not positive", d.name, d.value)
-		}
+	})
+	if err != nil {
+		return err
 	}
 	if e.Stop.Grace < 0 {
 		return errors.Newf("stop-grace: %s is negative", e.Stop.Grace)
--- a/pkg/atmostonce/ask.go
+++ b/pkg/atmostonce/ask.go
@@ -9,6 +9,7 @@
 // Verdict is what to do with an ask.
 type Verdict uint8
 
+// The verdicts of Ledger.Ask.
 const (
 	// Execute means that the caller of Ask now runs the request, and alone may.
 	Execute Verdict = iota
--- a/pkg/atmostonce/ticket.go
+++ b/pkg/atmostonce/ticket.go
@@ -118,6 +118,7 @@
 // Owner says who may execute a ticket.
 type Owner uint8
 
+// The owners.
 const (
 	// Own tickets were issued by this incarnation.
 	Own Owner = iota
--- a/pkg/lifecycle/notice.go
+++ b/pkg/lifecycle/notice.go
@@ -58,7 +58,7 @@
 // ErrLongNumber means that a number in a notice is over 64 bits.
 var ErrLongNumber = errors.New("number in a notice is over 64 bits")
 
-// Append appends the encoding of w to b.
+// Append appends the encoding of n to b.
 func (n Notice) Append(b []byte) []byte {
 	b = binary.BigEndian.AppendUint64(b, uint64(n.Key))
 	b = binary.AppendUvarint(b, n.DrainRevision)
--- a/pkg/lifecycle/registry.go
+++ b/pkg/lifecycle/registry.go
@@ -33,7 +33,7 @@
 	MaxNotices int
 }
 
-// DefaultConfig returns the bounds for the sizes in README.md.
+// DefaultConfig returns the bounds for the target in docs/DEVELOPERS.md.
 func DefaultConfig() Config {
 	return Config{
 		ConnectFailures:  3,
--- a/pkg/lifecycle/snapshot.go
+++ b/pkg/lifecycle/snapshot.go
@@ -59,6 +59,7 @@
 // Verdict is the answer to a check right before sending.
 type Verdict uint8
 
+// The verdicts of Snapshot.CheckSend.
 const (
 	// Send means that the request may be sent.
 	Send Verdict = iota
--- a/pkg/probebudget/outcome.go
+++ b/pkg/probebudget/outcome.go
@@ -3,6 +3,7 @@
 // Outcome states how a probe ended.
 type Outcome uint8
 
+// The outcomes of a probe.
 const (
 	// Answered means the upstream's whole answer arrived: its work is over.
 	Answered Outcome = iota
