Unexport what nobody outside uses in statechart and lifecycle

Cause: statechart.Item and Arrow stood in the API but no exported name gives or takes one; a single notice is encoded and decoded only inside lifecycle. Ruled out: unexporting also constants, reasons and errors that no package names: embedders compare with them. After: go build, go vet and the tests of the users pass; behaviour is the same.

--- a/pkg/lifecycle/notice.go
+++ b/pkg/lifecycle/notice.go
@@ -58,15 +58,15 @@
 // ErrLongNumber means that a number in a notice is over 64 bits.
 var ErrLongNumber = errors.New("number in a notice is over 64 bits")
 
-// Append appends the encoding of n to b.
-func (n Notice) Append(b []byte) []byte {
+// appendTo appends the encoding of n to b.
+func (n Notice) appendTo(b []byte) []byte {
 	b = binary.BigEndian.AppendUint64(b, uint64(n.Key))
 	b = binary.AppendUvarint(b, n.DrainRevision)
 	return binary.AppendUvarint(b, n.LeftBelow)
 }
 
-// DecodeNotice reads one notice and returns the rest of b.
-func DecodeNotice(b []byte) (Notice, []byte, error) {
+// decodeNotice reads one notice and returns the rest of b.
+func decodeNotice(b []byte) (Notice, []byte, error) {
 	if len(b) < keyBytes {
 		return Notice{}, nil, ErrShortNotice
 	}
@@ -97,7 +97,7 @@
 func EncodeNotices(notices []Notice) []byte {
 	b := make([]byte, 0, len(notices)*MaxNoticeBytes)
 	for _, n := range notices {
-		b = n.Append(b)
+		b = n.appendTo(b)
 	}
 	return b
 }
@@ -106,7 +106,7 @@
 func DecodeNotices(b []byte) ([]Notice, error) {
 	var notices []Notice
 	for len(b) > 0 {
-		n, rest, err := DecodeNotice(b)
+		n, rest, err := decodeNotice(b)
 		if err != nil {
 			return nil, err
 		}
--- a/pkg/lifecycle/notice_test.go
+++ b/pkg/lifecycle/notice_test.go
@@ -38,13 +38,13 @@
 	is := is.New(t)
 	usual := Notice{Key: KeyOf("lot-catalogue", "caruaru-3"), DrainRevision: 15000 * 365, LeftBelow: 2}
 	largest := Notice{Key: math.MaxUint64, DrainRevision: math.MaxUint64, LeftBelow: math.MaxUint64}
-	t.Logf("usual notice %d bytes, largest %d bytes", len(usual.Append(nil)), len(largest.Append(nil)))
-	is.Equal(len(largest.Append(nil)), MaxNoticeBytes)
+	t.Logf("usual notice %d bytes, largest %d bytes", len(usual.appendTo(nil)), len(largest.appendTo(nil)))
+	is.Equal(len(largest.appendTo(nil)), MaxNoticeBytes)
 	is.True(MaxNoticeBytes <= 64)
 	notices, err := DecodeNotices(EncodeNotices([]Notice{usual, largest}))
 	is.NoErr(err)
 	is.Equal(notices, []Notice{usual, largest})
-	_, err = DecodeNotices(usual.Append(nil)[:10])
+	_, err = DecodeNotices(usual.appendTo(nil)[:10])
 	is.True(errors.Is(err, ErrShortNotice))
 }
 
--- a/pkg/statechart/chart.go
+++ b/pkg/statechart/chart.go
@@ -20,8 +20,8 @@
 // Has reports whether e contains all of other.
 func (e Effects) Has(other Effects) bool { return e&other == other }
 
-// Item is one state, event or effect as declared in the file.
-type Item struct {
+// item is one state, event or effect as declared in the file.
+type item struct {
 	// Name is what arrows and code refer to.
 	Name string
 	// Doc is one sentence for readers.
@@ -32,8 +32,8 @@
 	line int
 }
 
-// Arrow is one transition.
-type Arrow struct {
+// arrow is one transition.
+type arrow struct {
 	// From and To are the states before and after.
 	From, To State
 	// Event causes the step.
@@ -67,10 +67,10 @@
 	name    string
 	doc     string
 	initial State
-	states  []Item
-	events  []Item
-	effects []Item
-	arrows  []Arrow
+	states  []item
+	events  []item
+	effects []item
+	arrows  []arrow
 	table   []cell
 }
 
@@ -111,7 +111,7 @@
 	return 1 << c.must("effect", c.effects, name)
 }
 
-func (c *Chart) must(kind string, items []Item, name string) int {
+func (c *Chart) must(kind string, items []item, name string) int {
 	i := indexOf(items, name)
 	if i < 0 {
 		panic(fmt.Sprintf("chart %s has no %s %q", c.name, kind, name))
@@ -119,7 +119,7 @@
 	return i
 }
 
-func indexOf(items []Item, name string) int {
+func indexOf(items []item, name string) int {
 	for i := range items {
 		if items[i].Name == name {
 			return i
--- a/pkg/statechart/parse.go
+++ b/pkg/statechart/parse.go
@@ -112,19 +112,19 @@
 			return
 		}
 	}
-	arrow := Arrow{line: n.Line}
-	arrow.Event = Event(p.lookup("event", c.events, f["event"]))
-	arrow.To = State(p.lookup("state", c.states, f["to"]))
+	a := arrow{line: n.Line}
+	a.Event = Event(p.lookup("event", c.events, f["event"]))
+	a.To = State(p.lookup("state", c.states, f["to"]))
 	for _, e := range p.list(f["do"]) {
-		arrow.Effects |= 1 << p.lookup("effect", c.effects, e)
+		a.Effects |= 1 << p.lookup("effect", c.effects, e)
 	}
 	sources := []*yaml.Node{f["from"]}
 	if f["from"].Kind == yaml.SequenceNode {
 		sources = f["from"].Content
 	}
 	for _, from := range sources {
-		arrow.From = State(p.lookup("state", c.states, from))
-		c.arrows = append(c.arrows, arrow)
+		a.From = State(p.lookup("state", c.states, from))
+		c.arrows = append(c.arrows, a)
 	}
 }
 
@@ -167,18 +167,18 @@
 	return n.Value
 }
 
-func (p *parser) items(n *yaml.Node, limit int) []Item {
-	var out []Item
+func (p *parser) items(n *yaml.Node, limit int) []item {
+	var out []item
 	for _, entry := range p.list(n) {
 		f := p.fields(entry, "name", "doc", "final")
-		item := Item{Name: p.text(entry, f["name"], "name"), Doc: p.text(entry, f["doc"], "doc"), line: entry.Line}
+		declared := item{Name: p.text(entry, f["name"], "name"), Doc: p.text(entry, f["doc"], "doc"), line: entry.Line}
 		if final := f["final"]; final != nil {
-			item.Final = final.Value == "true"
+			declared.Final = final.Value == "true"
 		}
-		if indexOf(out, item.Name) >= 0 {
-			p.fault(entry.Line, "%q is declared twice", item.Name)
+		if indexOf(out, declared.Name) >= 0 {
+			p.fault(entry.Line, "%q is declared twice", declared.Name)
 		}
-		out = append(out, item)
+		out = append(out, declared)
 	}
 	if len(out) > limit {
 		p.fault(n.Line, "%d entries; at most %d are allowed", len(out), limit)
@@ -187,7 +187,7 @@
 }
 
 // lookup returns the index of the declared name, or 0 after a fault.
-func (p *parser) lookup(kind string, items []Item, n *yaml.Node) int {
+func (p *parser) lookup(kind string, items []item, n *yaml.Node) int {
 	i := indexOf(items, n.Value)
 	if i < 0 {
 		p.fault(n.Line, "unknown %s %q", kind, n.Value)
--- a/pkg/statechart/render.go
+++ b/pkg/statechart/render.go
@@ -43,7 +43,7 @@
 	return " / " + strings.Join(names, ", ")
 }
 
-func writeItems(b *strings.Builder, kind string, items []Item) {
+func writeItems(b *strings.Builder, kind string, items []item) {
 	if len(items) == 0 {
 		return
 	}
