Document every exported field of membership messages

Ruled out: unexporting them; the codec in membership/wire reads them. After: each says what it is; tests of pkg/membership/... pass.

--- a/pkg/membership/entry.go
+++ b/pkg/membership/entry.go
@@ -12,8 +12,11 @@
 
 // States, in the order in which news of one incarnation replaces older news.
 const (
+	// Alive means that nothing speaks against the member.
 	Alive State = iota + 1
+	// Suspect means that it did not answer and may still refute.
 	Suspect
+	// Dead means that it did not refute in time, or said that it stopped.
 	Dead
 )
 
--- a/pkg/membership/hosts.go
+++ b/pkg/membership/hosts.go
@@ -17,6 +17,7 @@
 
 // ListedHost is one entry of the platform's lagging host list.
 type ListedHost struct {
+	// Address is where peers reach the host.
 	Address netip.AddrPort
 	// Leaving is true when the platform is about to remove the host.
 	Leaving bool
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -12,7 +12,8 @@
 	Body Body
 }
 
-// Body is one of Ping, PingRequest, Ack, SyncRequest, SyncReply, SyncPush.
+// Body is one of Ping, PingRequest, Ack, SyncRequest, SyncReply, SyncPush. A
+// Sequence is random, and an answer repeats that of its question.
 type Body interface{ body() }
 
 // Ping asks for an Ack.
@@ -20,8 +21,10 @@
 
 // PingRequest asks the receiver to ping Target and to pass on its Ack.
 type PingRequest struct {
+	// Sequence is the one that the passed-on Ack carries.
 	Sequence uint64
-	Target   netip.AddrPort
+	// Target is the member to ping.
+	Target netip.AddrPort
 }
 
 // Ack answers the Ping or PingRequest with the same sequence.
@@ -29,6 +32,7 @@
 
 // SyncRequest compares the members in one window of the address hash.
 type SyncRequest struct {
+	// Sequence is the one that the SyncReply carries.
 	Sequence uint64
 	// Window selects the members compared.
 	Window Window
@@ -39,6 +43,7 @@
 
 // SyncReply carries, in Updates, what differs at the answering side.
 type SyncReply struct {
+	// Sequence is that of the SyncRequest.
 	Sequence uint64
 	// Wanted are the upper halves of digests that the answering side lacks.
 	Wanted []uint32
@@ -59,7 +64,9 @@
 // Window is the part of the hash space whose values start with Bits bits of
 // Prefix.
 type Window struct {
-	Bits   uint8
+	// Bits is the length of Prefix, in bits; 0 is the whole space.
+	Bits uint8
+	// Prefix is the common start, right-aligned.
 	Prefix uint32
 }
 
@@ -77,6 +84,8 @@
 
 // Envelope is a message to send.
 type Envelope struct {
-	To      netip.AddrPort
+	// To is the receiver's address.
+	To netip.AddrPort
+	// Message is what to send.
 	Message *Message
 }
