Join the notices that are being pushed, and test the spreader

Cause: Tell appended news while pushes were left and each call renewed them, so news that kept coming grew one push without bound. The package had no test. Ruled out: a bound that drops news; joining by upstream loses nothing, since notices only grow, and bounds a push by the number of upstreams. Before: 200 pieces of news about one upstream made a push of 200 notices (the new test against the old code). Tests cover exchange, malformed notices, joining and the choice of peers.

--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -45,14 +47,14 @@
 type Spreader struct {
 	noticesv1.UnimplementedNoticesServer
 	conf    Config
-	news    []lifecycle.Notice
-	rounds  int
+	news    map[lifecycle.Key]lifecycle.Notice // being pushed
+	rounds  int                                // pushes left
 	fetched atomic.Bool
 }
 
 // New registers a spreader with the loop and the peers' server.
 func New(conf Config) *Spreader {
-	s := &Spreader{conf: conf}
+	s := &Spreader{conf: conf, news: make(map[lifecycle.Key]lifecycle.Notice)}
 	noticesv1.RegisterNoticesServer(conf.Server, s)
 	conf.Loop.Every(pushEvery, s.push)
 	conf.Loop.Every(exchangeEvery, s.exchange)
@@ -62,15 +64,21 @@
 // Fetched reports whether a peer's notices were taken in since the start.
 func (s *Spreader) Fetched() bool { return s.fetched.Load() }
 
-// Tell pushes news to peers in the next rounds.
+// Tell pushes news to peers in the next rounds. News about an upstream that is
+// being pushed is joined with it, so that a push holds each upstream once.
 func (s *Spreader) Tell(news []lifecycle.Notice) {
 	if len(news) == 0 {
 		return
 	}
 	if s.rounds == 0 {
-		s.news = nil
+		clear(s.news)
+	}
+	for _, n := range news {
+		if old, ok := s.news[n.Key]; ok {
+			n = old.Join(n)
+		}
+		s.news[n.Key] = n
 	}
-	s.news = append(s.news, news...)
 	s.rounds = pushRounds
 	s.push(time.Now())
 }
@@ -80,7 +88,7 @@
 		return
 	}
 	s.rounds--
-	text := lifecycle.EncodeNotices(s.news)
+	text := lifecycle.EncodeNotices(slices.Collect(maps.Values(s.news)))
 	for _, p := range choose(s.conf.Peers(), pushFanOut) {
 		go s.call(p, &noticesv1.ExchangeRequest{Notices: text})
 	}
--- /dev/null
+++ b/internal/notices/notices_test.go
@@ -0,0 +1,95 @@
+package notices
+
+import (
+	"context"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	noticesv1 "github.com/dapplespindle/dapplespindle/api/notices/v1"
+	"github.com/dapplespindle/dapplespindle/internal/control"
+	"github.com/dapplespindle/dapplespindle/internal/peer"
+	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+)
+
+var (
+	ledger   = lifecycle.KeyOf("ledger", "caruaru-3")
+	lots     = lifecycle.KeyOf("lots", "caruaru-4")
+	known    = lifecycle.Notice{Key: ledger, DrainRevision: 7}
+	arriving = lifecycle.Notice{Key: lots, LeftBelow: 1}
+)
+
+// newSpreader returns a spreader without peers that knows one notice, and what
+// it has merged.
+func newSpreader(t *testing.T) (*Spreader, *[]lifecycle.Notice) {
+	t.Helper()
+	var merged []lifecycle.Notice
+	loop := control.NewLoop()
+	s := New(Config{
+		Loop:   loop,
+		Server: peer.NewServer("127.0.0.1:0", nil),
+		Pool:   peer.NewPool(nil),
+		Peers:  func() []string { return nil },
+		Known:  func(time.Time) []lifecycle.Notice { return []lifecycle.Notice{known} },
+		Merge:  func(_ time.Time, n []lifecycle.Notice) { merged = append(merged, n...) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		loop.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return s, &merged
+}
+
+func TestExchange(t *testing.T) {
+	is := is.New(t)
+	s, merged := newSpreader(t)
+	text := lifecycle.EncodeNotices([]lifecycle.Notice{arriving})
+	for _, want := range []bool{false, true} {
+		*merged = nil
+		resp, err := s.Exchange(t.Context(), &noticesv1.ExchangeRequest{Notices: text, Want: want})
+		is.NoErr(err)
+		is.Equal(*merged, []lifecycle.Notice{arriving})
+		got, err := lifecycle.DecodeNotices(resp.GetNotices())
+		is.NoErr(err)
+		is.Equal(len(got) == 1, want) // a push gets no answer
+	}
+}
+
+func TestMalformedNoticesAreRefused(t *testing.T) {
+	is := is.New(t)
+	s, merged := newSpreader(t)
+	_, err := s.Exchange(t.Context(), &noticesv1.ExchangeRequest{Notices: []byte{1, 2, 3}})
+	is.True(err != nil)
+	is.Equal(len(*merged), 0)
+}
+
+// TestTellJoins: a push holds each upstream once, however often it is told.
+func TestTellJoins(t *testing.T) {
+	is := is.New(t)
+	s, _ := newSpreader(t)
+	var pushed map[lifecycle.Key]lifecycle.Notice
+	err := s.conf.Loop.Call(t.Context(), func() {
+		for revision := range uint64(100) {
+			s.Tell([]lifecycle.Notice{{Key: ledger, DrainRevision: revision}, {Key: ledger, LeftBelow: 2}})
+		}
+		pushed = maps.Clone(s.news)
+	})
+	is.NoErr(err)
+	joined := lifecycle.Notice{Key: ledger, DrainRevision: 99, LeftBelow: 2}
+	is.Equal(pushed, map[lifecycle.Key]lifecycle.Notice{ledger: joined})
+}
+
+func TestChoose(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(choose([]string{"a", "b", "c"}, 2)), 2)
+	is.Equal(len(choose([]string{"a"}, 2)), 1)
+	is.Equal(len(choose(nil, 2)), 0)
+}
