--- a/pkg/lifecycle/snapshot.go
+++ b/pkg/lifecycle/snapshot.go
@@ -82,6 +82,7 @@
 // Verdict is the answer to a check right before sending.
 type Verdict uint8
 
+// The verdicts of Snapshot.CheckSend.
 const (
 	// Send means that the request may be sent.
 	Send Verdict = iota
