--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,11 @@
 ldd: build
 	@for b in $(BINARIES); do ldd bin/$$b | grep -q libc.so || { echo "$$b is not linked to libc"; exit 1; }; done
 
+# Real processes under failure: the tests of test/e2e, with ten times the load.
+.PHONY: long-e2e
+long-e2e:
+	E2E_LONG=1 go test -count=1 -v -timeout 60m ./test/e2e
+
 # Model checks of the core protocols, and of their broken twins.
 spec:
 	spec/check.sh single_execution.pml
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -42,6 +42,20 @@
 	os.Exit(code)
 }
 
+// maxParallel bounds the fleets of tests that mostly wait.
+const maxParallel = 6
+
+var parallelSlots = make(chan struct{}, maxParallel)
+
+// parallel lets a test that puts little load on the machine run beside others
+// of its kind.
+func parallel(t *testing.T) {
+	t.Helper()
+	t.Parallel()
+	parallelSlots <- struct{}{}
+	t.Cleanup(func() { <-parallelSlots })
+}
+
 // process is one started binary.
 type process struct {
 	cmd *exec.Cmd
--- a/test/e2e/leaving_test.go
+++ b/test/e2e/leaving_test.go
@@ -80,6 +80,7 @@
 
 // Only one entry host hears the upstream itself; the others hear it from peers.
 func TestUpstreamThatSaysLeavingGetsNothingNew(t *testing.T) {
+	parallel(t)
 	f := newRandomFleet(t)
 	leaving := f.upstreams[0]
 	f.learn(f.entries[0], leaving)
@@ -117,6 +118,7 @@
 }
 
 func TestUpstreamLeavesWhileThePlatformIsDown(t *testing.T) {
+	parallel(t)
 	f := newRandomFleet(t)
 	f.faults(standin.Faults{Down: true})
 	leaving := f.upstreams[1]
@@ -130,6 +132,7 @@
 
 // A host that slept through the news must not act on what it knew before.
 func TestHostThatWakesSendsNothingToLeavingUpstream(t *testing.T) {
+	parallel(t)
 	f := newRandomFleet(t)
 	leaving := f.upstreams[2]
 	asleep := f.entries[6:10]
--- a/test/e2e/operators_test.go
+++ b/test/e2e/operators_test.go
@@ -100,6 +100,7 @@
 }
 
 func TestSecondOperatorIsTold(t *testing.T) {
+	parallel(t)
 	f := newFleet(t, 2, entryHosts)
 	minh := &operator{f, "minh", f.entries[0]}
 	rita := &operator{f, "rita", f.entries[7]}
@@ -151,6 +152,7 @@
 }
 
 func TestFollowSucceedsThroughPeersWhileThePlatformIsDown(t *testing.T) {
+	parallel(t)
 	f := newFleet(t, 2, entryHosts)
 	minh := &operator{f, "minh", f.entries[0]}
 	base := minh.version()
