Key the measuring budget by the server's address

Cause: targets were merged by upstream id, which is unique only within a group. Two servers with the same id in two services shared one budget, so one was never probed, and the report of the other was taken for its own.

Budget, audit and freshness are now kept by address; a report reaches the groups that list that address.

The unit tests name targets by address; the one of the documents' targets has two cases more.

--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -42,8 +42,8 @@
 }
 
 // Reported implements proxy.Upstreams.
-func (c *controller) Reported(upstream string, now time.Time) {
-	c.entry.prober.Heard(upstream, now)
+func (c *controller) Reported(address string, now time.Time) {
+	c.entry.prober.Heard(address, now)
 }
 
 // Waking implements proxy.Upstreams. It notices a pause before the control
@@ -55,7 +55,7 @@
 	return c.silent() > pausedAfter || c.waking.Load() || c.entry.feed.Learning()
 }
 
-// probed hands the report of a probe to the groups that list the upstream.
+// probed hands the report of a probe to the groups that list the server.
 func (c *controller) probed(r prober.Report) {
 	c.entry.loop.Post(func() {
 		feedback := balancer.Feedback{
@@ -64,8 +64,10 @@
 			Report:  balancer.Report{Valid: true, InFlight: r.Active},
 		}
 		for _, g := range c.groups.groups {
-			if u := g.upstreams[r.Upstream]; u != nil {
-				balancer.FinishProbe(g.picker, u, feedback)
+			for _, id := range r.Upstreams {
+				if u := g.upstreams[id]; u != nil && u.Address == r.Address {
+					balancer.FinishProbe(g.picker, u, feedback)
+				}
 			}
 		}
 	})
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -32,8 +32,10 @@
 
 // Report is what a probe learned.
 type Report struct {
-	// Upstream is its id.
-	Upstream string
+	// Address is the server that was probed.
+	Address string
+	// Upstreams are the ids under which groups list it.
+	Upstreams []string
 	// Active is the number of requests active there.
 	Active int
 	// Sent and Received are when the probe went out and the answer came.
@@ -82,41 +84,41 @@
 	defer p.mu.Unlock()
 	old := *p.targets.Load()
 	next := make(map[string]*target, len(targets))
-	for id, t := range merge(targets) {
-		known := old[id]
-		if err := p.budget.Configure(time.Now(), id, t.Plan); err != nil {
-			p.emit(event.Event{Code: event.BudgetRejected, Upstream: id, Detail: err.Error()})
+	for address, t := range merge(targets) {
+		known := old[address]
+		if err := p.budget.Configure(time.Now(), address, t.Plan); err != nil {
+			p.emit(event.Event{Code: event.BudgetRejected, Upstream: t.Upstream, Detail: err.Error()})
 			continue
 		}
 		if known == nil && t.Plan.Enabled() {
-			p.budget.Stagger(id, rand.N(t.Plan.Window()))
+			p.budget.Stagger(address, rand.N(t.Plan.Window()))
 		}
-		next[id] = &target{Target: t}
+		next[address] = t
 		if known != nil {
-			next[id].reported.Store(known.reported.Load())
+			t.reported.Store(known.reported.Load())
 		}
 	}
-	for id := range old {
-		if next[id] == nil && p.budget.Remove(id) {
-			p.audit.Forget(id)
+	for address := range old {
+		if next[address] == nil && p.budget.Remove(address) {
+			p.audit.Forget(address)
 		}
 	}
 	p.targets.Store(&next)
 }
 
-// Heard records that a report of an upstream rode on an answer. Traffic
-// goroutines call it; it takes no lock.
-func (p *Prober) Heard(upstream string, now time.Time) {
-	if t := (*p.targets.Load())[upstream]; t != nil {
+// Heard records that a report of the server at an address rode on an answer.
+// Traffic goroutines call it; it takes no lock.
+func (p *Prober) Heard(address string, now time.Time) {
+	if t := (*p.targets.Load())[address]; t != nil {
 		t.reported.Store(now.UnixNano())
 	}
 }
 
-// Counters returns the probes of one upstream, for metrics.
-func (p *Prober) Counters(upstream string) probebudget.Counters {
+// Counters returns the probes of the server at an address, for metrics.
+func (p *Prober) Counters(address string) probebudget.Counters {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget.Counters(upstream)
+	return p.budget.Counters(address)
 }
 
 // Run sends probes until ctx ends.
@@ -141,8 +143,8 @@
 	defer p.mu.Unlock()
 	var stalest *target
 	age := p.conf.FreshFor
-	for id, t := range *p.targets.Load() {
-		due, ok := p.budget.Due(id)
+	for address, t := range *p.targets.Load() {
+		due, ok := p.budget.Due(address)
 		if ok && !now.Before(due) && t.age(now) > age {
 			stalest, age = t, t.age(now)
 		}
@@ -150,7 +152,7 @@
 	if stalest == nil {
 		return nil, probebudget.Grant{}, false
 	}
-	g, ok := p.budget.Take(now, stalest.Upstream)
+	g, ok := p.budget.Take(now, stalest.Address)
 	return stalest, g, ok
 }
 
@@ -182,7 +184,7 @@
 func (p *Prober) allowed(now time.Time, t *target) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	breach := p.audit.Send(now, t.Upstream, t.Plan)
+	breach := p.audit.Send(now, t.Address, t.Plan)
 	if breach == nil {
 		return true
 	}
@@ -228,7 +230,7 @@
 	}
 	t.reported.Store(received.UnixNano())
 	p.emit(event.Event{Code: event.ProbeAnswered, Upstream: t.Upstream, Value: int64(active)})
-	p.conf.Report(Report{Upstream: t.Upstream, Active: active, Sent: sent, Received: received})
+	p.conf.Report(Report{Address: t.Address, Upstreams: t.ids, Active: active, Sent: sent, Received: received})
 }
 
 func (p *Prober) emit(e event.Event) {
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -89,7 +89,7 @@
 				is.True(at[i].Sub(at[i-1]) >= plan.Window())
 			}
 		}
-		is.Equal(len(r.reports), int(r.Counters("a").Answered+r.Counters("b").Answered))
+		is.Equal(len(r.reports), int(r.Counters("a:1").Answered+r.Counters("b:1").Answered))
 		is.Equal(r.reports[0].Active, 2)
 		is.Equal(r.events.codes[event.ProbeOverBudget], 0)
 	})
@@ -103,7 +103,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go r.Run(ctx)
 		for range 100 {
-			r.Heard("a", time.Now())
+			r.Heard("a:1", time.Now())
 			time.Sleep(50 * time.Millisecond)
 		}
 		cancel()
@@ -119,7 +119,7 @@
 		r := newRig(time.Hour, "0")
 		r.SetTargets([]Target{{"a", "a:1", plan}})
 		r.runFor(t, 20*time.Second)
-		c := r.Counters("a")
+		c := r.Counters("a:1")
 		is.True(c.GivenUp > 0)
 		share := time.Duration(float64(20*time.Second) * plan.Rate() / float64(plan.MaxHosts))
 		is.True(c.Spent <= share)
@@ -141,14 +141,27 @@
 
 func TestTargetsOfDocuments(t *testing.T) {
 	is := is.New(t)
-	svc := &config.Service{Groups: []config.Group{
-		{
-			Probe:     config.ProbeBudget{SlotTimePercent: 2, Cost: config.Duration(time.Millisecond)},
-			Upstreams: []config.Upstream{{ID: "a", Slots: 3}, {ID: "b", Slots: 3, State: config.Draining}},
-		},
-		{Probe: config.ProbeBudget{SlotTimePercent: 1, Cost: config.Duration(time.Millisecond)}, Upstreams: []config.Upstream{{ID: "a", Slots: 3}}},
+	probe := func(percent float64) config.ProbeBudget {
+		return config.ProbeBudget{SlotTimePercent: percent, Cost: config.Duration(time.Millisecond)}
+	}
+	a := config.Upstream{ID: "a", Address: "a:1", Slots: 3}
+	b := config.Upstream{ID: "b", Address: "b:1", Slots: 3, State: config.Draining}
+	otherName := config.Upstream{ID: "x", Address: "a:1", Slots: 3}
+	otherServer := config.Upstream{ID: "a", Address: "c:1", Slots: 3}
+	ledger := &config.Service{Groups: []config.Group{
+		{Probe: probe(2), Upstreams: []config.Upstream{a, b}},
+		{Probe: probe(1), Upstreams: []config.Upstream{a}},
+	}}
+	catalogue := &config.Service{Groups: []config.Group{
+		{Probe: probe(0.5), Upstreams: []config.Upstream{otherName, otherServer}},
 	}}
-	targets := merge(Targets([]*config.Service{svc}, 24, time.Second))
+	targets := merge(Targets([]*config.Service{ledger}, 24, time.Second))
 	is.Equal(len(targets), 1)
-	is.Equal(targets["a"].Plan.SlotTimePercent, 1.0) // the strictest of both groups
+	is.Equal(targets["a:1"].Plan.SlotTimePercent, 1.0) // the strictest of both groups
+
+	targets = merge(Targets([]*config.Service{ledger, catalogue}, 24, time.Second))
+	is.Equal(len(targets), 2) // a server with two names is one, two with one name are two
+	is.Equal(targets["a:1"].Plan.SlotTimePercent, 0.5)
+	is.Equal(targets["a:1"].ids, []string{"a", "x"})
+	is.Equal(targets["c:1"].ids, []string{"a"})
 }
--- a/internal/prober/target.go
+++ b/internal/prober/target.go
@@ -1,17 +1,18 @@
 package prober
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/pkg/probebudget"
 )
 
-// Target is an upstream that may be probed.
+// Target is an upstream that may be probed, as one group lists it.
 type Target struct {
-	// Upstream is its id.
+	// Upstream is its id in that group.
 	Upstream string
-	// Address is "IP:port".
+	// Address is "IP:port". The budget is that of the server behind it.
 	Address string
 	// Plan is its measuring budget.
 	Plan probebudget.Plan
@@ -21,6 +22,7 @@
 // goroutines set.
 type target struct {
 	Target
+	ids      []string     // under which groups list it
 	reported atomic.Int64 // ns since the Unix epoch; 0: never
 }
 
@@ -35,15 +37,20 @@
 // never is the age of a report that never came.
 const never = time.Duration(1<<63 - 1)
 
-// merge returns one target per upstream. An upstream that several groups list
-// is measured once, by the strictest of their budgets.
-func merge(targets []Target) map[string]Target {
-	out := make(map[string]Target, len(targets))
+// merge returns one target per address. A server that several groups list, also
+// under different ids, is measured once, by the strictest of their budgets.
+func merge(targets []Target) map[string]*target {
+	out := make(map[string]*target, len(targets))
 	for _, t := range targets {
-		if other, twice := out[t.Upstream]; twice {
-			t.Plan = probebudget.Strictest(other.Plan, t.Plan)
+		known := out[t.Address]
+		if known == nil {
+			out[t.Address] = &target{Target: t, ids: []string{t.Upstream}}
+			continue
+		}
+		known.Plan = probebudget.Strictest(known.Plan, t.Plan)
+		if !slices.Contains(known.ids, t.Upstream) {
+			known.ids = append(known.ids, t.Upstream)
 		}
-		out[t.Upstream] = t
 	}
 	return out
 }
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -22,8 +22,9 @@
 	ConnectFailed(k lifecycle.MemberKey)
 	// Reached takes in an answer of an upstream that counted as unreachable.
 	Reached(k lifecycle.MemberKey)
-	// Reported takes in that an answer carried a load report.
-	Reported(upstream string, now time.Time)
+	// Reported takes in that an answer of the server at an address carried a
+	// load report.
+	Reported(address string, now time.Time)
 	// Waking reports whether this process was paused and has not yet caught up
 	// with its peers.
 	Waking() bool
@@ -79,6 +80,6 @@
 		u.Leaving(key, b.view.Activation)
 	}
 	if loadReport(resp.Header) != noReport {
-		u.Reported(b.upstream.ID, time.Now())
+		u.Reported(b.upstream.Address, time.Now())
 	}
 }
--- a/test/e2e/probes_test.go
+++ b/test/e2e/probes_test.go
@@ -118,3 +118,18 @@
 	wg.Wait()
 	f.checkBudget(time.Since(start))
 }
+
+// A server that two services list under different names has one budget.
+func TestProbesOfASharedServerStayWithinTheBudget(t *testing.T) {
+	parallel(t)
+	f := newFleet(t, 1, entryHosts, probeArgs...)
+	start := time.Now()
+	f.publish(probed(f))
+	second := probed(f)
+	second.Name = "catalogue"
+	second.Match.PathPrefix = "/catalogue/"
+	second.Groups[0].Upstreams[0].ID = "catalogue-1"
+	f.publish(second)
+	time.Sleep(8 * probeWindow)
+	f.checkBudget(time.Since(start))
+}
