--- a/test/e2e/leaving_test.go
+++ b/test/e2e/leaving_test.go
@@ -167,3 +167,34 @@
 	}
 	wg.Wait()
 }
+
+// Hosts that start together know nothing to tell each other.
+func TestHostsThatStartTogetherSendNothingToLeavingUpstream(t *testing.T) {
+	parallel(t)
+	f := newRandomFleet(t)
+	leaving := f.upstreams[2]
+	f.learn(f.entries[0], leaving)
+	time.Sleep(leaveBound)
+	before := f.served(leaving)
+	started := f.entries[2:10]
+	for _, e := range started {
+		e.kill()
+	}
+	for _, e := range started {
+		f.restart(e)
+	}
+	var wg sync.WaitGroup
+	for _, e := range started {
+		wg.Go(func() {
+			f.untilReady(e)
+			for range lookupsEach {
+				_ = f.get("http://" + e.caller + "/ledger/lot")
+			}
+		})
+	}
+	wg.Wait()
+	if n := f.served(leaving) - before; n != 0 {
+		t.Errorf("%d requests reached the leaving upstream through hosts that started", n)
+	}
+	f.mustGetNothing(f.entries, leaving, "after they started")
+}
