--- a/internal/entry/capacity_test.go
+++ b/internal/entry/capacity_test.go
@@ -61,7 +61,7 @@
 func (s fleetSize) snapshot() configfeed.Snapshot {
 	out := configfeed.Snapshot{Frontier: uint64(s.services), Ready: true}
 	for i := range s.services {
-		out.InForce = append(out.InForce, configsync.Versioned{Revision: uint64(i + 1), Service: s.document(i)})
+		out.InForce = append(out.InForce, configsync.Document{Revision: uint64(i + 1), Service: s.document(i)})
 	}
 	return out
 }
@@ -124,7 +124,7 @@
 // changed returns snapshot with a new revision of document i, in which the
 // state of one upstream has changed.
 func changed(s fleetSize, snapshot configfeed.Snapshot, i int) configfeed.Snapshot {
-	docs := append([]configsync.Versioned(nil), snapshot.InForce...)
+	docs := append([]configsync.Document(nil), snapshot.InForce...)
 	service := *docs[i].Service
 	service.Groups = append([]config.Group(nil), service.Groups...)
 	group := &service.Groups[0]
--- a/internal/prober/plans.go
+++ b/internal/prober/plans.go
@@ -30,7 +30,8 @@
 		}
 		out = append(out, Target{
 			Upstream: u.ID,
-			Address:  upstream.Target(u.Address, g.TLS),
+			Address:  u.Address,
+			Via:      upstream.Target(u.Address, g.TLS),
 			Plan: probebudget.Plan{
 				MaxHosts:        maxHosts,
 				Slots:           u.Slots,
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -33,8 +33,10 @@
 
 // Report is what a probe learned.
 type Report struct {
-	// Upstream is its id.
-	Upstream string
+	// Address is the server that was probed.
+	Address string
+	// Upstreams are the ids under which groups list it.
+	Upstreams []string
 	// Active is the number of requests active there.
 	Active int
 	// Sent and Received are when the probe went out and the answer came.
@@ -87,56 +89,55 @@
 	defer p.mu.Unlock()
 	old := *p.targets.Load()
 	next := make(map[string]*target, len(old))
-	for id, t := range merge(targets) {
-		if known := old[id]; known != nil && known.Target == t {
-			next[id] = known
-		} else if fresh := p.configure(t, known); fresh != nil {
-			next[id] = fresh
+	for address, t := range merge(targets) {
+		if known := old[address]; known != nil && known.same(t) {
+			next[address] = known
+		} else if p.configure(t, known) {
+			next[address] = t
 		}
 	}
-	for id := range old {
-		if next[id] == nil && p.budget.Remove(id) {
-			p.audit.Forget(id)
+	for address := range old {
+		if next[address] == nil && p.budget.Remove(address) {
+			p.audit.Forget(address)
 		}
 	}
 	p.targets.Store(&next)
 	p.scanned, p.queue = time.Time{}, nil
 }
 
-// configure returns a target that is new or has changed, or nil if it is not
-// to be probed.
-func (p *Prober) configure(t Target, known *target) *target {
+// configure takes in a target that is new or has changed. It reports false if
+// the target is not to be probed.
+func (p *Prober) configure(t, known *target) bool {
 	if err := t.Plan.Validate(); err != nil {
 		p.emit(event.Event{Code: event.BudgetRejected, Upstream: t.Upstream, Detail: err.Error()})
-		return nil
+		return false
 	}
 	if !t.Plan.Enabled() {
-		return nil
+		return false
 	}
 	// The plan was checked; Configure reports nothing else.
-	_ = p.budget.Configure(time.Now(), t.Upstream, t.Plan)
-	fresh := &target{Target: t}
+	_ = p.budget.Configure(time.Now(), t.Address, t.Plan)
 	if known == nil {
-		p.budget.Stagger(t.Upstream, rand.N(t.Plan.Window()))
+		p.budget.Stagger(t.Address, rand.N(t.Plan.Window()))
 	} else {
-		fresh.reported.Store(known.reported.Load())
+		t.reported.Store(known.reported.Load())
 	}
-	return fresh
+	return true
 }
 
-// Heard records that a report of an upstream rode on an answer. Traffic
-// goroutines call it; it takes no lock.
-func (p *Prober) Heard(upstream string, now time.Time) {
-	if t := (*p.targets.Load())[upstream]; t != nil {
+// Heard records that a report of the server at an address rode on an answer.
+// Traffic goroutines call it; it takes no lock.
+func (p *Prober) Heard(address string, now time.Time) {
+	if t := (*p.targets.Load())[address]; t != nil {
 		t.reported.Store(now.UnixNano())
 	}
 }
 
-// Counters returns the probes of one upstream, for metrics.
-func (p *Prober) Counters(upstream string) probebudget.Counters {
+// Counters returns the probes of the server at an address, for metrics.
+func (p *Prober) Counters(address string) probebudget.Counters {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget.Counters(upstream)
+	return p.budget.Counters(address)
 }
 
 // Run sends probes until ctx ends.
@@ -165,7 +166,7 @@
 		return
 	}
 	p.emit(event.Event{Code: event.ProbeSent, Upstream: t.Upstream, Value: int64(g.Cost)})
-	resp, err := p.conf.Sender.Do(ctx, t.Address, p.request(t))
+	resp, err := p.conf.Sender.Do(ctx, t.Via, p.request(t))
 	received := time.Now()
 	took := min(received.Sub(sent), p.conf.Timeout)
 	p.settle(t, g, took, outcome(err))
@@ -183,7 +184,7 @@
 func (p *Prober) allowed(now time.Time, t *target) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	breach := p.audit.Send(now, t.Upstream, t.Plan)
+	breach := p.audit.Send(now, t.Address, t.Plan)
 	if breach == nil {
 		return true
 	}
@@ -229,7 +230,7 @@
 	}
 	t.reported.Store(received.UnixNano())
 	p.emit(event.Event{Code: event.ProbeAnswered, Upstream: t.Upstream, Value: int64(active)})
-	p.conf.Report(Report{Upstream: t.Upstream, Active: active, Sent: sent, Received: received})
+	p.conf.Report(Report{Address: t.Address, Upstreams: t.ids, Active: active, Sent: sent, Received: received})
 }
 
 func (p *Prober) emit(e event.Event) {
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -82,7 +82,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := newRig(2*time.Millisecond, "2")
-		r.SetTargets([]Target{{"a", "a:1", plan}, {"b", "b:1", plan}, {"a", "a:1", plan}})
+		r.SetTargets([]Target{{"a", "a:1", "a:1", plan}, {"b", "b:1", "b:1", plan}, {"a", "a:1", "a:1", plan}})
 		r.runFor(t, 10*time.Second)
 		for _, at := range r.upstreams.sent {
 			is.True(len(at) > 50) // of 125 that the share allows
@@ -90,7 +90,7 @@
 				is.True(at[i].Sub(at[i-1]) >= plan.Window())
 			}
 		}
-		is.Equal(len(r.reports), int(r.Counters("a").Answered+r.Counters("b").Answered))
+		is.Equal(len(r.reports), int(r.Counters("a:1").Answered+r.Counters("b:1").Answered))
 		is.Equal(r.reports[0].Active, 2)
 		is.Equal(r.events.codes[event.ProbeOverBudget], 0)
 	})
@@ -100,11 +100,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := newRig(0, "0")
-		r.SetTargets([]Target{{"a", "a:1", plan}, {"b", "b:1", plan}})
+		r.SetTargets([]Target{{"a", "a:1", "a:1", plan}, {"b", "b:1", "b:1", plan}})
 		ctx, cancel := context.WithCancel(t.Context())
 		go r.Run(ctx)
 		for range 100 {
-			r.Heard("a", time.Now())
+			r.Heard("a:1", time.Now())
 			time.Sleep(50 * time.Millisecond)
 		}
 		cancel()
@@ -118,9 +118,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := newRig(time.Hour, "0")
-		r.SetTargets([]Target{{"a", "a:1", plan}})
+		r.SetTargets([]Target{{"a", "a:1", "a:1", plan}})
 		r.runFor(t, 20*time.Second)
-		c := r.Counters("a")
+		c := r.Counters("a:1")
 		is.True(c.GivenUp > 0)
 		share := time.Duration(float64(20*time.Second) * plan.Rate() / float64(plan.MaxHosts))
 		is.True(c.Spent <= share)
@@ -132,7 +132,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := newRig(0, "many")
-		r.SetTargets([]Target{{"a", "a:1", plan}, {"bad", "b:1", probebudget.Plan{}}})
+		r.SetTargets([]Target{{"a", "a:1", "a:1", plan}, {"bad", "b:1", "b:1", probebudget.Plan{}}})
 		r.runFor(t, time.Second)
 		is.Equal(len(r.reports), 0)
 		is.True(r.events.codes[event.ProbeFailed] > 0)
@@ -142,16 +142,29 @@
 
 func TestTargetsOfDocuments(t *testing.T) {
 	is := is.New(t)
-	svc := &config.Service{Groups: []config.Group{
-		{
-			Probe:     config.ProbeBudget{SlotTimePercent: 2, Cost: config.Duration(time.Millisecond)},
-			Upstreams: []config.Upstream{{ID: "a", Slots: 3}, {ID: "b", Slots: 3, State: config.Draining}},
-		},
-		{Probe: config.ProbeBudget{SlotTimePercent: 1, Cost: config.Duration(time.Millisecond)}, Upstreams: []config.Upstream{{ID: "a", Slots: 3}}},
+	probe := func(percent float64) config.ProbeBudget {
+		return config.ProbeBudget{SlotTimePercent: percent, Cost: config.Duration(time.Millisecond)}
+	}
+	a := config.Upstream{ID: "a", Address: "a:1", Slots: 3}
+	b := config.Upstream{ID: "b", Address: "b:1", Slots: 3, State: config.Draining}
+	otherName := config.Upstream{ID: "x", Address: "a:1", Slots: 3}
+	otherServer := config.Upstream{ID: "a", Address: "c:1", Slots: 3}
+	ledger := &config.Service{Groups: []config.Group{
+		{Probe: probe(2), Upstreams: []config.Upstream{a, b}},
+		{Probe: probe(1), Upstreams: []config.Upstream{a}},
+	}}
+	catalogue := &config.Service{Groups: []config.Group{
+		{Probe: probe(0.5), Upstreams: []config.Upstream{otherName, otherServer}},
 	}}
-	targets := merge(Targets([]*config.Service{svc}, 24, time.Second))
+	targets := merge(Targets([]*config.Service{ledger}, 24, time.Second))
 	is.Equal(len(targets), 1)
-	is.Equal(targets["a"].Plan.SlotTimePercent, 1.0) // the strictest of both groups
+	is.Equal(targets["a:1"].Plan.SlotTimePercent, 1.0) // the strictest of both groups
+
+	targets = merge(Targets([]*config.Service{ledger, catalogue}, 24, time.Second))
+	is.Equal(len(targets), 2) // a server with two names is one, two with one name are two
+	is.Equal(targets["a:1"].Plan.SlotTimePercent, 0.5)
+	is.Equal(targets["a:1"].ids, []string{"a", "x"})
+	is.Equal(targets["c:1"].ids, []string{"a"})
 }
 
 // TestLargeFleetIsProbedInTurn has more upstreams than one scan may look at in
--- a/internal/prober/scan.go
+++ b/internal/prober/scan.go
@@ -33,7 +33,7 @@
 		if !p.wants(now, t) {
 			continue
 		}
-		if g, ok := p.budget.Take(now, t.Upstream); ok {
+		if g, ok := p.budget.Take(now, t.Address); ok {
 			return t, g, true
 		}
 	}
@@ -55,6 +55,6 @@
 
 // wants reports whether a probe of t is earned and its report is stale.
 func (p *Prober) wants(now time.Time, t *target) bool {
-	due, ok := p.budget.Due(t.Upstream)
+	due, ok := p.budget.Due(t.Address)
 	return ok && !now.Before(due) && t.age(now) > p.conf.FreshFor
 }
--- a/internal/prober/wire_test.go
+++ b/internal/prober/wire_test.go
@@ -32,7 +32,8 @@
 		Report: func(r Report) { reports <- r },
 	})
 	quick := probebudget.Plan{MaxHosts: 1, Slots: 3, SlotTimePercent: 50, Cost: time.Millisecond}
-	p.SetTargets([]Target{{Upstream: "a", Address: strings.TrimPrefix(server.URL, "http://"), Plan: quick}})
+	address := strings.TrimPrefix(server.URL, "http://")
+	p.SetTargets([]Target{{Upstream: "a", Address: address, Via: address, Plan: quick}})
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	go p.Run(ctx)
