Rank the policies on real processes

make measure-ranking starts stand-in upstreams and entry hosts and publishes one service for each policy over the same upstreams; spindle-load ranking gives each service its turn, round by round, steady and with one upstream slowed down every second, with the same arrivals. Ruled out: publishing one service anew with each policy, whose hosts would start each turn without what they had learned.

--- a/Makefile
+++ b/Makefile
@@ -103,3 +103,8 @@
 
 	go test -run '^$$' -fuzz FuzzGuard -fuzztime $(FUZZTIME) -parallel 2 ./internal/httpwire
 	go test -run '^$$' -fuzz FuzzAnswer -fuzztime $(FUZZTIME) -parallel 2 ./internal/upstream
+
+# Compares the policies on real processes on loopback; about three minutes.
+.PHONY: measure-ranking
+measure-ranking:
+	@scripts/measure-ranking.sh
--- a/cmd/spindle-load/main.go
+++ b/cmd/spindle-load/main.go
@@ -16,7 +16,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "spindle-load", Short: "Send bounded load to loopback", SilenceUsage: true}
-	root.AddCommand(mixCommand(), compareCommand())
+	root.AddCommand(mixCommand(), compareCommand(), rankingCommand())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
--- a/cmd/spindle-standin/main.go
+++ b/cmd/spindle-standin/main.go
@@ -38,12 +38,13 @@
 
 func upstreamCommand() *cobra.Command {
 	var (
-		host  string
-		port  int
-		count int
-		slots int
-		mean  time.Duration
-		name  string
+		host            string
+		port            int
+		count           int
+		slots           int
+		mean            time.Duration
+		name            string
+		server, request float64
 	)
 	cmd := &cobra.Command{
 		Use:   "upstream",
@@ -52,6 +53,7 @@
 			errs := make(chan error, count)
 			for i := range count {
 				u := standin.NewUpstream(fmt.Sprintf("%s-%d", name, i+1), slots, mean)
+				u.ServerSigma, u.RequestSigma = server, request
 				addr := net.JoinHostPort(host, strconv.Itoa(port+i))
 				go func() { errs <- http.ListenAndServe(addr, u.Handler()) }()
 			}
@@ -64,6 +66,8 @@
 	f.IntVar(&count, "count", 1, "number of upstreams")
 	f.IntVar(&slots, "slots", 3, "requests served at the same time")
 	f.DurationVar(&mean, "mean", 5*time.Millisecond, "mean service time")
+	f.Float64Var(&server, "server-sigma", 0.6, "shape of the part of service times that is drawn for each send")
+	f.Float64Var(&request, "request-sigma", 0, "shape of the part of service times that belongs to the request")
 	f.StringVar(&name, "name", "upstream", "prefix of the ids")
 	return cmd
 }
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -45,6 +45,9 @@
 	Seed uint64
 	// Targets is the mix.
 	Targets []Target
+	// Counts says which latencies are kept, by the time since the start at
+	// which the request was due; nil keeps all.
+	Counts func(due time.Duration) bool
 }
 
 // Highest latency recorded and its precision.
@@ -119,6 +122,7 @@
 	client *http.Client
 	rng    *rand.Rand
 	total  int
+	start  time.Time
 	mu     sync.Mutex
 	report *Report
 }
@@ -152,8 +156,8 @@
 func (g *generator) run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, g.conf.Duration)
 	defer cancel()
-	start := time.Now()
-	next := start
+	g.start = time.Now()
+	next := g.start
 	slots := make(chan struct{}, g.conf.MaxInFlight)
 	var wg sync.WaitGroup
 	for g.report.Sent < g.conf.MaxRequests {
@@ -177,7 +181,7 @@
 		})
 	}
 	wg.Wait()
-	g.report.Elapsed = time.Since(start)
+	g.report.Elapsed = time.Since(g.start)
 }
 
 func sleepUntil(ctx context.Context, at time.Time) bool {
@@ -259,6 +263,9 @@
 		outcome = "none"
 	}
 	s.Outcomes[outcome]++
+	if g.conf.Counts != nil && !g.conf.Counts(due.Sub(g.start)) {
+		return
+	}
 	now := time.Now()
 	_ = s.Latency.RecordValue(now.Sub(due).Microseconds())
 	_ = s.FromSend.RecordValue(now.Sub(sent).Microseconds())
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"hash/fnv"
 	"io"
 	"math"
 	"math/rand/v2"
@@ -17,6 +18,9 @@
 	ID string
 	// Mean is the mean service time.
 	Mean time.Duration
+	// ServerSigma and RequestSigma are the shapes of two log-normal factors of a
+	// service time: one is drawn anew, one belongs to the request's id.
+	ServerSigma, RequestSigma float64
 
 	slots  chan struct{}
 	active atomic.Int64
@@ -27,9 +31,12 @@
 	ledger map[string]int
 }
 
+// defaultSigma is the shape of a stand-in's service times.
+const defaultSigma = 0.6
+
 // NewUpstream returns an upstream with the given number of slots.
 func NewUpstream(id string, slots int, mean time.Duration) *Upstream {
-	return &Upstream{ID: id, Mean: mean, slots: make(chan struct{}, slots), ledger: make(map[string]int)}
+	return &Upstream{ID: id, Mean: mean, ServerSigma: defaultSigma, slots: make(chan struct{}, slots), ledger: make(map[string]int)}
 }
 
 // Headers of the stand-in upstream.
@@ -75,23 +82,50 @@
 		return
 	}
 	defer func() { <-u.slots }()
-	time.Sleep(u.serviceTime())
-	u.record(r.Header.Get(HeaderAction))
+	action := r.Header.Get(HeaderAction)
+	if !u.serve(r, action == "") {
+		return
+	}
+	u.record(action)
 	w.Header().Set(HeaderLoad, strconv.FormatInt(u.active.Load(), 10))
 	w.Header().Set("Content-Type", "text/plain")
 	_, _ = io.WriteString(w, u.ID+" "+r.Method+" "+r.URL.Path+" "+r.Header.Get("X-Request-Id")+" "+strconv.Itoa(len(body))+"\n")
 }
 
-// serviceTime draws from a log-normal distribution, whose tail is heavy.
-func (u *Upstream) serviceTime() time.Duration {
+// serve takes the service time. Work that records nothing stops when its
+// caller gives up.
+func (u *Upstream) serve(r *http.Request, stoppable bool) bool {
+	timer := time.NewTimer(u.serviceTime(r.Header.Get("X-Request-Id")))
+	defer timer.Stop()
+	if !stoppable {
+		<-timer.C
+		return true
+	}
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// serviceTime draws from a log-normal distribution, whose tail is heavy. One
+// factor belongs to the request and is the same for every send of it.
+func (u *Upstream) serviceTime(request string) time.Duration {
 	if u.Mean == 0 {
 		return 0
 	}
-	const sigma = 0.6
-	factor := math.Exp(rand.NormFloat64()*sigma - sigma*sigma/2)
+	factor := logNormal(rand.NormFloat64(), u.ServerSigma)
+	if u.RequestSigma > 0 {
+		h := fnv.New64a()
+		_, _ = io.WriteString(h, request)
+		factor *= logNormal(rand.New(rand.NewPCG(h.Sum64(), 0)).NormFloat64(), u.RequestSigma)
+	}
 	return time.Duration(float64(u.Mean) * factor * float64(max(u.slowed.Load(), 1)))
 }
 
+func logNormal(normal, sigma float64) float64 { return math.Exp(normal*sigma - sigma*sigma/2) }
+
 func (u *Upstream) record(action string) {
 	if action == "" {
 		return
