--- a/Makefile
+++ b/Makefile
@@ -117,3 +117,7 @@
 	$(CAPACITY) -bench 'Emit' -benchtime 200ms ./internal/events ./internal/metrics
 	$(CAPACITY) -bench Hop -benchtime 200ms ./internal/tracing
 	$(CAPACITY) -bench Cost -benchtime 1x ./pkg/membership
+# Compares the policies on real processes on loopback; about three minutes.
+.PHONY: measure-ranking
+measure-ranking:
+	@scripts/measure-ranking.sh
--- a/internal/notices/notices_test.go
+++ b/internal/notices/notices_test.go
@@ -32,6 +32,7 @@
 		Server: peer.NewServer("127.0.0.1:0", nil),
 		Pool:   peer.NewPool(nil),
 		Peers:  func() []string { return nil },
+		Waking: func() bool { return false },
 		Known:  func(time.Time) []lifecycle.Notice { return []lifecycle.Notice{known} },
 		Merge:  func(_ time.Time, n []lifecycle.Notice) { merged = append(merged, n...) },
 	})
