Keep no request alive through its answer

Cause: the answer's header values were parts of the exchange, which refers to the request and its body. Kept answers of single execution are held for the lifetime of their tickets, so their bound on memory would not have held.

The values of an answer have memory of their own; a test with a weak pointer fails without this.

--- a/internal/proxy/allocs_test.go
+++ b/internal/proxy/allocs_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"runtime"
 	"slices"
 	"sync"
 	"testing"
 	"time"
+	"weak"
 
 	"github.com/matryer/is"
 
@@ -31,6 +33,26 @@
 	is.True(n <= maxAllocations)
 }
 
+// TestAKeptAnswerDoesNotKeepTheRequest guards the bound on the memory of kept
+// answers: a request's body must go when it is answered.
+func TestAKeptAnswerDoesNotKeepTheRequest(t *testing.T) {
+	is := is.New(t)
+	sender := senderFunc(func(context.Context, string, *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+		return ok(), nil
+	})
+	p := newProxy(service(1, sale()), leastOutstanding, sender, event.Discard{})
+	req := request("POST")
+	req.Body = make([]byte, 1<<20)
+	gone := weak.Make(req)
+	resp := p.Serve(context.Background(), req)
+	req = nil
+	runtime.GC()
+	is.True(gone.Value() == nil) // nothing refers to the request
+	is.Equal(resp.Header[HeaderUpstream], []string{"up-1"})
+	runtime.KeepAlive(resp)
+	runtime.KeepAlive(p)
+}
+
 // TestEachSendHasItsOwnHeader lets two sends of a request run side by side, and
 // a third follow: each keeps what it was given until it ends.
 func TestEachSendHasItsOwnHeader(t *testing.T) {
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -20,8 +20,10 @@
 	}
 	delete(h, HeaderNotRun)
 	delete(h, HeaderLoad)
-	h[HeaderUpstream] = x.answerValue(r.binding.upstream.ID)
-	h[HeaderRequestID] = x.answerValue(x.id)
+	// Not the exchange's values: a kept answer must not keep the request.
+	values := &[2]string{r.binding.upstream.ID, x.id}
+	h[HeaderUpstream] = values[0:1:1]
+	h[HeaderRequestID] = values[1:2:2]
 	x.emit(event.Event{Code: event.RequestAnswered, Upstream: r.binding.upstream.ID, Attempt: r.binding.number, Value: int64(r.resp.Status)})
 	return r.resp
 }
@@ -29,14 +31,6 @@
 // ranValues is the outcome of an answer that an upstream gave.
 var ranValues = []string{errkind.Ran.String()}
 
-// answerValue returns a list of one value. A send that lost may still be under
-// way, so that the lock is needed.
-func (x *exchange) answerValue(value string) []string {
-	x.sendMu.Lock()
-	defer x.sendMu.Unlock()
-	return x.values.one(value)
-}
-
 // declaresOutcome reports whether the answer comes from an entry host below
 // that could not give its upstream's answer.
 func declaresOutcome(h http.Header) bool {
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -103,11 +103,11 @@
 	return req
 }
 
-// valueSlots is the number of header values that a request sent once needs.
-const valueSlots = 8
+// valueSlots is the number of header values that a request sent twice needs.
+const valueSlots = 6
 
-// values holds the values of headers with one value, so that each needs no
-// memory of its own. One goroutine may use it at a time.
+// values holds the values of a request's headers with one value, so that each
+// needs no memory of its own. One goroutine may use it at a time.
 type values struct {
 	slots [valueSlots]string
 	used  int
