Split the call path example into short steps

Cause: the example that joins policy, limit, queue and retry budget was one function of 51 lines. Ruled out: moving its parts into a package; an embedder should see all of it. After: five functions, the longest of 31 lines; the same output; it passes.

--- a/pkg/balancer/embedding_example_test.go
+++ b/pkg/balancer/embedding_example_test.go
@@ -13,8 +13,19 @@
 	"github.com/dapplespindle/dapplespindle/pkg/retry"
 )
 
-// exchange stands for the embedder's own client. The first upstream refuses
-// the connection.
+// group is what an embedder keeps for one group of upstreams.
+type group struct {
+	picker  balancer.Picker
+	limiter *limit.Limiter
+	budget  *retry.Budget
+	waiting *queue.Queue[string]
+}
+
+// exchangeTime is how long an exchange takes in the example.
+const exchangeTime = time.Millisecond
+
+// exchange stands for the embedder's own client. The connection to the first
+// upstream fails.
 func exchange(u *balancer.Upstream) errkind.Kind {
 	if u.ID == "a" {
 		return errkind.ConnectFailed
@@ -22,55 +33,78 @@
 	return errkind.None
 }
 
-// One request through all parts of the call path: limit, policy, retry budget.
-// A request for which the limit has no place waits in the queue.
-func Example_callPath() {
-	now := time.Unix(1000, 0)
-	deadline := now.Add(100 * time.Millisecond)
-	a := &balancer.Upstream{ID: "a", Address: "10.0.0.1:8080", FailureDomain: "hanoi", Slots: 3}
-	b := &balancer.Upstream{ID: "b", Address: "10.0.0.2:8080", FailureDomain: "bac-ninh", Slots: 3}
-	options := balancer.Options{EntryHosts: 1, FailureDomain: "hanoi"}
-	picker := spindle.Builder{}.Build(options).Update([]*balancer.Upstream{a, b})
-	limiter := limit.New(1, limit.Bounds{Floor: 1, Ceiling: 6})
-	budget := retry.NewBudget(10)
-	waiting := queue.New[string](8)
+// send makes one send and reports how it went to the policy and the limit.
+func (g *group) send(u *balancer.Upstream, now time.Time) errkind.Kind {
+	call := u.Begin(now)
+	kind := exchange(u)
+	feedback := balancer.Feedback{Now: now.Add(exchangeTime), Latency: exchangeTime}
+	sample := limit.Sample{Latency: exchangeTime}
+	if kind != errkind.None {
+		feedback.Outcome = balancer.Failed
+		sample.Outcome = limit.Refused
+	}
+	balancer.Finish(g.picker, call, feedback)
+	g.limiter.Release(sample)
+	return kind
+}
 
+// wait keeps a request until a slot is free. Its place in the limit goes back.
+func (g *group) wait(now, deadline time.Time) {
+	g.limiter.Release(limit.Sample{Outcome: limit.Ignored})
+	e := &queue.Entry[string]{Value: "lookup", Priority: queue.Normal, Deadline: deadline}
+	reason, _ := g.waiting.Push(now, e, queue.Pace{Service: exchangeTime, Parallel: 6})
+	fmt.Println("waits:", reason == queue.Kept)
+}
+
+// run serves one request that may run twice.
+func (g *group) run(now, deadline time.Time) {
 	info := balancer.PickInfo{Now: now, Random: 1}
-	attempt := retry.Attempt{Repeatable: true, MaxAttempts: 2, Left: deadline.Sub(now)}
-	budget.First()
-	for limiter.Acquire(0) {
-		choice, err := picker.Pick(info)
+	attempt := retry.Attempt{Repeatable: true, MaxAttempts: 2}
+	g.budget.First()
+	for g.limiter.Acquire(0) {
+		choice, err := g.picker.Pick(info)
 		if errors.Is(err, balancer.ErrNoSlot) {
-			limiter.Release(limit.Sample{Outcome: limit.Ignored})
-			waiting.Push(now, &queue.Entry[string]{Value: "lookup", Deadline: deadline}, queue.Pace{})
+			g.wait(info.Now, deadline)
 			return
 		}
 		if err != nil {
-			limiter.Release(limit.Sample{Outcome: limit.Ignored})
+			g.limiter.Release(limit.Sample{Outcome: limit.Ignored})
 			fmt.Println(err)
 			return
 		}
-		call := choice.Upstream.Begin(now)
-		kind := exchange(choice.Upstream)
-		now = now.Add(time.Millisecond)
-		if kind == errkind.None {
-			balancer.Finish(picker, call, balancer.Feedback{Now: now, Latency: time.Millisecond})
-			limiter.Release(limit.Sample{Latency: time.Millisecond})
+		attempt.Kind = g.send(choice.Upstream, info.Now)
+		if attempt.Kind == errkind.None {
 			fmt.Println("answered by", choice.Upstream.ID)
 			return
 		}
-		balancer.Finish(picker, call, balancer.Feedback{Now: now, Outcome: balancer.Failed})
-		limiter.Release(limit.Sample{Outcome: limit.Refused})
+		info.Now = info.Now.Add(exchangeTime)
+		info.Exclude = append(info.Exclude, choice.Upstream)
 		attempt.Sent++
-		attempt.Kind = kind
-		attempt.Left = deadline.Sub(now)
-		decision := retry.Decide(attempt, budget)
+		attempt.Left = deadline.Sub(info.Now)
+		decision := retry.Decide(attempt, g.budget)
 		fmt.Println(choice.Upstream.ID, "failed; another send:", decision)
 		if decision != retry.Allowed {
 			return
 		}
-		info = balancer.PickInfo{Now: now, Random: 2, Exclude: []*balancer.Upstream{choice.Upstream}}
 	}
+}
+
+// One request through all parts of the call path: limit, policy, retry budget,
+// and the queue when every upstream is believed full.
+func Example_callPath() {
+	members := []*balancer.Upstream{
+		{ID: "a", Address: "10.0.0.1:8080", FailureDomain: "hanoi", Slots: 3},
+		{ID: "b", Address: "10.0.0.2:8080", FailureDomain: "bac-ninh", Slots: 3},
+	}
+	options := balancer.Options{EntryHosts: 1, FailureDomain: "hanoi"}
+	g := &group{
+		picker:  spindle.Builder{}.Build(options).Update(members),
+		limiter: limit.New(1, limit.Bounds{Floor: 1, Ceiling: 6}),
+		budget:  retry.NewBudget(10),
+		waiting: queue.New[string](8),
+	}
+	now := time.Unix(1000, 0)
+	g.run(now, now.Add(100*time.Millisecond))
 	// Output:
 	// a failed; another send: allowed
 	// answered by b
