--- a/internal/notices/notices_test.go
+++ b/internal/notices/notices_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	noticesv1 "github.com/dapplespindle/dapplespindle/api/notices/v1"
 	"github.com/dapplespindle/dapplespindle/internal/control"
@@ -64,6 +66,18 @@
 	}
 }
 
+// TestWakingHostDoesNotAnswer: it takes notices in but must not be taken for a
+// host that knows all.
+func TestWakingHostDoesNotAnswer(t *testing.T) {
+	is := is.New(t)
+	s, merged := newSpreader(t)
+	s.conf.Waking = func() bool { return true }
+	text := lifecycle.EncodeNotices([]lifecycle.Notice{arriving})
+	_, err := s.Exchange(t.Context(), &noticesv1.ExchangeRequest{Notices: text, Want: true})
+	is.Equal(status.Code(err), codes.Unavailable)
+	is.Equal(*merged, []lifecycle.Notice{arriving})
+}
+
 func TestMalformedNoticesAreRefused(t *testing.T) {
 	is := is.New(t)
 	s, merged := newSpreader(t)
