Replace hosts while the platform gives old answers

With the faults of the platform as short as before, no host started under them, so the test could not see one that starts from an old answer.

--- a/test/e2e/configuration_test.go
+++ b/test/e2e/configuration_test.go
@@ -14,7 +14,7 @@
 
 const (
 	publishes    = 40
-	replaceEvery = 4 // publishes
+	replaceEvery = 4 // publishes; even, for the platform is to fail meanwhile
 	platformLag  = 300 * time.Millisecond
 )
 
@@ -37,11 +37,14 @@
 	faults func(revision uint64) standin.Faults
 }{
 	{"stale", func(r uint64) standin.Faults { return standin.Faults{Stale: true, StaleAt: r - 1} }},
-	{"down", func(uint64) standin.Faults { return standin.Faults{Down: true} }},
 	{"old snapshot", func(uint64) standin.Faults { return standin.Faults{Stale: true, StaleAt: 2} }},
 	{"empty", func(uint64) standin.Faults { return standin.Faults{Stale: true} }},
+	{"down", func(uint64) standin.Faults { return standin.Faults{Down: true} }},
 }
 
+// oldAnswers is the number of the first platformFaults, which are old answers.
+const oldAnswers = 3
+
 func TestConfigurationNeverFallsBack(t *testing.T) {
 	f := newFleet(t, 2, entryHosts)
 	w := newWatcher(f)
@@ -83,19 +86,14 @@
 	faulty   []time.Duration
 }
 
-// publish publishes version n. The host that is replaced meanwhile is not
-// waited for; the watcher holds it to what it must know.
+// publish publishes version n. With every second one the platform fails as
+// soon as one host has it, and with every fourth two hosts are replaced while
+// it does, so that what they are told by the platform is old.
 func (p *publishing) publish(n int) {
 	f, w := p.fleet, p.watcher
-	if n%replaceEvery == 0 {
-		f.waitFor("all serve again", func() bool { return len(w.serving()) == len(w.hosts) })
-		w.replace(p.next)
-		p.next = (p.next + 5) % len(w.hosts)
-	}
+	f.faults(standin.Faults{})
 	if n%4 == 1 {
 		f.faults(standin.Faults{Lag: config.Duration(platformLag)})
-	} else {
-		f.faults(standin.Faults{})
 	}
 	start := time.Now()
 	p.last, p.revision = n, f.publish(numbered(f, n))
@@ -108,6 +106,19 @@
 	f.faults(platformFaults[n/2%len(platformFaults)].faults(p.revision))
 	p.await()
 	p.faulty = append(p.faulty, time.Since(start))
+	if n%replaceEvery == 0 {
+		f.faults(platformFaults[n/replaceEvery%oldAnswers].faults(p.revision))
+		p.replace(2)
+	}
+}
+
+// replace replaces some hosts and waits until all serve by the newest revision.
+func (p *publishing) replace(hosts int) {
+	for range hosts {
+		p.watcher.replace(p.next)
+		p.next = (p.next + 5) % len(p.watcher.hosts)
+	}
+	p.fleet.waitFor("replaced hosts", func() bool { return p.watcher.has(p.watcher.all(), p.revision) })
 }
 
 // await waits until the newest revision is in force on every host that serves.
@@ -127,8 +138,7 @@
 		f.put("/v1/config/services/ledger", json.RawMessage(bad))
 	}
 	time.Sleep(time.Second)
-	w.replace(p.next)
-	f.waitFor("replaced host", func() bool { return w.has(w.all(), p.revision) })
+	p.replace(1)
 	for _, e := range f.entries {
 		if !serves(f, e, p.last) {
 			f.t.Errorf("%s gave up the valid version", e.caller)
