--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Commands for developers. `make test` is what CI runs; measurements are apart.
 BINARIES := spindled spindlectl spindle-standin spindle-load spindle-lab
 
-.PHONY: build demo test unit lint ldd charts check-leaving measure-lifecycle spec long-execution measure-membership long-membership bench-wire fuzz-wire
+.PHONY: build demo test unit lint ldd charts check-leaving measure-lifecycle spec long-execution measure-membership long-membership bench-wire bench-tls fuzz-wire
 
 build:
 	@mkdir -p bin
@@ -93,6 +93,11 @@
 	@scripts/bench-wire.sh
 	go test -run '^$$' -bench . -benchmem ./internal/httpwire ./internal/upstream
 
+# What TLS towards callers adds to a request and to a connection.
+bench-tls:
+	@scripts/bench-tls.sh
+	go test -run '^$$' -bench 'Latency|Handshakes|IdleMemory|OverTLS' ./internal/httpwire
+
 # A longer look for messages that the guard and net/http frame differently.
 FUZZTIME ?= 60s
 fuzz-wire:
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -196,6 +196,9 @@
 		TLS:          callerTLS,
 		Handler:      e.proxy,
 		Refuse:       e.proxy.RefuseUnread,
+		OnHandshakeFailed: func(remote string, err error) {
+			e.emit(event.Event{Code: event.HandshakeFailed, Detail: remote + ": " + err.Error()})
+		},
 	})
 	return nil
 }
--- a/internal/httpwire/config.go
+++ b/internal/httpwire/config.go
@@ -49,6 +49,8 @@
 	TLS *tls.Config
 	// HandshakeTimeout bounds the time from the connection to the end of its TLS handshake.
 	HandshakeTimeout time.Duration
+	// OnHandshakeFailed is told of each failed handshake. It must not block; nil is allowed.
+	OnHandshakeFailed func(remoteAddr string, err error)
 	// Handler serves the requests.
 	Handler Handler
 	// Refuse builds the answer to a request that is refused before it reaches
--- a/internal/httpwire/serverconn.go
+++ b/internal/httpwire/serverconn.go
@@ -54,8 +54,10 @@
 	// drained is signalled when unwritten reaches zero.
 	drained chan struct{}
 
-	mu      sync.Mutex
-	state   connState
+	mu    sync.Mutex
+	state connState
+	// secured is true once the TLS handshake is done.
+	secured bool
 	scanner framing.Scanner
 	// buf holds the message that is being received.
 	buf []byte
--- a/internal/httpwire/tls.go
+++ b/internal/httpwire/tls.go
@@ -23,9 +23,12 @@
 func (c *serverConn) shaken(err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err != nil && !c.secured {
+		c.reportHandshake(err)
+	}
 	switch {
 	case c.state == connClosing || c.state == connClosed:
-		return false
+		return false // closed by the timeout, a stop or the caller
 	case c.state != connShaking:
 		socket.End(c.conn)
 		return false
@@ -34,10 +37,18 @@
 		return false
 	}
 	c.state = connIdle
+	c.secured = true
 	c.alarm.set(time.Now(), c.server.conf.IdleTimeout, c.onAlarm)
 	return true
 }
 
+// reportHandshake tells of a failed handshake, whoever ended it.
+func (c *serverConn) reportHandshake(err error) {
+	if f := c.server.conf.OnHandshakeFailed; f != nil {
+		f(c.remote, err)
+	}
+}
+
 // refuseHandshake closes after a failed handshake, whose alert is sent. A
 // caller that speaks plain HTTP gets a readable answer.
 func (c *serverConn) refuseHandshake(err error) {
--- a/internal/httpwire/tls_test.go
+++ b/internal/httpwire/tls_test.go
@@ -210,7 +210,11 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var served atomic.Int64
-			s := startServer(t, echo(&served), func(c *ServerConfig) { c.TLS = test.server })
+			failed := make(chan error, 1)
+			s := startServer(t, echo(&served), func(c *ServerConfig) {
+				c.TLS = test.server
+				c.OnHandshakeFailed = func(_ string, err error) { failed <- err }
+			})
 			conf := sec.client.Clone()
 			test.change(conf)
 			client := &http.Client{Transport: &http.Transport{TLSClientConfig: conf, DisableKeepAlives: true}, Timeout: testWait}
@@ -220,6 +224,14 @@
 			}
 			is.Equal(err == nil, test.ok)
 			is.Equal(served.Load() == 1, test.ok)
+			if !test.ok {
+				select {
+				case err := <-failed:
+					is.True(err != nil)
+				case <-time.After(testWait):
+					t.Fatal("the failed handshake was not reported")
+				}
+			}
 		})
 	}
 }
--- a/pkg/event/process_events.go
+++ b/pkg/event/process_events.go
@@ -11,6 +11,7 @@
 	CertificatesReloaded Code = 1006
 	CertificatesRejected Code = 1007
 	CertificateExpired   Code = 1008
+	HandshakeFailed      Code = 1009
 )
 
 // processEvents describes the codes 1xxx: the process.
@@ -22,5 +23,6 @@
 	CertificatesReloaded: {"certificates-reloaded", Info, "Changed certificate files are in use.", ""},
 	CertificatesRejected: {"certificates-rejected", Warn, "Changed certificate files can't be used; the old ones stay.", ""},
 	CertificateExpired:   {"certificate-expired", Warn, "This side's certificate had expired at the start; the other side will refuse it.", ""},
+	HandshakeFailed:      {"handshake-failed", Debug, "A caller's TLS handshake failed; no request was read.", ""},
 	LibraryMessage:       {"library-message", Warn, "The event loop library reported a problem.", ""},
 }
--- /dev/null
+++ b/scripts/bench-tls.sh
@@ -0,0 +1,49 @@
+#!/usr/bin/env bash
+# Measures what TLS adds: two entry hosts before one upstream without service
+# time, one plain and one with TLS on both sides or towards callers only,
+# interleaved in one run. Stops what it started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+make --no-print-directory build
+
+base=${BASE_PORT:-20200}
+ip=${BENCH_IP:-127.0.0.1}
+platform=$ip:$base
+upstream=$ip:$((base + 1))
+plain=$ip:$((base + 2))
+secure=$ip:$((base + 3))
+out=$(mktemp -d)
+pids=()
+stop() {
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+}
+trap stop EXIT
+
+openssl req -x509 -newkey ec -pkeyopt ec_paramgen_curve:P-256 -nodes -days 1 -subj /CN=bench \
+  -addext "subjectAltName=IP:$ip" -keyout "$out/key.pem" -out "$out/cert.pem" 2>/dev/null
+bin/spindle-standin platform --listen "$platform" >"$out/platform.log" 2>&1 & pids+=($!)
+bin/spindle-standin upstream --host "$ip" --port $((base + 1)) --slots 1000 --mean 0s >"$out/upstream.log" 2>&1 & pids+=($!)
+sleep 0.5
+curl -fs -o /dev/null -X PUT "http://$platform/v1/config/services/bench" -d '{
+  "name": "bench", "match": {"path_prefix": "/bench/"},
+  "groups": [{"name": "main", "upstreams": [{"id": "u1", "address": "'"$upstream"'", "failure_domain": "a", "slots": 1000, "max_connections": 1000}]}],
+  "rules": [{"name": "all", "group": "main", "repeat": "repeatable", "deadline": "5s"}]}'
+
+entry() { # LISTEN FIRST-PORT-OF-THE-OTHERS FLAGS
+  local listen=$1 port=$2
+  shift 2
+  bin/spindled --listen "$listen" --admin-listen "$ip:$port" --peer-listen "$ip:$((port + 1))" \
+    --operator-listen "$ip:$((port + 2))" --failure-domain a --platform "http://$platform" --log-level warn "$@" \
+    >"$out/entry-$port.log" 2>&1 & pids+=($!)
+  entry_pid=$!
+  for _ in $(seq 1 50); do
+    curl -fs "http://$ip:$port/readyz" >/dev/null && break
+    sleep 0.1
+  done
+}
+entry "$plain" $((base + 10))
+entry "$secure" $((base + 20)) --caller-tls-cert "$out/cert.pem" --caller-tls-key "$out/key.pem"
+echo "direct is the plain entry host, through the one with TLS towards callers"
+SSL_CERT_FILE="$out/cert.pem" bin/spindle-load compare --direct "http://$plain/bench/x" \
+  --through "https://$secure/bench/x" --entry-pid "$entry_pid" "$@"
