--- a/test/e2e/tls_test.go
+++ b/test/e2e/tls_test.go
@@ -30,6 +30,8 @@
 	dir, name   string
 	certificate *x509.Certificate
 	key         *ecdsa.PrivateKey
+	// ends is the end of validity of what is issued.
+	ends time.Time
 }
 
 func newAuthority(t *testing.T, name string) *authority {
@@ -51,7 +53,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := &authority{t: t, dir: t.TempDir(), name: name, certificate: certificate, key: key}
+	a := &authority{t: t, dir: t.TempDir(), name: name, certificate: certificate, key: key, ends: time.Now().Add(time.Hour)}
 	a.write("ca.pem", "CERTIFICATE", der)
 	return a
 }
@@ -75,7 +77,7 @@
 	}
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), DNSNames: []string{dns},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: a.ends, DNSNames: []string{dns},
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
 	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
@@ -335,6 +337,25 @@
 	}
 }
 
+// TestExpiredCertificateIsReported starts an entry host whose certificate for
+// callers has ended; callers refuse it.
+func TestExpiredCertificateIsReported(t *testing.T) {
+	a := newAuthority(t, "callers")
+	a.ends = time.Now().Add(-time.Minute)
+	s := &securedFleet{fleet: &fleet{t: t, network: network(), client: http.DefaultClient}}
+	s.platform = "http://" + s.address(platformByte, platformPort)
+	certificate, key := a.issue("entry", entryName)
+	s.addSecured([]string{"--caller-tls-cert", certificate, "--caller-tls-key", key})
+	e := s.entries[0]
+	s.waitFor("the listener", func() bool {
+		_, err := s.trusting(a).Get("https://" + e.caller + "/")
+		return err != nil && strings.Contains(err.Error(), "expired")
+	})
+	if log, err := os.ReadFile(e.log.Name()); err != nil || !strings.Contains(string(log), "certificate-expired") {
+		t.Errorf("no event in the log (%v)", err)
+	}
+}
+
 // TestGroupWithTLSIsNeverSentInTheClear asks for TLS of an entry host that has
 // no authority for upstreams.
 func TestGroupWithTLSIsNeverSentInTheClear(t *testing.T) {
