--- a/scripts/bench-tls.sh
+++ b/scripts/bench-tls.sh
@@ -1,7 +1,6 @@
 #!/usr/bin/env bash
 # Measures what TLS adds: two entry hosts before one upstream without service
-# time, one plain and one with TLS on both sides or towards callers only,
-# interleaved in one run. Stops what it started.
+# time, one plain and one with TLS towards callers, interleaved in one run. Stops what it started.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 make --no-print-directory build
