Take nothing new to upstreams on hosts that the platform lists as leaving

Cause: the registry could hear of the list, but nobody told it. Ruled out: the entry hosts' own entries, which have a peer address. Before: an upstream on a leaving host got requests until a document said otherwise. Also, an older call for notices no longer takes back what a newer one fetched.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -21,6 +21,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/notices"
 	"github.com/dapplespindle/dapplespindle/internal/operator"
 	"github.com/dapplespindle/dapplespindle/internal/peer"
+	"github.com/dapplespindle/dapplespindle/internal/platform"
 	"github.com/dapplespindle/dapplespindle/internal/prober"
 	"github.com/dapplespindle/dapplespindle/internal/proxy"
 	"github.com/dapplespindle/dapplespindle/internal/settings"
@@ -110,6 +111,7 @@
 		FailureDomain: e.conf.FailureDomain,
 		Keys:          keys,
 		Hosts:         e.newPlatform(),
+		OnHosts:       func(l *platform.HostList) { e.control.hostsListed(l) },
 		Loop:          e.loop,
 		Events:        e.sink,
 	})
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -48,6 +48,8 @@
 	nextTick  time.Time
 	watermark configsync.Watermark
 	fleet     uint64 // version of the membership that the shares reflect
+	// hostsRevision is that of the newest list of hosts that was read.
+	hostsRevision uint64
 
 	started   time.Time
 	heartbeat atomic.Int64 // nanoseconds after started
--- a/internal/members/hostlist.go
+++ b/internal/members/hostlist.go
@@ -55,7 +55,12 @@
 		return true
 	}
 	hosts := listed(list)
-	m.conf.Loop.Post(func() { m.apply(m.core.SetHosts(time.Now(), list.Revision, hosts)) })
+	m.conf.Loop.Post(func() {
+		m.apply(m.core.SetHosts(time.Now(), list.Revision, hosts))
+		if m.conf.OnHosts != nil {
+			m.conf.OnHosts(list)
+		}
+	})
 	return false
 }
 
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -44,6 +44,9 @@
 	ForgetAfter time.Duration
 	// Hosts reads the platform's list.
 	Hosts HostSource
+	// OnHosts, if not nil, is called on the control goroutine with each list that
+	// was read.
+	OnHosts func(*platform.HostList)
 	// Loop is the control loop; New must be called before it runs.
 	Loop *control.Loop
 	// Events receives the decisions.
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -137,7 +137,18 @@
 		return
 	}
 	if s.take(ctx, resp.GetNotices()) == nil {
-		s.fetched.Store(awake)
+		s.raiseFetched(awake)
+	}
+}
+
+// raiseFetched records that notices asked for at awake were taken in. An older
+// call that ends later changes nothing.
+func (s *Spreader) raiseFetched(awake uint64) {
+	for {
+		known := s.fetched.Load()
+		if known >= awake || s.fetched.CompareAndSwap(known, awake) {
+			return
+		}
 	}
 }
 
--- a/internal/notices/notices_test.go
+++ b/internal/notices/notices_test.go
@@ -108,3 +108,17 @@
 	is.Equal(len(choose([]string{"a"}, 2)), 1)
 	is.Equal(len(choose(nil, 2)), 0)
 }
+
+// TestOlderCallDoesNotTakeBack: a call that was made before a pause may end
+// after one that was made since.
+func TestOlderCallDoesNotTakeBack(t *testing.T) {
+	is := is.New(t)
+	s, _ := newSpreader(t)
+	s.raiseFetched(1)
+	is.True(s.Fetched())
+	s.awake.Add(1)
+	is.True(!s.Fetched())
+	s.raiseFetched(2)
+	s.raiseFetched(1)
+	is.True(s.Fetched())
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -45,11 +45,12 @@
 	Leaving HostState = "leaving"
 )
 
-// Host is one entry of the lagging host list.
+// Host is one entry of the lagging list of hosts.
 type Host struct {
 	// IP is the host's address.
 	IP string `json:"ip"`
-	// PeerAddress is where its peers reach it, "IP:port".
+	// PeerAddress is where its peers reach it, "IP:port"; empty if the host is not
+	// an entry host but one of upstreams.
 	PeerAddress string `json:"peer_address"`
 	// FailureDomain is where it runs.
 	FailureDomain string `json:"failure_domain"`
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -226,12 +226,14 @@
 	f.logs.add(e.log.Name())
 }
 
-func (f *fleet) publishHosts() {
+func (f *fleet) publishHosts() { f.put("/v1/hosts", f.hosts()) }
+
+func (f *fleet) hosts() []platform.Host {
 	var hosts []platform.Host
 	for _, e := range f.entries {
 		hosts = append(hosts, platform.Host{IP: "127.0.0.1", PeerAddress: e.peer, FailureDomain: e.domain, State: platform.Live})
 	}
-	f.put("/v1/hosts", hosts)
+	return hosts
 }
 
 // publish returns the revision of the document.
