Check that the generated code is current

Cause: a schema could change without its code. Ruled out: comparing the line that names protoc's version, which differs between machines. Before: unchecked. Conclusion: the build needs no generator and the code can't go stale unseen.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 demo:
 	@scripts/demo.sh
 
-test: lint build ldd unit spec
+test: lint generated build ldd unit spec
 
 unit:
 	go test ./...
@@ -20,6 +20,13 @@
 	go vet ./...
 	go tool staticcheck ./...
 
+# The generated code below api/ is what the schema files give; the line that
+# names protoc's version may differ.
+.PHONY: generated
+generated:
+	@scripts/generate.sh
+	@git diff --exit-code -I '^// .*protoc ' -- api
+
 # Every binary is linked to the C library, as the platform expects.
 ldd: build
 	@for b in $(BINARIES); do ldd bin/$$b | grep -q libc.so || { echo "$$b is not linked to libc"; exit 1; }; done
