Add the missing faults to the lab, and the shape of the real processes

twofaults (two slow upstreams), slowandfail, misleading (one upstream reports 0 always), uneven (one entry host gets about three times its part) and doubling (from 0.8 to 1.6 times the capacity at once, with the product's queue). The legend of the tails moves to the corner without curves.

--- a/internal/lab/fault.go
+++ b/internal/lab/fault.go
@@ -15,6 +15,11 @@
 	ReportEvery time.Duration
 	// ShedLimit replaces the default limit of requests at an upstream.
 	ShedLimit int
+	// Silent is the number of upstreams that always report 0 requests.
+	Silent int
+	// Uneven gives the first entry host this share beside its part; 0 spreads
+	// them evenly.
+	Uneven float64
 	// Windowed counts only requests that arrive within Window after an onset.
 	Windowed bool
 
@@ -39,6 +44,9 @@
 	noisyEvery  = time.Second
 	noisyTime   = 50 * time.Millisecond
 	noisyFactor = 4
+	// unevenShare is the share that the first entry host gets beside its even
+	// part of the rest; together 2.8 to 3.6 times an even part.
+	unevenShare = 0.15
 )
 
 // Faults are the conditions of the table.
@@ -53,6 +61,11 @@
 	{Name: "fresh", Load: 0.8, ReportEvery: minReportEvery},
 	{Name: "stale", Load: 0.8, ReportEvery: maxReportEvery},
 	{Name: "overload", Load: 2},
+	{Name: "twofaults", Load: 0.8, Windowed: true, onset: slowTwo},
+	{Name: "slowandfail", Load: 0.7, Windowed: true, onset: slowAndFail},
+	{Name: "misleading", Load: 0.8, Silent: 1},
+	{Name: "uneven", Load: 0.8, Uneven: unevenShare},
+	{Name: "doubling", Load: 0.8, Surge: 2, Windowed: true},
 }
 
 // slowOne makes one upstream slow without warning.
@@ -62,6 +75,18 @@
 	w.clock.After(slowTime, func() { u.slowness = 1 })
 }
 
+// slowTwo makes two upstreams slow at the same time; they may be the same.
+func slowTwo(w *world) {
+	slowOne(w)
+	slowOne(w)
+}
+
+// slowAndFail makes one upstream slow and one fail fast.
+func slowAndFail(w *world) {
+	slowOne(w)
+	failOne(w)
+}
+
 // failOne makes one upstream fail fast.
 func failOne(w *world) {
 	u := w.drawUpstream()
--- a/internal/lab/plot.go
+++ b/internal/lab/plot.go
@@ -57,8 +57,8 @@
 	p.Y.Scale = plot.LogScale{}
 	p.X.Tick.Marker = tailTicks
 	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
-	p.Legend.Top = true
-	p.Legend.Left = true
+	p.Legend.Top = false
+	p.Legend.Left = false
 	for i, r := range rows {
 		line, err := plotter.NewLine(tailPoints(r.Total))
 		if err != nil {
--- a/internal/lab/upstream.go
+++ b/internal/lab/upstream.go
@@ -47,6 +47,7 @@
 	cold     float64
 	failFast bool
 
+	silent      bool // always reports 0 requests
 	reportEvery time.Duration
 	reportPhase time.Duration
 	reportTick  int64
@@ -149,5 +150,8 @@
 func (u *upstream) report() balancer.Report {
 	u.tick()
 	sampled := time.Duration(u.reportTick)*u.reportEvery - u.reportPhase
+	if u.silent {
+		return balancer.Report{Valid: true, Age: u.clock.now - sampled}
+	}
 	return balancer.Report{Valid: true, InFlight: u.reported, Age: u.clock.now - sampled}
 }
--- a/internal/lab/upstream_test.go
+++ b/internal/lab/upstream_test.go
@@ -77,3 +77,26 @@
 	is.Equal(int(g.Hedged), 5)
 	is.Equal(int(g.LeastOutstandingHedged), 2)
 }
+
+func TestSilentUpstreamReportsNoLoad(t *testing.T) {
+	is := is.New(t)
+	c := &Clock{}
+	u := testUpstream(c)
+	u.silent = true
+	u.submit(&job{service: time.Second, done: func(balancer.Outcome) {}})
+	c.run(11 * time.Millisecond)
+	is.Equal(u.report(), balancer.Report{Valid: true, InFlight: 0, Age: time.Millisecond})
+}
+
+func TestUnevenHostsGetTheirShare(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(Run{Workload: Workloads[0], Fault: Fault{Load: 1, Uneven: unevenShare}, NewHost: NewBasicHost, Seed: 1})
+	first := 0
+	const draws = 10_000
+	for range draws {
+		if w.drawHost() == w.hosts[0] {
+			first++
+		}
+	}
+	is.True(first > draws/6 && first < draws/4) // 15% and a sixteenth of the rest
+}
--- a/internal/lab/workload.go
+++ b/internal/lab/workload.go
@@ -53,6 +53,10 @@
 	{"battery", 15, 14, 3, 6 * time.Millisecond},
 }
 
+// Loopback has the sizes of make measure-ranking, to compare the lab with real
+// processes.
+var Loopback = Workload{"loopback", 6, 6, 1, 10 * time.Millisecond}
+
 // capacity is the number of requests per second that all slots serve.
 func (w Workload) capacity() float64 {
 	return float64(w.Upstreams*slotsPerUpstream) / w.Mean.Seconds()
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -53,6 +53,7 @@
 		shedLimit:   shedLimit,
 		mean:        w.run.Workload.Mean,
 		reportEvery: w.run.Fault.ReportEvery,
+		silent:      i < w.run.Fault.Silent,
 	}
 	if w.run.Fault.ShedLimit > 0 {
 		u.shedLimit = w.run.Fault.ShedLimit
@@ -81,7 +82,7 @@
 }
 
 func (w *world) accept() {
-	h := w.hosts[w.arrivals.IntN(len(w.hosts))]
+	h := w.drawHost()
 	now := w.clock.Now()
 	r := &Request{
 		Arrived:  now,
@@ -94,6 +95,14 @@
 	h.host.Arrive(r)
 }
 
+// drawHost is the platform's choice of an entry host.
+func (w *world) drawHost() *hostEnv {
+	if w.run.Fault.Uneven > 0 && w.arrivals.Float64() < w.run.Fault.Uneven {
+		return w.hosts[0]
+	}
+	return w.hosts[w.arrivals.IntN(len(w.hosts))]
+}
+
 // counts reports whether requests that arrive now are measured.
 func (w *world) counts() bool { return w.countsAt(w.clock.now) }
 
