Raise the limit's ceiling while upstreams report their load

Cause: an entry host that gets three times its part of the load hits the limit's ceiling, four times its part of the slots, at 80% load of the fleet, and sheds whatever the policy. The ceiling is there for upstreams without reports; where most answers of a window carry one, it is now eight parts.

--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -94,6 +94,9 @@
 	Floor int
 	// Ceiling is never exceeded.
 	Ceiling int
+	// Reported replaces Ceiling while most answers carry a load report; 0 keeps
+	// Ceiling.
+	Reported int
 }
 
 // Limiter is an adaptive bound on requests in flight. A nil *Limiter admits
@@ -106,6 +109,7 @@
 	baseline time.Duration
 	window   window
 	started  bool    // the limit has shrunk once
+	reported bool    // most answers of the last window carried a load report
 	phase    int     // windows since the baseline began to be measured; 0 when it is not
 	windows  int     // since the baseline was measured anew
 	saved    float64 // the limit before it was lowered to do so; 0 when it is not
@@ -216,6 +220,7 @@
 	l.window = window{used: l.inFlight}
 	before := int(l.limit)
 	reason := l.move(w)
+	l.reported = w.reported()
 	l.clamp()
 	if int(l.limit) == before {
 		return Unchanged
@@ -324,5 +329,9 @@
 }
 
 func (l *Limiter) clamp() {
-	l.limit = min(max(l.limit, float64(l.bounds.Floor)), float64(l.bounds.Ceiling))
+	ceiling := l.bounds.Ceiling
+	if l.reported && l.bounds.Reported > 0 {
+		ceiling = l.bounds.Reported
+	}
+	l.limit = min(max(l.limit, float64(l.bounds.Floor)), float64(ceiling))
 }
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -179,3 +179,26 @@
 		}
 	})
 }
+
+// TestReportedCeiling has answers with free slots in their reports, then answers
+// without reports.
+func TestReportedCeiling(t *testing.T) {
+	is := is.New(t)
+	l := limit.New(2, limit.Bounds{Floor: 2, Ceiling: 4, Reported: 8})
+	answers := func(pressure float64) int {
+		for range 20 * limit.WindowSamples {
+			n := 0
+			for l.Acquire(0) {
+				n++
+			}
+			for range n {
+				l.Release(limit.Sample{Latency: time.Millisecond, Pressure: pressure})
+			}
+		}
+		bound, _ := l.Limit()
+		return bound
+	}
+	is.Equal(answers(0), 4)
+	is.Equal(answers(0.5), 8)
+	is.Equal(answers(0), 4)
+}
