Name things by the field's terms

Ruled out: aliases for the old names. Before and after: no behaviour changes; the tests of the packages pass. Conclusion: UpstreamKey, finalError, reject, GivenUp, and cmp.Or.

--- a/internal/entry/capacity_test.go
+++ b/internal/entry/capacity_test.go
@@ -147,7 +147,7 @@
 	eachSize(b, func(b *testing.B, s fleetSize) {
 		e, snapshot := configuredEntry(b, s)
 		doc := snapshot.InForce[0]
-		key := lifecycle.MemberKey{Service: doc.Name, Upstream: doc.Service.Groups[0].Upstreams[0].ID}
+		key := lifecycle.UpstreamKey{Service: doc.Name, Upstream: doc.Service.Groups[0].Upstreams[0].ID}
 		for b.Loop() {
 			for range lifecycle.DefaultConfig().ConnectFailures {
 				e.control.registry.ConnectFailed(time.Now(), key)
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -251,12 +251,12 @@
 // reportDrained tells the registry which leaving upstreams have nothing of this
 // host in flight, in any group of their service.
 func (c *controller) reportDrained(now time.Time) {
-	idle := make(map[lifecycle.MemberKey]bool)
+	idle := make(map[lifecycle.UpstreamKey]bool)
 	leaving := c.registry.Leaving()
 	for key, g := range c.groups.groups {
 		for _, id := range leaving[key.service] {
 			if u := g.upstreams[id]; u != nil {
-				member := lifecycle.MemberKey{Service: key.service, Upstream: id}
+				member := lifecycle.UpstreamKey{Service: key.service, Upstream: id}
 				before, known := idle[member]
 				idle[member] = u.Outstanding() == 0 && (before || !known)
 			}
@@ -302,7 +302,7 @@
 // observe adds to an operator's view of an upstream what this host knows. It
 // runs on any goroutine.
 func (c *controller) observe(service, group string, out *operatorv1.UpstreamStatus) {
-	view, ok := c.snapshot.Load().View(lifecycle.MemberKey{Service: service, Upstream: out.Id})
+	view, ok := c.snapshot.Load().View(lifecycle.UpstreamKey{Service: service, Upstream: out.Id})
 	if ok {
 		out.Condition = view.State
 	}
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -118,7 +118,7 @@
 	var reachable, unreachable []*balancer.Upstream
 	for i := range g.Upstreams {
 		id := g.Upstreams[i].ID
-		view, _ := s.lifecycle.View(lifecycle.MemberKey{Service: service, Upstream: id})
+		view, _ := s.lifecycle.View(lifecycle.UpstreamKey{Service: service, Upstream: id})
 		switch {
 		case !view.Takes:
 		case view.Unreachable:
--- a/internal/entry/hosts.go
+++ b/internal/entry/hosts.go
@@ -39,17 +39,17 @@
 }
 
 // upstreamsOn returns the upstreams of the documents that run on the hosts.
-func upstreamsOn(hosts map[netip.Addr]bool, documents []configsync.Document) []lifecycle.MemberKey {
+func upstreamsOn(hosts map[netip.Addr]bool, documents []configsync.Document) []lifecycle.UpstreamKey {
 	if len(hosts) == 0 {
 		return nil
 	}
-	var out []lifecycle.MemberKey
+	var out []lifecycle.UpstreamKey
 	for _, d := range documents {
 		for g := range d.Groups {
 			for _, u := range d.Groups[g].Upstreams {
 				at, err := netip.ParseAddrPort(u.Address)
 				if err == nil && hosts[at.Addr().Unmap()] {
-					out = append(out, lifecycle.MemberKey{Service: d.Name, Upstream: u.ID})
+					out = append(out, lifecycle.UpstreamKey{Service: d.Name, Upstream: u.ID})
 				}
 			}
 		}
--- a/internal/entry/hosts_test.go
+++ b/internal/entry/hosts_test.go
@@ -25,5 +25,5 @@
 		{IP: "10.0.0.3", State: platform.Leaving, PeerAddress: "10.0.0.3:7100"}, // an entry host
 		{IP: "no address", State: platform.Leaving},
 	}}
-	is.Equal(upstreamsOn(leavingHosts(list), documents), []lifecycle.MemberKey{{Service: "ledger", Upstream: "a"}})
+	is.Equal(upstreamsOn(leavingHosts(list), documents), []lifecycle.UpstreamKey{{Service: "ledger", Upstream: "a"}})
 }
--- a/internal/entry/publish_test.go
+++ b/internal/entry/publish_test.go
@@ -33,7 +33,7 @@
 	before := e.control.Snapshot().Version
 	for _, d := range snapshot.InForce {
 		for _, u := range d.Groups[0].Upstreams {
-			e.control.Leaving(lifecycle.MemberKey{Service: d.Name, Upstream: u.ID}, 0)
+			e.control.Leaving(lifecycle.UpstreamKey{Service: d.Name, Upstream: u.ID}, 0)
 		}
 	}
 	runQueue(t, e)
@@ -41,10 +41,10 @@
 	is.Equal(after.Version, before+1) // one publication
 	for _, d := range snapshot.InForce {
 		for _, u := range d.Groups[0].Upstreams {
-			is.True(!after.Takes(lifecycle.MemberKey{Service: d.Name, Upstream: u.ID}))
+			is.True(!after.Takes(lifecycle.UpstreamKey{Service: d.Name, Upstream: u.ID}))
 		}
 	}
-	e.control.ConnectFailed(lifecycle.MemberKey{Service: "service-000", Upstream: "none"})
+	e.control.ConnectFailed(lifecycle.UpstreamKey{Service: "service-000", Upstream: "none"})
 	runQueue(t, e)
 	is.Equal(e.control.Snapshot().Version, before+1) // nothing new
 }
@@ -62,7 +62,7 @@
 	doc.Rules = append(doc.Rules, config.Rule{Name: "second", Group: "second", Repeat: config.Repeatable})
 	e.control.configured(snapshot)
 	id := doc.Groups[0].Upstreams[0].ID
-	key := lifecycle.MemberKey{Service: doc.Name, Upstream: id}
+	key := lifecycle.UpstreamKey{Service: doc.Name, Upstream: id}
 	// Whether the upstream still counts as leaving after a look at all groups.
 	leaving := func() bool {
 		e.control.reportDrained(time.Now())
@@ -86,7 +86,7 @@
 			for _, d := range snapshot.InForce {
 				for _, u := range d.Groups[0].Upstreams {
 					if u.FailureDomain == "domain-07" {
-						loseAndRegain(e, lifecycle.MemberKey{Service: d.Name, Upstream: u.ID})
+						loseAndRegain(e, lifecycle.UpstreamKey{Service: d.Name, Upstream: u.ID})
 					}
 				}
 			}
@@ -97,7 +97,7 @@
 
 // loseAndRegain posts the news that an upstream can't be reached, and that it
 // is reached again, so that each round of a benchmark begins alike.
-func loseAndRegain(e *Entry, key lifecycle.MemberKey) {
+func loseAndRegain(e *Entry, key lifecycle.UpstreamKey) {
 	for range lifecycle.DefaultConfig().ConnectFailures {
 		e.control.ConnectFailed(key)
 	}
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -16,7 +16,7 @@
 func (c *controller) Snapshot() *lifecycle.Snapshot { return c.snapshot.Load() }
 
 // Leaving implements proxy.Upstreams.
-func (c *controller) Leaving(k lifecycle.MemberKey, activation uint64) {
+func (c *controller) Leaving(k lifecycle.UpstreamKey, activation uint64) {
 	if !c.snapshot.Load().Takes(k) {
 		return
 	}
@@ -27,7 +27,7 @@
 }
 
 // ConnectFailed implements proxy.Upstreams.
-func (c *controller) ConnectFailed(k lifecycle.MemberKey) {
+func (c *controller) ConnectFailed(k lifecycle.UpstreamKey) {
 	c.entry.loop.Post(func() {
 		c.registry.ConnectFailed(time.Now(), k)
 		c.publishSoon()
@@ -35,7 +35,7 @@
 }
 
 // Reached implements proxy.Upstreams.
-func (c *controller) Reached(k lifecycle.MemberKey) {
+func (c *controller) Reached(k lifecycle.UpstreamKey) {
 	c.entry.loop.Post(func() {
 		c.registry.Reached(time.Now(), k)
 		c.publishSoon()
--- a/internal/httpwire/config.go
+++ b/internal/httpwire/config.go
@@ -1,6 +1,7 @@
 package httpwire
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"time"
@@ -65,25 +66,19 @@
 
 // withDefaults fills in the zero limits.
 func (c ServerConfig) withDefaults() ServerConfig {
-	setDefault(&c.MaxHeadBytes, DefaultMaxHeadBytes)
-	setDefault(&c.MaxConnections, DefaultMaxConnections)
-	setDefault(&c.HeadTimeout, DefaultHeadTimeout)
-	setDefault(&c.BodyTimeout, DefaultBodyTimeout)
-	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&c.HandshakeTimeout, DefaultHandshakeTimeout)
+	c.MaxHeadBytes = cmp.Or(c.MaxHeadBytes, DefaultMaxHeadBytes)
+	c.MaxConnections = cmp.Or(c.MaxConnections, DefaultMaxConnections)
+	c.HeadTimeout = cmp.Or(c.HeadTimeout, DefaultHeadTimeout)
+	c.BodyTimeout = cmp.Or(c.BodyTimeout, DefaultBodyTimeout)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
+	c.HandshakeTimeout = cmp.Or(c.HandshakeTimeout, DefaultHandshakeTimeout)
 	if c.Refuse == nil {
 		c.Refuse = plainRefusal
 	}
 	return c
 }
 
-func setDefault[T int | time.Duration](value *T, byDefault T) {
-	if *value == 0 {
-		*value = byDefault
-	}
-}
-
 func (c *ServerConfig) limits() framing.Limits {
 	return framing.Limits{HeadBytes: c.MaxHeadBytes, BodyBytes: c.MaxBodyBytes}
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -99,7 +99,7 @@
 	u := choice.Upstream
 	b := binding{upstream: u, call: u.Begin(now), number: n, lifecycle: group.Lifecycle, overdue: choice.OverdueAfter}
 	if x.proxy.upstreams != nil {
-		b.view, _ = x.proxy.upstreams.Snapshot().View(x.memberKey(b))
+		b.view, _ = x.proxy.upstreams.Snapshot().View(x.upstreamKey(b))
 	}
 	x.tried = append(x.tried, u)
 	x.emit(event.Event{Code: event.UpstreamChosen, Upstream: u.ID, Reason: choice.Reason, Attempt: n, Value: u.Outstanding()})
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -23,7 +23,7 @@
 		b, err := x.bind(ctx)
 		if err != nil {
 			x.notSent()
-			return x.refuse(x.gravest(err))
+			return x.refuse(x.finalError(err))
 		}
 		x.count()
 		r := x.sendHedged(ctx, b)
@@ -31,7 +31,7 @@
 			return x.answer(r)
 		}
 		if !x.retry(r) {
-			return x.refuse(x.gravest(r.err))
+			return x.refuse(x.finalError(r.err))
 		}
 	}
 }
@@ -92,10 +92,10 @@
 	}
 }
 
-// gravest returns the error to answer with: "not run" only when no send at all
+// finalError returns the error to answer with: "not run" only when no send at all
 // may have run, and otherwise the first failure of a send before any refusal
 // to send again.
-func (x *exchange) gravest(err *errkind.Error) *errkind.Error {
+func (x *exchange) finalError(err *errkind.Error) *errkind.Error {
 	switch {
 	case x.unknown != nil:
 		return x.unknown
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -17,11 +17,11 @@
 	Snapshot() *lifecycle.Snapshot
 	// Leaving takes in an upstream's own word that it is leaving. Activation is
 	// the one that the request was sent under.
-	Leaving(k lifecycle.MemberKey, activation uint64)
+	Leaving(k lifecycle.UpstreamKey, activation uint64)
 	// ConnectFailed takes in a connection that could not be made.
-	ConnectFailed(k lifecycle.MemberKey)
+	ConnectFailed(k lifecycle.UpstreamKey)
 	// Reached takes in an answer of an upstream that counted as unreachable.
-	Reached(k lifecycle.MemberKey)
+	Reached(k lifecycle.UpstreamKey)
 	// Reported takes in that an answer of the server at an address carried a
 	// load report.
 	Reported(address string, now time.Time)
@@ -35,8 +35,8 @@
 // WithUpstreams checks each send against u and reports to it.
 func WithUpstreams(u Upstreams) Option { return func(p *Proxy) { p.upstreams = u } }
 
-func (x *exchange) memberKey(b binding) lifecycle.MemberKey {
-	return lifecycle.MemberKey{Service: x.rule.Service.Name, Upstream: b.upstream.ID}
+func (x *exchange) upstreamKey(b binding) lifecycle.UpstreamKey {
+	return lifecycle.UpstreamKey{Service: x.rule.Service.Name, Upstream: b.upstream.ID}
 }
 
 // mayStillSend is the last check before a send: the upstream may have left
@@ -49,7 +49,7 @@
 	if u.Waking() {
 		return errkind.New(errkind.NotReady, wakingDetail)
 	}
-	switch u.Snapshot().CheckSend(x.memberKey(b), b.lifecycle) {
+	switch u.Snapshot().CheckSend(x.upstreamKey(b), b.lifecycle) {
 	case lifecycle.Send:
 		return nil
 	case lifecycle.ChooseAgain:
@@ -66,7 +66,7 @@
 	if u == nil {
 		return
 	}
-	key := x.memberKey(b)
+	key := x.upstreamKey(b)
 	if err != nil {
 		if err.Kind == errkind.ConnectFailed {
 			u.ConnectFailed(key)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,6 +8,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -54,20 +55,14 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.DialTimeout, DefaultDialTimeout)
-	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&c.IdlePerUpstream, DefaultIdlePerUpstream)
-	setDefault(&c.MaxConnections, DefaultMaxConnections)
-	setDefault(&c.MaxHeadBytes, DefaultMaxHeadBytes)
+	c.DialTimeout = cmp.Or(c.DialTimeout, DefaultDialTimeout)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
+	c.IdlePerUpstream = cmp.Or(c.IdlePerUpstream, DefaultIdlePerUpstream)
+	c.MaxConnections = cmp.Or(c.MaxConnections, DefaultMaxConnections)
+	c.MaxHeadBytes = cmp.Or(c.MaxHeadBytes, DefaultMaxHeadBytes)
 	return c
 }
 
-func setDefault[T int | time.Duration](value *T, byDefault T) {
-	if *value == 0 {
-		*value = byDefault
-	}
-}
-
 // Client holds the connections of one process to all its upstreams.
 type Client struct {
 	conf   Config
--- a/pkg/lifecycle/example_test.go
+++ b/pkg/lifecycle/example_test.go
@@ -10,7 +10,7 @@
 
 func ExampleRegistry() {
 	now := time.Unix(1000, 0)
-	lots3 := lifecycle.MemberKey{Service: "lots", Upstream: "caruaru-3"}
+	lots3 := lifecycle.UpstreamKey{Service: "lots", Upstream: "caruaru-3"}
 	r := lifecycle.NewRegistry(lifecycle.DefaultConfig(), event.Discard{})
 	r.Configure(now, "lots", 7, []lifecycle.Listing{{Upstream: "caruaru-3"}})
 	before, _ := r.Flush()
--- a/pkg/lifecycle/naive_test.go
+++ b/pkg/lifecycle/naive_test.go
@@ -11,7 +11,7 @@
 	takes() bool
 }
 
-var testMember = MemberKey{"lots", "u"}
+var testMember = UpstreamKey{"lots", "u"}
 
 // product drives a Registry.
 type product struct{ *Registry }
--- a/pkg/lifecycle/news.go
+++ b/pkg/lifecycle/news.go
@@ -30,7 +30,7 @@
 	listed := make(map[string]bool, len(listings))
 	for _, l := range listings {
 		listed[l.Upstream] = true
-		r.list(now, MemberKey{service, l.Upstream}, revision, l, !known)
+		r.list(now, UpstreamKey{service, l.Upstream}, revision, l, !known)
 	}
 	for upstream, m := range r.services[service] {
 		if !listed[upstream] {
@@ -42,7 +42,7 @@
 
 // list takes in one entry of a document. Upstreams of the first document that
 // a process sees are taken to be warm.
-func (r *Registry) list(now time.Time, k MemberKey, revision uint64, l Listing, first bool) {
+func (r *Registry) list(now time.Time, k UpstreamKey, revision uint64, l Listing, first bool) {
 	m := r.member(k)
 	isNew := m == nil
 	if isNew {
@@ -90,7 +90,7 @@
 // service that lists it. Activation is
 // the one that the request was sent under, from its View; a late answer to a
 // request of an earlier activation changes nothing.
-func (r *Registry) Refused(now time.Time, k MemberKey, activation uint64) {
+func (r *Registry) Refused(now time.Time, k UpstreamKey, activation uint64) {
 	r.left(now, k, activation, fromUpstream)
 	if m := r.member(k); m == nil || m.listing.Activation != activation {
 		return
@@ -105,13 +105,13 @@
 // HostLeaving takes in an upstream that the platform's list calls leaving.
 // The list has no order against documents, so the notice is about the
 // activation in force.
-func (r *Registry) HostLeaving(now time.Time, k MemberKey) {
+func (r *Registry) HostLeaving(now time.Time, k UpstreamKey) {
 	if m := r.member(k); m != nil {
 		r.left(now, k, m.listing.Activation, fromHostList)
 	}
 }
 
-func (r *Registry) left(now time.Time, k MemberKey, activation uint64, source string) {
+func (r *Registry) left(now time.Time, k UpstreamKey, activation uint64, source string) {
 	key := KeyOf(k.Service, k.Upstream)
 	if r.learn(now, Notice{Key: key, LeftBelow: activation + 1}) {
 		r.afterNotice(now, key, source)
@@ -135,7 +135,7 @@
 
 // ConnectFailed takes in a connection that could not be made. It is advice of
 // this host alone and is not told to peers.
-func (r *Registry) ConnectFailed(now time.Time, k MemberKey) {
+func (r *Registry) ConnectFailed(now time.Time, k UpstreamKey) {
 	m := r.member(k)
 	if m == nil || (m.state != stWarming && m.state != stServing) {
 		return
@@ -149,7 +149,7 @@
 }
 
 // Reached takes in a connection or a probe that succeeded.
-func (r *Registry) Reached(now time.Time, k MemberKey) {
+func (r *Registry) Reached(now time.Time, k UpstreamKey) {
 	m := r.member(k)
 	if m == nil {
 		return
@@ -176,7 +176,7 @@
 
 // InFlight takes in the number of requests that this host has in flight at an
 // upstream; it matters only while the upstream is leaving.
-func (r *Registry) InFlight(now time.Time, k MemberKey, n int64) {
+func (r *Registry) InFlight(now time.Time, k UpstreamKey, n int64) {
 	m := r.member(k)
 	if m != nil && n == 0 && m.state == stLeaving {
 		r.step(now, m, evIdle, fromTimer)
--- a/pkg/lifecycle/registry.go
+++ b/pkg/lifecycle/registry.go
@@ -59,7 +59,7 @@
 
 // member is one configured upstream.
 type member struct {
-	key       MemberKey
+	key       UpstreamKey
 	listing   Listing
 	revision  uint64
 	state     statechart.State
@@ -154,7 +154,7 @@
 }
 
 // member returns a configured upstream, or nil.
-func (r *Registry) member(k MemberKey) *member { return r.services[k.Service][k.Upstream] }
+func (r *Registry) member(k UpstreamKey) *member { return r.services[k.Service][k.Upstream] }
 
 // add and drop keep both views of the members alike.
 func (r *Registry) add(m *member) {
@@ -182,7 +182,7 @@
 	return !m.listing.Draining && r.notice(m.key).allows(m.revision, m.listing.Activation)
 }
 
-func (r *Registry) notice(k MemberKey) Notice {
+func (r *Registry) notice(k UpstreamKey) Notice {
 	key := KeyOf(k.Service, k.Upstream)
 	if n := r.notices[key]; n != nil {
 		return n.notice
--- a/pkg/lifecycle/registry_test.go
+++ b/pkg/lifecycle/registry_test.go
@@ -315,7 +315,7 @@
 func TestOutrankedNoticesAreNotRepeated(t *testing.T) {
 	is := is.New(t)
 	r, now := NewRegistry(DefaultConfig(), event.Discard{}), time.Unix(1_000_000, 0)
-	key := MemberKey{"ledger", "a"}
+	key := UpstreamKey{"ledger", "a"}
 	list := func(revision, activation uint64, draining bool) {
 		r.Configure(now, key.Service, revision, []Listing{{Upstream: key.Upstream, Activation: activation, Draining: draining}})
 	}
--- a/pkg/lifecycle/snapshot.go
+++ b/pkg/lifecycle/snapshot.go
@@ -6,8 +6,8 @@
 // a fraction of a warm one's.
 const MinWeight = 0.1
 
-// MemberKey names one upstream of one service.
-type MemberKey struct {
+// UpstreamKey names one upstream of one service.
+type UpstreamKey struct {
 	// Service and Upstream are the names in the document.
 	Service, Upstream string
 }
@@ -55,7 +55,7 @@
 }
 
 // View returns the state of one upstream; false if it is not configured.
-func (s *Snapshot) View(k MemberKey) (View, bool) {
+func (s *Snapshot) View(k UpstreamKey) (View, bool) {
 	service := s.services[k.Service]
 	if service == nil {
 		return View{}, false
@@ -74,7 +74,7 @@
 }
 
 // Takes reports whether an upstream may be sent new requests.
-func (s *Snapshot) Takes(k MemberKey) bool {
+func (s *Snapshot) Takes(k UpstreamKey) bool {
 	view, _ := s.View(k)
 	return view.Takes
 }
@@ -95,7 +95,7 @@
 
 // CheckSend is called right before a request is sent, on the newest snapshot.
 // Chosen is the version of the snapshot that the choice was made from.
-func (s *Snapshot) CheckSend(k MemberKey, chosen uint64) Verdict {
+func (s *Snapshot) CheckSend(k UpstreamKey, chosen uint64) Verdict {
 	switch {
 	case s.Takes(k):
 		return Send
--- a/pkg/lifecycle/snapshot_test.go
+++ b/pkg/lifecycle/snapshot_test.go
@@ -11,21 +11,21 @@
 )
 
 // rebuilt returns the views of all services as if none had been shared.
-func rebuilt(r *Registry) map[MemberKey]View {
-	out := make(map[MemberKey]View)
+func rebuilt(r *Registry) map[UpstreamKey]View {
+	out := make(map[UpstreamKey]View)
 	for service := range r.services {
 		for upstream, v := range r.views(service).views {
-			out[MemberKey{service, upstream}] = v
+			out[UpstreamKey{service, upstream}] = v
 		}
 	}
 	return out
 }
 
-func flattened(s *Snapshot) map[MemberKey]View {
-	out := make(map[MemberKey]View)
+func flattened(s *Snapshot) map[UpstreamKey]View {
+	out := make(map[UpstreamKey]View)
 	for service, of := range s.services {
 		for upstream, v := range of.views {
-			out[MemberKey{service, upstream}] = v
+			out[UpstreamKey{service, upstream}] = v
 		}
 	}
 	return out
@@ -72,7 +72,7 @@
 
 func randomNews(r *Registry, random *rand.Rand, now time.Time, revision uint64) {
 	service := fmt.Sprintf("s%d", random.IntN(3))
-	key := MemberKey{service, fmt.Sprintf("u%d", random.IntN(4))}
+	key := UpstreamKey{service, fmt.Sprintf("u%d", random.IntN(4))}
 	switch random.IntN(7) {
 	case 0, 1:
 		var list []Listing
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -8,7 +8,7 @@
 // the lowest priority that waits, so that none starves for ever.
 //
 // Nothing here reads a clock, starts a goroutine or blocks. A Queue is not
-// safe for concurrent use; Pace is.
+// safe for concurrent use; a ServiceTime is.
 package queue
 
 import (
@@ -64,8 +64,8 @@
 	giveUp time.Time
 }
 
-// Given is an entry that was given up, and why.
-type Given[T any] struct {
+// GivenUp is an entry that was given up, and why.
+type GivenUp[T any] struct {
 	// Entry is the entry; it is no longer in the queue.
 	Entry *Entry[T]
 	// Reason says which bound gave it up.
@@ -96,7 +96,7 @@
 	e.seq = q.seq
 	e.giveUp = now.Add(e.Deadline.Sub(now) / waitShare)
 	at := q.place(e)
-	if reason := e.hopeless(now, at, p); reason != Kept {
+	if reason := e.reject(now, at, p); reason != Kept {
 		return reason, nil
 	}
 	var out *Entry[T]
@@ -147,12 +147,12 @@
 
 // GiveUp removes and returns the entries that can't be served in time any
 // more, in queue order.
-func (q *Queue[T]) GiveUp(now time.Time, p Pace) []Given[T] {
-	var out []Given[T]
+func (q *Queue[T]) GiveUp(now time.Time, p Pace) []GivenUp[T] {
+	var out []GivenUp[T]
 	kept := q.entries[:0]
 	for _, e := range q.entries {
-		if reason := e.hopeless(now, len(kept), p); reason != Kept {
-			out = append(out, Given[T]{e, reason})
+		if reason := e.reject(now, len(kept), p); reason != Kept {
+			out = append(out, GivenUp[T]{e, reason})
 			continue
 		}
 		kept = append(kept, e)
@@ -184,8 +184,8 @@
 	)
 }
 
-// hopeless says why e, with ahead entries before it, should not wait.
-func (e *Entry[T]) hopeless(now time.Time, ahead int, p Pace) Reason {
+// reject says why e, with ahead entries before it, should not wait.
+func (e *Entry[T]) reject(now time.Time, ahead int, p Pace) Reason {
 	wait := p.wait(ahead)
 	if now.Add(wait + p.Service).After(e.Deadline) {
 		return TooLate
