--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -65,4 +65,8 @@
 done
 # 66 upstreams, 3 slots, 1% of slot time, 6 ms a probe: 5 a second each.
 echo "probes: $probes; the budget allows $((66 * 5)) a second over all entry hosts"
+stop
+pids=()
+echo "--- what one entry host adds to a request, direct and through it by turns"
+scripts/bench-wire.sh --rounds 3 --shares 0.1 --idle 0
 echo "logs: $out"
