Check an entry host's settings without starting it

Cause: operators could check a document, but not the settings of a host; a wrong key file showed only at a start. Ruled out: validating the flags alone, which leaves the files unread. Before: no command. After: spindled check-config reads the files of every role and opens no socket (its test holds the port); each refusal exits with 1. Conclusion: the settings fail closed before and at a start.

--- a/cmd/spindled/main.go
+++ b/cmd/spindled/main.go
@@ -34,19 +34,44 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := settings.FromProcess(cmd.Flags()); err != nil {
-				return err
-			}
-			if err := conf.Validate(); err != nil {
+			if err := load(cmd, &conf); err != nil {
 				return err
 			}
 			return run(cmd, conf)
 		},
 	}
-	conf.Register(cmd.Flags())
+	conf.Register(cmd.PersistentFlags())
+	cmd.AddCommand(newCheckCommand(&conf))
 	return cmd
 }
 
+// newCheckCommand checks the settings as a start would, and opens no socket.
+func newCheckCommand(conf *settings.Entry) *cobra.Command {
+	return &cobra.Command{
+		Use:   "check-config",
+		Short: "Check the settings, with their key files, and end",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := load(cmd, conf); err != nil {
+				return err
+			}
+			if err := entry.Check(*conf, cmd.OutOrStdout()); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), "the settings are valid")
+			return err
+		},
+	}
+}
+
+// load takes the environment into the flags that were not given, and checks all.
+func load(cmd *cobra.Command, conf *settings.Entry) error {
+	if err := settings.FromProcess(cmd.Flags()); err != nil {
+		return err
+	}
+	return conf.Validate()
+}
+
 func run(cmd *cobra.Command, conf settings.Entry) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/cmd/spindled/main_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func checkConfig(args ...string) (string, error) {
+	var out bytes.Buffer
+	cmd := newCommand()
+	cmd.SetOut(&out)
+	cmd.SetArgs(append([]string{"check-config", "--failure-domain=hanoi", "--platform=http://127.0.0.1:7000"}, args...))
+	err := cmd.Execute()
+	return out.String(), err
+}
+
+// TestCheckConfigOpensNoSocket: the address to listen on is taken already.
+func TestCheckConfigOpensNoSocket(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	out, err := checkConfig("--listen", ln.Addr().String())
+	is.NoErr(err)
+	is.Equal(out, "the settings are valid\n")
+}
+
+func TestCheckConfigRefuses(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "not-a-key")
+	is.New(t).NoErr(os.WriteFile(file, []byte("nothing"), 0o600))
+	tests := []struct {
+		name string
+		args []string
+	}{
+		{"a setting", []string{"--listen=nowhere"}},
+		{"a flag that is not known", []string{"--no-such-flag"}},
+		{"a file that is no certificate", []string{
+			"--operator-tls-cert=" + file, "--operator-tls-key=" + file, "--operator-tls-ca=" + file}},
+		{"a file that holds no fleet key", []string{"--fleet-key-file=" + file}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := checkConfig(tt.args...)
+			is.New(t).True(err != nil)
+		})
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,6 +79,16 @@
 	return e, nil
 }
 
+// Check does what New does short of reaching out: the key files of every role
+// are read, and what is wrong with a certificate is logged to w.
+func Check(conf settings.Entry, w io.Writer) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	conf.Operators.TraceEndpoint = "" // a tracer would connect
+	_, err := New(ctx, conf, "", w)
+	return err
+}
+
 func (e *Entry) buildEvents(w io.Writer) error {
 	level, err := zerolog.ParseLevel(e.conf.LogLevel)
 	if err != nil {
