--- /dev/null
+++ b/cmd/spindled-platform/main.go
@@ -0,0 +1,21 @@
+// Command spindled-platform is the daemon of an entry host on the users'
+// platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/dapplespindle/dapplespindle/platform"
+)
+
+// version is set at link time.
+var version = "dev"
+
+func main() {
+	if err := platform.NewCommand(version).ExecuteContext(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, "spindled-platform:", err)
+		os.Exit(1)
+	}
+}
--- a/internal/entry/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -1,4 +1,4 @@
-package entry
+package admin
 
 import (
 	"net/http"
@@ -13,7 +13,7 @@
 func TestProfilesAreOffUnlessSet(t *testing.T) {
 	is := is.New(t)
 	for profiles, want := range map[bool]int{false: http.StatusNotFound, true: http.StatusOK} {
-		a := newAdmin("127.0.0.1:0", metrics.New(), profiles)
+		a := New(Config{Address: "127.0.0.1:0", Metrics: metrics.New(), Profiles: profiles})
 		w := httptest.NewRecorder()
 		a.server.Handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/debug/pprof/goroutine", nil))
 		is.Equal(w.Code, want)
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc/credentials"
 
+	"github.com/dapplespindle/dapplespindle/internal/admin"
 	"github.com/dapplespindle/dapplespindle/internal/configfeed"
 	"github.com/dapplespindle/dapplespindle/internal/execution"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
@@ -230,7 +231,7 @@
 		OnChange: e.control.configured,
 	})
 	e.loop.Every(heartbeatEvery, e.control.tick)
-	e.admin = newAdmin(e.conf.AdminListen, e.metrics, e.conf.AdminPprof)
+	e.admin = admin.New(admin.Config{Address: e.conf.AdminListen, Metrics: e.metrics, Profiles: e.conf.AdminPprof})
 	return nil
 }
 
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -44,7 +44,8 @@
 	publishing bool
 
 	ready     bool
-	readyBy   time.Time // serve without a peer's notices from then on
+	served    chan struct{} // closed when ready
+	readyBy   time.Time     // serve without a peer's notices from then on
 	nextTick  time.Time
 	watermark configsync.Watermark
 	fleet     uint64 // version of the membership that the shares reflect
@@ -65,6 +66,7 @@
 		published: new(operator.Published),
 		revisions: make(map[string]uint64),
 		started:   time.Now(),
+		served:    make(chan struct{}),
 	}
 	c.readyBy = c.started.Add(e.conf.JoinTimeout)
 	c.snapshot.Store(new(lifecycle.Snapshot))
@@ -127,6 +129,7 @@
 	c.entry.proxy.SetTable(routing.Compile(c.config.Frontier, services(c.config), c.groups))
 	if !c.ready {
 		c.ready = true
+		close(c.served)
 		c.entry.emit(event.Event{Code: event.ProcessReady})
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/dapplespindle/dapplespindle/internal/admin"
 	"github.com/dapplespindle/dapplespindle/internal/configfeed"
 	"github.com/dapplespindle/dapplespindle/internal/control"
 	"github.com/dapplespindle/dapplespindle/internal/events"
@@ -56,7 +57,7 @@
 	client         *upstream.Client
 	proxy          *proxy.Proxy
 	server         *httpwire.Server
-	admin          *admin
+	admin          *admin.Server
 }
 
 // New assembles an entry host from checked settings. Logs go to w. The parts
@@ -126,7 +127,7 @@
 	}
 	defer e.close()
 	e.emit(event.Event{Code: event.ProcessStarted})
-	newStopper(e).run(ctx, signals)
+	e.newStopper().Run(ctx, signals)
 	return nil
 }
 
@@ -138,7 +139,7 @@
 		e.peerServer.Start,
 		e.operatorServer.Start,
 		e.members.Start,
-		e.admin.start,
+		e.admin.Start,
 		e.server.Start,
 	}
 	for _, step := range steps {
@@ -162,7 +163,7 @@
 	e.peerServer.Stop()
 	e.pool.Close()
 	e.client.Stop()
-	e.admin.stop()
+	e.admin.Stop()
 	e.tracer.Stop(ctx)
 }
 
--- /dev/null
+++ b/internal/gateway/asker.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/internal/proxy"
+	"github.com/dapplespindle/dapplespindle/internal/upstream"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/routing"
+)
+
+// askTimeout bounds asking one upstream. The farthest is a few milliseconds
+// away; one that takes longer is not worth waiting for.
+const askTimeout = 25 * time.Millisecond
+
+// asker implements proxy.Asker over the upstreams' health path.
+type asker struct {
+	client  *upstream.Client
+	dialect *proxy.Dialect
+	events  event.Sink
+}
+
+// Ask implements proxy.Asker.
+func (a *asker) Ask(ctx context.Context, group *routing.Group, upstreams []*balancer.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var others sync.WaitGroup
+	for _, u := range upstreams[1:] {
+		others.Go(func() { a.ask(ctx, group, u) })
+	}
+	a.ask(ctx, group, upstreams[0])
+	others.Wait()
+}
+
+// ask records what one upstream says of its load.
+func (a *asker) ask(ctx context.Context, group *routing.Group, u *balancer.Upstream) {
+	sent := time.Now()
+	resp, err := a.client.Do(ctx, u.Address, &httpwire.Request{
+		Method: http.MethodGet,
+		Target: group.Config.HealthPath,
+		Path:   group.Config.HealthPath,
+		Host:   upstream.HostOf(u.Address),
+		Header: http.Header{},
+	})
+	now := time.Now()
+	feedback := balancer.Feedback{Now: now, Latency: now.Sub(sent)}
+	switch {
+	case err != nil:
+		feedback.Outcome = balancer.Failed
+		a.events.Emit(event.Event{Code: event.ProbeFailed, Service: group.Config.Registered, Upstream: u.ID,
+			Reason: err.Kind.String(), Detail: err.Error(), Value: int64(now.Sub(sent))})
+	case resp.Status != http.StatusOK:
+		feedback.Outcome = balancer.Failed
+		a.events.Emit(event.Event{Code: event.ProbeFailed, Service: group.Config.Registered, Upstream: u.ID,
+			Reason: "unhealthy", Value: int64(now.Sub(sent))})
+	default:
+		feedback.Report = a.dialect.Load(resp.Header)
+	}
+	balancer.FinishProbe(group.Picker, u, feedback)
+}
--- /dev/null
+++ b/internal/gateway/control.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/internal/source"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+	"github.com/dapplespindle/dapplespindle/pkg/registered"
+	"github.com/dapplespindle/dapplespindle/pkg/routing"
+)
+
+const (
+	// tickEvery is how often unreachable and vanished upstreams are looked at.
+	tickEvery = 500 * time.Millisecond
+	// returnGrace is how long a vanished entry is kept after the store came back:
+	// living upstreams register again within about two seconds.
+	returnGrace = 2300 * time.Millisecond
+	// forgetAfter is how long the ids of upstreams that are gone are remembered.
+	forgetAfter = 10 * time.Minute
+)
+
+// controller owns the configuration in force and the registered upstreams. Its
+// methods run on the control goroutine, but for those in upstreams.go.
+type controller struct {
+	gateway  *Gateway
+	config   *config.Configuration // in force; nil before the first
+	set      *registered.Set
+	listed   bool // the upstreams were read once
+	registry *lifecycle.Registry
+	revision uint64 // counts the listings given to registry
+	pools    *pools
+	snapshot atomic.Pointer[lifecycle.Snapshot]
+	served   chan struct{} // closed when the host may serve
+	ready    bool
+}
+
+func newController(g *Gateway) *controller {
+	c := &controller{
+		gateway:  g,
+		set:      registered.NewSet(registered.Config{ReturnGrace: returnGrace, Forget: forgetAfter}),
+		registry: lifecycle.NewRegistry(lifecycle.DefaultConfig(), g.sink),
+		pools:    newPools(g.conf.FailureDomain),
+		served:   make(chan struct{}),
+	}
+	c.snapshot.Store(new(lifecycle.Snapshot))
+	return c
+}
+
+// read takes in everything that is published.
+func (c *controller) read(s *source.State) {
+	c.gateway.emit(event.Event{Code: event.UpstreamsRead, Value: int64(len(s.Upstreams))})
+	c.set.Replace(time.Now(), s.Upstreams, s.Revision)
+	c.listed = true
+	fresh := c.configure(s.Configuration)
+	c.publish(fresh)
+}
+
+// changed takes in what has changed, and puts it in force at once.
+func (c *controller) changed(changes *source.Changes) {
+	now := time.Now()
+	for _, e := range changes.Events {
+		if e.Upstream == nil {
+			c.set.Remove(now, e.Removed, e.Revision)
+			continue
+		}
+		c.gateway.emit(event.Event{Code: event.UpstreamRegistered, Service: e.Upstream.Service,
+			Upstream: e.Upstream.ID, Reason: stateName(e.Upstream), Value: int64(e.Revision)})
+		c.set.Put(*e.Upstream)
+	}
+	fresh := false
+	for _, newer := range changes.Configurations {
+		fresh = c.configure(newer) || fresh
+	}
+	c.publish(fresh)
+}
+
+func stateName(u *registered.Upstream) string {
+	if u.Draining {
+		return "draining"
+	}
+	return "ready"
+}
+
+// returned is told that the store answers again.
+func (c *controller) returned() { c.set.Returned(time.Now()) }
+
+// configure takes a configuration in if it is newer than the one in force.
+func (c *controller) configure(next *config.Configuration) bool {
+	if next == nil {
+		return false
+	}
+	if c.config != nil && next.Version <= c.config.Version {
+		if next.Version < c.config.Version {
+			c.gateway.emit(event.Event{Code: event.ConfigurationOld, Value: int64(next.Version)})
+		}
+		return false
+	}
+	c.config = next
+	return true
+}
+
+// tick looks after what only time changes.
+func (c *controller) tick(now time.Time) {
+	c.set.Tick(now)
+	c.registry.Tick(now)
+	c.publish(false)
+}
+
+// publish hands what has changed to the traffic goroutines: the lifecycle
+// first, then the pickers that reflect it, then the routes that lead to them.
+func (c *controller) publish(configured bool) {
+	c.relist()
+	if s, _ := c.registry.Flush(); s != nil {
+		c.snapshot.Store(s)
+	}
+	c.pools.lifecycle = c.snapshot.Load()
+	for _, service := range c.pools.refresh(c.set, c.gateway.client.Forget) {
+		c.republish(service)
+	}
+	if configured {
+		c.enforce()
+	}
+	if !c.ready && c.config != nil && c.listed {
+		c.ready = true
+		close(c.served)
+		c.gateway.emit(event.Event{Code: event.ProcessReady})
+	}
+}
+
+// relist tells the registry of the services whose entries changed.
+func (c *controller) relist() {
+	now := time.Now()
+	for _, service := range c.set.Changed() {
+		c.revision++
+		var listings []lifecycle.Listing
+		for _, u := range c.set.Of(service) {
+			listings = append(listings, lifecycle.Listing{Upstream: u.ID, Draining: u.Draining})
+		}
+		c.registry.Configure(now, service, c.revision, listings)
+	}
+}
+
+// republish replaces the picker of a service in the table in force.
+func (c *controller) republish(service string) {
+	if c.config == nil {
+		return
+	}
+	for _, s := range c.config.Services {
+		for i := range s.Groups {
+			if s.Groups[i].Registered == service {
+				c.gateway.proxy.SetGroup(s, c.pools.Group(s, &s.Groups[i]))
+				return
+			}
+		}
+	}
+}
+
+// enforce puts the newest configuration in force.
+func (c *controller) enforce() {
+	c.gateway.proxy.SetTable(routing.Compile(c.config.Version, c.config.Services, c.pools))
+	if l := c.config.Callers; l != nil {
+		c.gateway.server.SetLimits(httpwire.Limits{
+			HeadBytes:   l.HeadBytes,
+			BodyBytes:   min(l.BodyBytes, maxRequestBytes),
+			HeadTimeout: l.HeadTimeout,
+			IdleTimeout: l.IdleTimeout,
+		})
+	}
+	c.gateway.emit(event.Event{Code: event.ConfigurationInForce, Value: int64(c.config.Version)})
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,225 @@
+// Package gateway assembles an entry host that takes everything it knows from
+// one store: the operators' configuration and the upstreams that register
+// themselves. It has no peers; each host follows the store by itself.
+//
+// internal/entry assembles the entry host of the product's own platform, whose
+// hosts tell one another what they know.
+package gateway
+
+import (
+	"context"
+	"io"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/dapplespindle/dapplespindle/internal/admin"
+	"github.com/dapplespindle/dapplespindle/internal/control"
+	"github.com/dapplespindle/dapplespindle/internal/events"
+	"github.com/dapplespindle/dapplespindle/internal/hoststop"
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/internal/logging"
+	"github.com/dapplespindle/dapplespindle/internal/metrics"
+	"github.com/dapplespindle/dapplespindle/internal/proxy"
+	"github.com/dapplespindle/dapplespindle/internal/source"
+	"github.com/dapplespindle/dapplespindle/internal/upstream"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+)
+
+// Gateway is one entry host. New builds its parts; Run starts and stops them.
+type Gateway struct {
+	conf    Settings
+	sink    event.Sink
+	metrics *metrics.Sink
+
+	loop     *control.Loop
+	control  *controller
+	follower *source.Follower
+	client   *upstream.Client
+	proxy    *proxy.Proxy
+	server   *httpwire.Server
+	ready    *admin.Server
+	figures  *admin.Server // nil without metrics
+}
+
+// New assembles an entry host from checked settings. Logs go to w.
+func New(conf Settings, store source.Store, dialect *proxy.Dialect, w io.Writer) (*Gateway, error) {
+	g := &Gateway{conf: conf, loop: control.NewLoop()}
+	if err := g.buildEvents(w); err != nil {
+		return nil, err
+	}
+	g.buildCallPath(dialect)
+	g.buildControl(store)
+	g.ready = admin.New(admin.Config{Address: conf.ReadyListen, ReadyPath: conf.ReadyPath})
+	if conf.MetricsListen != "" {
+		g.figures = admin.New(admin.Config{Address: conf.MetricsListen, Metrics: g.metrics})
+	}
+	return g, nil
+}
+
+func (g *Gateway) buildEvents(w io.Writer) error {
+	level, err := zerolog.ParseLevel(g.conf.LogLevel)
+	if err != nil {
+		return err
+	}
+	g.metrics = metrics.New()
+	g.sink = hostSink{g.conf.Host, events.Fanout{logging.New(w, level), g.metrics}}
+	logging.CaptureLibrary(g.sink)
+	return nil
+}
+
+// hostSink adds this host's name to events.
+type hostSink struct {
+	host string
+	next event.Sink
+}
+
+// Emit implements event.Sink.
+func (s hostSink) Emit(e event.Event) {
+	e.EntryHost = s.host
+	if e.At.IsZero() {
+		e.At = time.Now()
+	}
+	s.next.Emit(e)
+}
+
+// Bounds of the call path.
+const (
+	// dialTimeout bounds a connection to an upstream: round trips are below 10 ms,
+	// and a host that does not answer by then is down or cut off.
+	dialTimeout = 250 * time.Millisecond
+	// maxAnswerBytes bounds an upstream's answer.
+	maxAnswerBytes = 16 << 20
+	// maxRequestBytes bounds a request's body unless the configuration says less.
+	maxRequestBytes = 64 << 20
+	// connectionsPerUpstream bounds this host's connections to one upstream. It
+	// serves few requests at once, and many hosts share its bound.
+	connectionsPerUpstream = 12
+	// upstreamIdle closes a connection that carried no request for that long.
+	upstreamIdle = 20 * time.Second
+	// bodyTimeout bounds receiving a request body.
+	bodyTimeout = 20 * time.Second
+)
+
+func (g *Gateway) buildCallPath(dialect *proxy.Dialect) {
+	g.control = newController(g)
+	g.client = upstream.New(upstream.Config{
+		DialTimeout:      dialTimeout,
+		IdleTimeout:      upstreamIdle,
+		MaxConnections:   connectionsPerUpstream,
+		MaxResponseBytes: maxAnswerBytes,
+		Mine:             dialect.Mine,
+	})
+	g.proxy = proxy.New(g.conf.Host, strconv.FormatInt(time.Now().UnixNano(), 36), g.client, g.sink,
+		proxy.WithDialect(dialect),
+		proxy.WithAsker(&asker{client: g.client, dialect: dialect, events: g.sink}),
+		proxy.WithUpstreams(g.control),
+		proxy.WithSharedBudget(g.retryPercent(), g.retryReserve()),
+	)
+	g.server = httpwire.NewServer(httpwire.ServerConfig{
+		Address:      g.conf.Listen,
+		MaxBodyBytes: maxRequestBytes,
+		BodyTimeout:  bodyTimeout,
+		Handler:      g.proxy,
+		Refuse:       g.proxy.RefuseUnread,
+	})
+}
+
+const (
+	// retryUse is the part of the fleet's retry budget that is used: requests are
+	// counted here when they are first sent, there when callers send them.
+	retryUse = 0.85
+	// maxEntryHosts is the number of hosts among which the fixed part of the
+	// budget is divided; how many there are is not known.
+	maxEntryHosts = 40
+	// percent is the whole of a percentage.
+	percent = 100
+)
+
+func (g *Gateway) retryPercent() float64 { return g.conf.RetryBudgetRatio * retryUse * percent }
+
+func (g *Gateway) retryReserve() float64 {
+	return max(g.conf.RetryBudgetExtra/maxEntryHosts, 1)
+}
+
+// Times of following the store.
+const (
+	watchWait    = 30 * time.Second // the most that the platforms known allow
+	readTimeout  = 2 * time.Second
+	aliveEvery   = 1500 * time.Millisecond
+	aliveTimeout = 700 * time.Millisecond
+	settle       = 150 * time.Millisecond
+	retryMin     = 150 * time.Millisecond
+	retryMax     = 600 * time.Millisecond
+)
+
+func (g *Gateway) buildControl(store source.Store) {
+	g.follower = source.NewFollower(source.Config{
+		Store:        store,
+		Read:         func(s *source.State) { g.loop.Post(func() { g.control.read(s) }) },
+		Changed:      func(c *source.Changes) { g.loop.Post(func() { g.control.changed(c) }) },
+		Returned:     func() { g.loop.Post(g.control.returned) },
+		Events:       g.sink,
+		WatchWait:    watchWait,
+		ReadTimeout:  readTimeout,
+		AliveEvery:   aliveEvery,
+		AliveTimeout: aliveTimeout,
+		Settle:       settle,
+		RetryMin:     retryMin,
+		RetryMax:     retryMax,
+	})
+	g.loop.Every(tickEvery, g.control.tick)
+}
+
+// Run serves until a planned stop is over. A first signal begins the stop, a
+// second one ends it at once.
+func (g *Gateway) Run(ctx context.Context, signals <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := g.start(ctx); err != nil {
+		return err
+	}
+	g.emit(event.Event{Code: event.ProcessStarted})
+	hoststop.New(hoststop.Config{
+		Times:    g.stopTimes(),
+		Server:   g.server,
+		Ready:    g.control.served,
+		SetReady: g.ready.SetReady,
+		Emit:     g.emit,
+	}).Run(ctx, signals)
+	return nil
+}
+
+const (
+	// acceptWhileStopping is how long a stopping host takes new connections: the
+	// platform's balancer asks each second and believes two answers in a row.
+	acceptWhileStopping = 2800 * time.Millisecond
+	// stopMargin is the time before the end of a stop in which the process ends.
+	stopMargin = 150 * time.Millisecond
+)
+
+func (g *Gateway) stopTimes() lifecycle.HostConfig {
+	deadline := g.conf.StopWithin - stopMargin
+	return lifecycle.HostConfig{Grace: min(acceptWhileStopping, deadline/2), Deadline: deadline}
+}
+
+// start opens the sockets. What callers reach comes last.
+func (g *Gateway) start(ctx context.Context) error {
+	go g.loop.Run(ctx)
+	steps := []func() error{g.client.Start, g.ready.Start, g.server.Start}
+	if g.figures != nil {
+		steps = append(steps, g.figures.Start)
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	go g.follower.Run(ctx)
+	return nil
+}
+
+func (g *Gateway) emit(e event.Event) { g.sink.Emit(e) }
--- /dev/null
+++ b/internal/gateway/pools.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"github.com/dapplespindle/dapplespindle/internal/upstream"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer/probefirst"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer/registry"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+	"github.com/dapplespindle/dapplespindle/pkg/registered"
+	"github.com/dapplespindle/dapplespindle/pkg/routing"
+)
+
+// pool is what outlives snapshots of one registered service: the policy and
+// the records of its upstreams.
+type pool struct {
+	policyName string
+	policy     balancer.Policy
+	picker     balancer.Picker
+	records    map[string]*balancer.Upstream
+	// lifecycle is the version of the service's views that picker reflects.
+	lifecycle uint64
+}
+
+// pools implements routing.Groups for registered services. It belongs to the
+// control goroutine.
+type pools struct {
+	options   balancer.Options
+	lifecycle *lifecycle.Snapshot
+	services  map[string]*pool
+}
+
+func newPools(failureDomain string) *pools {
+	return &pools{
+		options:   balancer.Options{FailureDomain: failureDomain},
+		lifecycle: new(lifecycle.Snapshot),
+		services:  make(map[string]*pool),
+	}
+}
+
+// pool returns the pool of a service and makes it if it is new.
+func (p *pools) pool(service string) *pool {
+	pl := p.services[service]
+	if pl == nil {
+		pl = &pool{records: make(map[string]*balancer.Upstream)}
+		pl.setPolicy(probefirst.Name, p.options)
+		p.services[service] = pl
+	}
+	return pl
+}
+
+// setPolicy builds a policy by its name; one that this version does not know
+// falls back to the default.
+func (pl *pool) setPolicy(name string, o balancer.Options) {
+	b, err := registry.Lookup(name)
+	if err != nil {
+		b = probefirst.Builder{}
+	}
+	pl.policyName = name
+	pl.policy = b.Build(o)
+	pl.picker = pl.policy.Update(nil)
+	pl.lifecycle = 0
+}
+
+// Group implements routing.Groups.
+func (p *pools) Group(_ *config.Service, g *config.Group) *routing.Group {
+	pl := p.pool(g.Registered)
+	if pl.policyName != g.Policy {
+		pl.setPolicy(g.Policy, p.options)
+		pl.rebuild(g.Registered, p.lifecycle)
+	}
+	return &routing.Group{Config: g, Picker: pl.picker, Lifecycle: p.lifecycle.Version}
+}
+
+// refresh brings the pools in line with the lifecycle. It returns the services
+// whose pickers changed, and calls forget for the addresses of upstreams that
+// are gone.
+func (p *pools) refresh(set *registered.Set, forget func(address string)) []string {
+	var changed []string
+	for _, service := range p.lifecycle.Services() {
+		p.pool(service)
+	}
+	for service, pl := range p.services {
+		if pl.lifecycle == p.lifecycle.ServiceVersion(service) {
+			continue
+		}
+		pl.refresh(set.Of(service), forget)
+		pl.rebuild(service, p.lifecycle)
+		changed = append(changed, service)
+	}
+	return changed
+}
+
+// refresh makes records for new upstreams and forgets those that are gone.
+func (pl *pool) refresh(list []registered.Upstream, forget func(string)) {
+	known := make(map[string]*balancer.Upstream, len(list))
+	for _, entry := range list {
+		u := pl.records[entry.ID]
+		if u == nil || u.Address != upstream.InstanceTarget(entry.ID, entry.Address) {
+			u = newRecord(entry)
+		}
+		known[entry.ID] = u
+	}
+	for id, u := range pl.records {
+		if known[id] != u {
+			forget(u.Address)
+		}
+	}
+	pl.records = known
+}
+
+func newRecord(entry registered.Upstream) *balancer.Upstream {
+	u := &balancer.Upstream{
+		ID:            entry.ID,
+		Address:       upstream.InstanceTarget(entry.ID, entry.Address),
+		FailureDomain: entry.FailureDomain,
+		Slots:         entry.Slots,
+	}
+	if entry.ColdFor > 0 {
+		u.Added = entry.Seen
+		u.ColdUntil = entry.Seen.Add(entry.ColdFor)
+	}
+	return u
+}
+
+// rebuild makes the picker anew of those that take requests; those that can't
+// be reached only if there are no others.
+func (pl *pool) rebuild(service string, s *lifecycle.Snapshot) {
+	var reachable, unreachable []*balancer.Upstream
+	for id, u := range pl.records {
+		view, _ := s.View(lifecycle.UpstreamKey{Service: service, Upstream: id})
+		switch {
+		case !view.Takes:
+		case view.Unreachable:
+			unreachable = append(unreachable, u)
+		default:
+			reachable = append(reachable, u)
+		}
+	}
+	if len(reachable) == 0 {
+		reachable = unreachable
+	}
+	pl.picker = pl.policy.Update(reachable)
+	pl.lifecycle = s.ServiceVersion(service)
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+)
+
+// Settings are what an entry host needs to know when it starts.
+type Settings struct {
+	// Host is this host's IP, for events.
+	Host string
+	// FailureDomain is where this host runs.
+	FailureDomain string
+	// Listen is the IP:port for callers.
+	Listen string
+	// ReadyListen is the IP:port where readiness is asked.
+	ReadyListen string
+	// ReadyPath is the path of readiness; empty is the product's own.
+	ReadyPath string
+	// MetricsListen is the IP:port for metrics; empty serves none.
+	MetricsListen string
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+	// StopWithin is the time after a signal in which the process must have ended.
+	StopWithin time.Duration
+	// RetryBudgetRatio bounds the sends beyond the first to a service, over all
+	// entry hosts, as a share of its requests.
+	RetryBudgetRatio float64
+	// RetryBudgetExtra is what may be added to that, over all entry hosts, in sends.
+	RetryBudgetExtra float64
+}
+
+// Validate reports the first setting that is wrong.
+func (s *Settings) Validate() error {
+	addresses := []struct{ name, value string }{
+		{"listen", s.Listen},
+		{"ready-listen", s.ReadyListen},
+	}
+	if s.MetricsListen != "" {
+		addresses = append(addresses, struct{ name, value string }{"metrics-listen", s.MetricsListen})
+	}
+	for _, a := range addresses {
+		if ap, err := netip.ParseAddrPort(a.value); err != nil || ap.Port() == 0 {
+			return errors.Newf("%s: %q is not IP:port", a.name, a.value)
+		}
+	}
+	if s.FailureDomain == "" {
+		return errors.New("failure-domain: is empty; set it to where this host runs")
+	}
+	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil {
+		return errors.Newf("log-level: %q is not debug, info, warn or error", s.LogLevel)
+	}
+	if s.StopWithin <= minStop {
+		return errors.Newf("stop-within: %s is not above %s", s.StopWithin, minStop)
+	}
+	if s.RetryBudgetRatio < 0 || s.RetryBudgetRatio > 1 {
+		return errors.Newf("retry-budget-ratio: %v is outside 0 to 1", s.RetryBudgetRatio)
+	}
+	if s.RetryBudgetExtra < 0 {
+		return errors.Newf("retry-budget-extra: %v is negative", s.RetryBudgetExtra)
+	}
+	return nil
+}
+
+// minStop is the shortest planned stop that can be carried out.
+const minStop = time.Second
--- /dev/null
+++ b/internal/gateway/upstreams.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+)
+
+// The methods in this file implement proxy.Upstreams. Traffic goroutines call
+// them; news goes to the control goroutine over its queue.
+
+// Snapshot implements proxy.Upstreams.
+func (c *controller) Snapshot() *lifecycle.Snapshot { return c.snapshot.Load() }
+
+// Leaving implements proxy.Upstreams.
+func (c *controller) Leaving(k lifecycle.UpstreamKey, activation uint64) {
+	if !c.snapshot.Load().Takes(k) {
+		return
+	}
+	c.gateway.loop.Post(func() {
+		c.registry.Refused(time.Now(), k, activation)
+		c.publish(false)
+	})
+}
+
+// ConnectFailed implements proxy.Upstreams.
+func (c *controller) ConnectFailed(k lifecycle.UpstreamKey) {
+	c.gateway.loop.Post(func() {
+		c.registry.ConnectFailed(time.Now(), k)
+		c.publish(false)
+	})
+}
+
+// Reached implements proxy.Upstreams.
+func (c *controller) Reached(k lifecycle.UpstreamKey) {
+	c.gateway.loop.Post(func() {
+		c.registry.Reached(time.Now(), k)
+		c.publish(false)
+	})
+}
+
+// Reported implements proxy.Upstreams.
+func (c *controller) Reported(string, time.Time) {}
+
+// Waking implements proxy.Upstreams. What a paused process missed it learns
+// from the store, which it follows by itself.
+func (c *controller) Waking() bool { return false }
--- a/internal/httpwire/config.go
+++ b/internal/httpwire/config.go
@@ -6,7 +6,6 @@
 	"crypto/tls"
 	"time"
 
-	"github.com/dapplespindle/dapplespindle/internal/httpwire/framing"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 )
 
@@ -79,10 +78,6 @@
 	return c
 }
 
-func (c *ServerConfig) limits() framing.Limits {
-	return framing.Limits{HeadBytes: c.MaxHeadBytes, BodyBytes: c.MaxBodyBytes}
-}
-
 // plainRefusal answers with the kind's entry in the error table.
 func plainRefusal(_ string, err *errkind.Error) *Response {
 	answer := err.Kind.Answer()
--- a/internal/httpwire/framing/framing.go
+++ b/internal/httpwire/framing/framing.go
@@ -56,6 +56,11 @@
 	ContentLength int64
 	// Chunked is true when the body is chunked.
 	Chunked bool
+	// UntilClose is true when the body of an answer ends with the connection.
+	UntilClose bool
+	// KeepAliveFor is the idle time that the other side announces, in seconds; 0
+	// if it announces none.
+	KeepAliveFor int
 	// Close and KeepAlive are the options of the Connection header.
 	Close, KeepAlive bool
 	// ExpectContinue is true when the sender waits for 100 Continue.
@@ -66,6 +71,9 @@
 
 // Persistent reports whether the connection may carry another message.
 func (h *Head) Persistent() bool {
+	if h.UntilClose {
+		return false
+	}
 	if h.Minor == 0 {
 		return h.KeepAlive && !h.Close
 	}
--- a/internal/httpwire/framing/header.go
+++ b/internal/httpwire/framing/header.go
@@ -1,6 +1,9 @@
 package framing
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+)
 
 // header checks one header line and notes what concerns framing.
 func (s *Scanner) header(line []byte, at span) *Error {
@@ -23,6 +26,8 @@
 		s.hidden = append(s.hidden, at)
 	case equalFold(name, "connection"):
 		s.connection(value)
+	case equalFold(name, "keep-alive"):
+		s.head.KeepAliveFor = keepAliveTimeout(value)
 	case s.kind != kindRequest:
 	case equalFold(name, "host"):
 		return s.host(value)
@@ -100,3 +105,18 @@
 	s.head.ExpectContinue = s.head.Minor == 1
 	return nil
 }
+
+// keepAliveTimeout returns the whole seconds of "timeout=N", or 0. The value is
+// advice: what can't be read is ignored.
+func keepAliveTimeout(value []byte) int {
+	for part := range bytes.SplitSeq(value, []byte(",")) {
+		name, number, ok := bytes.Cut(bytes.Trim(part, " \t"), []byte("="))
+		if !ok || !equalFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(string(number)); err == nil && seconds > 0 {
+			return seconds
+		}
+	}
+	return 0
+}
--- a/internal/httpwire/framing/scanner.go
+++ b/internal/httpwire/framing/scanner.go
@@ -12,6 +12,7 @@
 	stageChunkSize
 	stageChunkData
 	stageTrailer
+	stageUntilClose
 	stageDone
 )
 
@@ -110,6 +111,8 @@
 		return s.chunkLine(buf)
 	case stageChunkData:
 		return s.chunkData(buf)
+	case stageUntilClose:
+		return false, s.untilClose(buf)
 	default:
 		return s.trailerLine(buf)
 	}
@@ -176,7 +179,11 @@
 	case s.head.ContentLength > 0:
 		s.stage = stageSized
 	case s.head.ContentLength < 0 && s.kind != kindRequest:
-		return malformed("answer whose end is not declared")
+		if s.head.Minor == 1 && s.head.KeepAlive {
+			return malformed("answer whose end is not declared")
+		}
+		s.head.UntilClose = true
+		s.stage = stageUntilClose
 	default:
 		s.stage = stageDone
 	}
@@ -198,6 +205,26 @@
 	return nil
 }
 
+// untilClose takes all that comes; Closed tells the end.
+func (s *Scanner) untilClose(buf []byte) *Error {
+	s.pos = len(buf)
+	s.body = len(buf) - s.head.Bytes
+	if s.body > s.limits.BodyBytes {
+		return &Error{BodyTooLarge, "body without a length over the limit"}
+	}
+	return nil
+}
+
+// Closed tells s that the other side has ended the connection in order. It
+// reports whether that completes the message.
+func (s *Scanner) Closed() bool {
+	if s.stage != stageUntilClose {
+		return false
+	}
+	s.stage = stageDone
+	return true
+}
+
 // sizedBody moves to the end of a body of declared length.
 func (s *Scanner) sizedBody(buf []byte) bool {
 	end := s.head.Bytes + int(s.head.ContentLength)
--- a/internal/httpwire/guard.go
+++ b/internal/httpwire/guard.go
@@ -43,7 +43,7 @@
 	switch {
 	case !c.scanner.HeadDone() && c.state == connIdle:
 		c.state = connHead
-		c.alarm.set(time.Now(), conf.HeadTimeout, c.onAlarm)
+		c.alarm.set(time.Now(), c.server.limits.Load().HeadTimeout, c.onAlarm)
 	case c.scanner.HeadDone() && c.state != connBody:
 		c.state = connBody
 		c.alarm.set(time.Now(), conf.BodyTimeout, c.onAlarm)
@@ -75,7 +75,7 @@
 		c.refuse(errkind.Wrap(errkind.BadRequest, err, "request"))
 		return
 	}
-	c.scanner.ResetRequest(c.server.conf.limits())
+	c.scanner.ResetRequest(c.server.limits.Load().framing())
 	c.server.workers.start(job{conn: c, req: req})
 }
 
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -11,6 +11,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"github.com/dapplespindle/dapplespindle/internal/httpwire/framing"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire/socket"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 )
@@ -22,6 +23,7 @@
 	listener *listener
 	inFlight atomic.Int64
 	stopping atomic.Bool
+	limits   atomic.Pointer[Limits]
 	workers  workers
 
 	mu    sync.Mutex
@@ -32,11 +34,34 @@
 // which answer before they close.
 const never = 100 * 365 * 24 * time.Hour
 
+// Limits bounds what one caller may send. It can change while the server runs.
+type Limits struct {
+	// HeadBytes and BodyBytes bound a request, in bytes.
+	HeadBytes, BodyBytes int
+	// HeadTimeout bounds the time from the first byte of a head to its last.
+	HeadTimeout time.Duration
+	// IdleTimeout closes a connection without a request.
+	IdleTimeout time.Duration
+}
+
+func (l *Limits) framing() framing.Limits {
+	return framing.Limits{HeadBytes: l.HeadBytes, BodyBytes: l.BodyBytes}
+}
+
+// SetLimits replaces the limits of the settings for what is received from now on.
+func (s *Server) SetLimits(l Limits) { s.limits.Store(&l) }
+
 // NewServer returns a server that is not yet listening.
 func NewServer(conf ServerConfig) *Server {
 	conf = conf.withDefaults()
 	s := &Server{conf: conf, conns: make(map[*serverConn]struct{})}
 	s.workers.serve = s.serve
+	s.SetLimits(Limits{
+		HeadBytes:   conf.MaxHeadBytes,
+		BodyBytes:   conf.MaxBodyBytes,
+		HeadTimeout: conf.HeadTimeout,
+		IdleTimeout: conf.IdleTimeout,
+	})
 	s.engine.Engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:            "callers",
 		Network:         "tcp",
--- a/internal/httpwire/serverconn.go
+++ b/internal/httpwire/serverconn.go
@@ -83,14 +83,14 @@
 		drained: make(chan struct{}, 1),
 	}
 	c.parser = nbhttp.NewParser(nc, s.engine.Engine, &c.gathering, false, nil)
-	c.scanner.ResetRequest(s.conf.limits())
+	c.scanner.ResetRequest(s.limits.Load().framing())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s.conf.TLS != nil {
 		c.awaitHandshake()
 		return c
 	}
-	c.alarm.set(time.Now(), s.conf.IdleTimeout, c.onAlarm)
+	c.alarm.set(time.Now(), s.limits.Load().IdleTimeout, c.onAlarm)
 	return c
 }
 
@@ -185,7 +185,7 @@
 		c.receive(held, true)
 		return
 	}
-	c.alarm.set(time.Now(), c.server.conf.IdleTimeout, c.onAlarm)
+	c.alarm.set(time.Now(), c.server.limits.Load().IdleTimeout, c.onAlarm)
 }
 
 // closeIfIdle closes the connection if no request is received or served on it.
--- a/internal/httpwire/tls.go
+++ b/internal/httpwire/tls.go
@@ -38,7 +38,7 @@
 	}
 	c.state = connIdle
 	c.secured = true
-	c.alarm.set(time.Now(), c.server.conf.IdleTimeout, c.onAlarm)
+	c.alarm.set(time.Now(), c.server.limits.Load().IdleTimeout, c.onAlarm)
 	return true
 }
 
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -14,6 +14,15 @@
 // answer passes an upstream's answer on. Where the upstream is itself an entry
 // host, its own word on the outcome stands.
 func (x *exchange) answer(r result) *httpwire.Response {
+	if x.proxy.dialect.Annotates {
+		x.annotate(r)
+	}
+	x.emit(event.Event{Code: event.RequestAnswered, Upstream: r.binding.upstream.ID, Attempt: r.binding.number, Value: int64(r.resp.Status)})
+	return r.resp
+}
+
+// annotate tells the caller what is known of the outcome.
+func (x *exchange) annotate(r result) {
 	h := r.resp.Header
 	if !declaresOutcome(h) {
 		h[HeaderOutcome] = ranValues
@@ -24,8 +33,6 @@
 	values := &[2]string{r.binding.upstream.ID, x.id}
 	h[HeaderUpstream] = values[0:1:1]
 	h[HeaderRequestID] = values[1:2:2]
-	x.emit(event.Event{Code: event.RequestAnswered, Upstream: r.binding.upstream.ID, Attempt: r.binding.number, Value: int64(r.resp.Status)})
-	return r.resp
 }
 
 // ranValues is the outcome of an answer that an upstream gave.
@@ -51,21 +58,28 @@
 	}
 	x.emit(event.Event{Code: code, Reason: answer.Name, Detail: err.Error(), Value: int64(answer.Status)})
 	h := http.Header{
-		"Content-Type":  {"text/plain; charset=utf-8"},
-		HeaderOutcome:   {answer.Outcome.String()},
-		HeaderError:     {answer.Name},
-		HeaderRequestID: {x.id},
+		"Content-Type":            {"text/plain; charset=utf-8"},
+		x.proxy.dialect.RequestID: {x.id},
+	}
+	if x.proxy.dialect.Annotates {
+		x.annotateRefusal(h, answer)
+	}
+	if answer.RetryAfter {
+		x.setRetryAfter(h)
 	}
+	return &httpwire.Response{Status: answer.Status, Header: h, Body: []byte(err.Error() + "\n")}
+}
+
+// annotateRefusal tells the caller what is known of a request that failed.
+func (x *exchange) annotateRefusal(h http.Header, answer errkind.Answer) {
+	h[HeaderOutcome] = []string{answer.Outcome.String()}
+	h[HeaderError] = []string{answer.Name}
 	if answer.Status == http.StatusServiceUnavailable && answer.Outcome == errkind.NotRun {
 		h[HeaderNotRun] = []string{flagSet}
 	}
 	if x.sent > 0 {
 		h[HeaderNoRetry] = []string{flagSet}
 	}
-	if answer.RetryAfter {
-		x.setRetryAfter(h)
-	}
-	return &httpwire.Response{Status: answer.Status, Header: h, Body: []byte(err.Error() + "\n")}
 }
 
 // certain names the failure for what the caller must know: a non-repeatable
@@ -83,7 +97,11 @@
 	if x.state != nil {
 		excess = x.state.group.excess.Ratio()
 	}
-	d := limit.RetryAfter(excess, x.proxy.random())
+	x.proxy.dialect.retryAfter(h, limit.RetryAfter(excess, x.proxy.random()))
+}
+
+// setOwnRetryAfter writes both of the product's headers.
+func setOwnRetryAfter(h http.Header, d time.Duration) {
 	h[HeaderRetryAfter] = []string{strconv.FormatInt(limit.RetryAfterSeconds(d), 10)}
 	h[HeaderRetryAfterMs] = []string{strconv.FormatInt(int64(d/time.Millisecond), 10)}
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,24 +48,24 @@
 	failed bool
 	// refused states that the upstream declared that it did not run the request.
 	refused bool
-	// load is the upstream's report of requests in flight, or noReport.
-	load int64
+	// load is the upstream's report.
+	load balancer.Report
 	// slots is the number of requests that the upstream serves at the same time.
 	slots int
 }
 
 // pressure is the reported load per slot, or 0 without a report.
 func (f feedback) pressure() float64 {
-	if f.load == noReport {
+	if !f.load.Valid {
 		return 0
 	}
-	return float64(f.load) / float64(max(f.slots, 1))
+	return float64(f.load.InFlight) / float64(max(f.slots, 1))
 }
 
 // balancer converts f. A deadline says nothing on the upstream: callers choose
 // theirs, and the policy sees the age of what is in flight.
 func (f feedback) balancer(now time.Time) balancer.Feedback {
-	out := balancer.Feedback{Now: now, Latency: f.latency}
+	out := balancer.Feedback{Now: now, Latency: f.latency, Report: f.load}
 	switch {
 	case f.failed:
 		out.Outcome = balancer.Failed
@@ -75,24 +74,23 @@
 	case f.outcome != limit.Answered:
 		out.Outcome = balancer.Cancelled
 	}
-	if f.load != noReport {
-		out.Report = balancer.Report{Valid: true, InFlight: int(f.load)}
-	}
 	return out
 }
 
 // pick chooses an upstream for send number n. The place in the limit must be
 // held already. The error is balancer.ErrNoSlot or balancer.ErrNoUpstream.
 // Waited is how long the request has been in the queue.
-func (x *exchange) pick(n int, waited time.Duration) (binding, error) {
+func (x *exchange) pick(ctx context.Context, n int, waited time.Duration) (binding, error) {
 	group := x.state.group.current.Load()
-	now := time.Now()
-	choice, err := group.Picker.Pick(balancer.PickInfo{
-		Now:     now,
+	info := balancer.PickInfo{
+		Now:     time.Now(),
 		Random:  x.proxy.random(),
 		Exclude: x.tried,
 		Waited:  waited,
-	})
+	}
+	x.ask(ctx, group, &info)
+	now := info.Now
+	choice, err := group.Picker.Pick(info)
 	if err != nil {
 		return binding{}, err
 	}
@@ -110,24 +108,24 @@
 func (x *exchange) send(ctx context.Context, b binding) result {
 	if !x.guard.begin(x.repeatable()) {
 		x.emit(event.Event{Code: event.NonRepeatableResend, Upstream: b.upstream.ID, Attempt: b.number})
-		x.done(b, feedback{outcome: limit.Ignored, load: noReport})
+		x.done(b, feedback{outcome: limit.Ignored})
 		return result{binding: b, err: errkind.New(errkind.Internal, "second send of a non-repeatable request")}
 	}
 	if err := x.clear(ctx, b); err != nil {
 		x.guard.end(err)
-		x.done(b, feedback{outcome: limit.Ignored, load: noReport})
+		x.done(b, feedback{outcome: limit.Ignored})
 		return result{binding: b, err: err}
 	}
-	req := x.attemptRequest(b.number)
+	req := x.attemptRequest(b)
 	start := time.Now()
 	resp, err := x.proxy.sender.Do(ctx, b.upstream.Address, req)
 	x.report(b, resp, err)
-	r := interpret(b, resp, err)
+	r := x.interpret(b, resp, err)
 	x.guard.end(r.err)
 	if r.err != nil && r.err.Kind.Answer().Outcome == errkind.NotRun {
 		execution.AfterNotRun(ctx)
 	}
-	x.done(b, feedbackOf(ctx, r, resp, time.Since(start)))
+	x.done(b, x.feedbackOf(ctx, r, resp, time.Since(start)))
 	return r
 }
 
@@ -155,23 +153,28 @@
 
 // interpret tells an upstream's declared refusal from its answers. A plain 503
 // is an answer: the upstream ran something.
-func interpret(b binding, resp *httpwire.Response, err *errkind.Error) result {
+func (x *exchange) interpret(b binding, resp *httpwire.Response, err *errkind.Error) result {
 	if err != nil {
 		return result{binding: b, err: err}
 	}
 	httpwire.RemoveHopByHop(resp.Header)
-	noRetry := resp.Header.Get(HeaderNoRetry) != ""
-	if resp.Status == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == flagSet {
-		err := errkind.New(errkind.UpstreamRefused, b.upstream.ID)
-		return result{binding: b, err: err, noRetry: noRetry}
+	d := x.proxy.dialect
+	r := result{binding: b, noRetry: resp.Header.Get(HeaderNoRetry) != ""}
+	if d.NotRun(resp.Status, resp.Header) {
+		r.err = errkind.New(errkind.UpstreamRefused, b.upstream.ID)
+		return r
 	}
-	return result{binding: b, resp: resp, noRetry: noRetry}
+	if r.err = d.fault(resp); r.err != nil {
+		return r
+	}
+	r.resp = resp
+	return r
 }
 
-func feedbackOf(ctx context.Context, r result, resp *httpwire.Response, latency time.Duration) feedback {
-	f := feedback{latency: latency, outcome: limit.Answered, load: noReport, slots: r.binding.upstream.Slots}
+func (x *exchange) feedbackOf(ctx context.Context, r result, resp *httpwire.Response, latency time.Duration) feedback {
+	f := feedback{latency: latency, outcome: limit.Answered, slots: r.binding.upstream.Slots}
 	if resp != nil {
-		f.load = loadReport(resp.Header)
+		f.load = x.proxy.dialect.Load(resp.Header)
 	}
 	switch {
 	case r.err == nil:
--- a/internal/proxy/deadline.go
+++ b/internal/proxy/deadline.go
@@ -14,7 +14,7 @@
 // caller's value that is not a positive number of milliseconds is ignored.
 func (x *exchange) limitDeadline() time.Time {
 	limit := x.rule.Config.Deadline.Std()
-	if value := x.req.Header.Get(HeaderTimeout); value != "" {
+	if value := x.req.Header.Get(x.proxy.dialect.Timeout); value != "" {
 		ms, err := strconv.ParseInt(value, 10, 64)
 		if err == nil && ms > 0 && ms < limit.Milliseconds() {
 			limit = time.Duration(ms) * time.Millisecond
--- /dev/null
+++ b/internal/proxy/dialect.go
@@ -0,0 +1,104 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+)
+
+// Dialect is how requests and answers are spoken: the names of headers and the
+// forms of their values. It decides nothing. All fields are set before the
+// proxy is built and not changed afterwards.
+type Dialect struct {
+	// RequestID is the header with the caller's request id.
+	RequestID string
+	// Timeout is the header with the time left, in milliseconds.
+	Timeout string
+	// Expect is the header that names the upstream which a request is for; any
+	// other refuses it. Empty is not sent.
+	Expect string
+	// Signature is the header without which a success is not the upstream's own
+	// answer. Empty is not asked for.
+	Signature string
+	// Echoes states that upstreams return the request id in their answers.
+	Echoes bool
+	// Annotates states that the product's own headers are sent: what the caller
+	// learns of the outcome, and what the layers below learn of the way.
+	Annotates bool
+	// FractionalRetryAfter writes Retry-After with fractions of a second.
+	FractionalRetryAfter bool
+	// Load reads the load report of an answer.
+	Load func(http.Header) balancer.Report
+	// NotRun reports whether an upstream declares that it did not run the request.
+	NotRun func(status int, h http.Header) bool
+}
+
+// OwnDialect is the product's own: docs/OVERLOAD.md.
+func OwnDialect() *Dialect {
+	return &Dialect{
+		RequestID: HeaderRequestID,
+		Timeout:   HeaderTimeout,
+		Annotates: true,
+		Load:      ownLoad,
+		NotRun: func(status int, h http.Header) bool {
+			return status == http.StatusServiceUnavailable && h.Get(HeaderNotRun) == flagSet
+		},
+	}
+}
+
+// WithDialect speaks d instead of the product's own dialect.
+func WithDialect(d *Dialect) Option { return func(p *Proxy) { p.dialect = d } }
+
+// promises are the statuses that tell a caller that the request did not run
+// and never will.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest,
+		http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// Mine reports whether an answer belongs to a request: a connection may carry
+// a late second answer to the request before.
+func (d *Dialect) Mine(req *httpwire.Request, h http.Header) bool {
+	if !d.Echoes {
+		return true
+	}
+	echo := h.Get(d.RequestID)
+	return echo == "" || echo == req.Header.Get(d.RequestID)
+}
+
+// fault returns why a whole answer can't be passed on, or nil. A success needs
+// the upstream's signature and a body as the upstream has it; a status that
+// promises "not run" needs the upstream's own word, which NotRun has read.
+func (d *Dialect) fault(resp *httpwire.Response) *errkind.Error {
+	if d.Signature == "" {
+		return nil
+	}
+	if resp.Header.Get("Content-Encoding") != "" {
+		return errkind.New(errkind.UpstreamBroken, "encoded body")
+	}
+	success := resp.Status < http.StatusMultipleChoices
+	if success && resp.Header.Get(d.Signature) == "" {
+		return errkind.New(errkind.UpstreamBroken, "success without signature")
+	}
+	if promises(resp.Status) {
+		return errkind.New(errkind.UpstreamBroken, "status "+strconv.Itoa(resp.Status)+" without a declaration that it was not run")
+	}
+	return nil
+}
+
+// retryAfter sets the time to come back.
+func (d *Dialect) retryAfter(h http.Header, wait time.Duration) {
+	if d.FractionalRetryAfter {
+		h[HeaderRetryAfter] = []string{strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)}
+		return
+	}
+	setOwnRetryAfter(h, wait)
+}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -56,7 +56,7 @@
 	if x.rule == nil {
 		return errkind.New(errkind.NoRoute, x.req.Path)
 	}
-	x.state = s.rules[x.rule]
+	x.state = s.rules[x.rule].next()
 	return nil
 }
 
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -9,6 +9,7 @@
 
 	"github.com/dapplespindle/dapplespindle/pkg/limit"
 	"github.com/dapplespindle/dapplespindle/pkg/queue"
+	"github.com/dapplespindle/dapplespindle/pkg/retry"
 	"github.com/dapplespindle/dapplespindle/pkg/routing"
 )
 
@@ -18,8 +19,12 @@
 // groupState is the limit and the queue of one group on this entry host. It
 // outlives snapshots and is safe for concurrent use.
 type groupState struct {
+	// owner is the service that the lifecycle knows the upstreams under.
+	owner   string
 	current currentGroup
-	limiter *limit.Limiter
+	limiter *limit.Limiter // nil without a limit
+	// budget is what all rules of a registered service share; else nil.
+	budget  *retry.Budget
 	service queue.ServiceTime
 	excess  limit.Excess
 	// waiting mirrors the queue's length, so that the usual case takes no lock.
@@ -33,8 +38,8 @@
 	queue *queue.Queue[*waiter]
 }
 
-func newGroupState(limiter *limit.Limiter, maxWaiting int) *groupState {
-	return &groupState{limiter: limiter, queue: queue.New[*waiter](maxWaiting)}
+func newGroupState(owner string, limiter *limit.Limiter, maxWaiting int) *groupState {
+	return &groupState{owner: owner, limiter: limiter, queue: queue.New[*waiter](maxWaiting)}
 }
 
 // configure takes a new snapshot of the group into use, on one of hosts entry
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 )
 
 // Headers that the entry host reads or sets. docs/OVERLOAD.md describes the
@@ -48,7 +49,7 @@
 
 // requestID returns the caller's id, or a new one.
 func (p *Proxy) requestID(req *httpwire.Request) string {
-	if id := req.Header.Get(HeaderRequestID); id != "" && len(id) <= maxRequestIDSize {
+	if id := req.Header.Get(p.dialect.RequestID); id != "" && len(id) <= maxRequestIDSize {
 		return id
 	}
 	return p.prefix + strconv.FormatUint(p.nextID.Add(1), 36)
@@ -61,8 +62,11 @@
 // end-to-end headers, such as traceparent, are carried on as they are. The
 // request belongs to the proxy, so that its map is used.
 func (x *exchange) prepareHeader() {
-	x.isRetry = arrivedAsRetry(x.req.Header)
 	httpwire.RemoveHopByHop(x.req.Header)
+	if !x.proxy.dialect.Annotates {
+		return
+	}
+	x.isRetry = arrivedAsRetry(x.req.Header)
 	h := x.req.Header
 	h[HeaderRequestID] = x.values.one(x.id)
 	if ip := callerIP(x.req.RemoteAddr); ip != "" {
@@ -83,11 +87,11 @@
 	return append(slices.Clip(old), value)
 }
 
-// attemptRequest returns the request for send number n. The first to be sent is
+// attemptRequest returns the request for one send. The first to be sent is
 // the caller's own, with its map; the next, which may run beside it, has a
 // copy. The lock orders the copy behind what is set in the map here; nothing
 // is set in it afterwards.
-func (x *exchange) attemptRequest(n int) *httpwire.Request {
+func (x *exchange) attemptRequest(b binding) *httpwire.Request {
 	x.sendMu.Lock()
 	defer x.sendMu.Unlock()
 	req := x.req
@@ -97,9 +101,15 @@
 		req = &own
 	}
 	x.lent = true
-	req.Header[HeaderTimeout] = x.values.one(x.timeoutValue())
-	req.Header[HeaderAttempt] = x.values.one(x.attemptValue(n))
-	x.hop.Inject(n, req.Header)
+	d := x.proxy.dialect
+	req.Header[d.Timeout] = x.values.one(x.timeoutValue())
+	if d.Annotates {
+		req.Header[HeaderAttempt] = x.values.one(x.attemptValue(b.number))
+	}
+	if d.Expect != "" {
+		req.Header[d.Expect] = x.values.one(b.upstream.ID)
+	}
+	x.hop.Inject(b.number, req.Header)
 	return req
 }
 
@@ -153,19 +163,15 @@
 	return ip
 }
 
-// loadReport returns the requests in flight that an upstream reports, or
-// noReport.
-func loadReport(h http.Header) int64 {
+// ownLoad reads the product's own load report: the requests in flight.
+func ownLoad(h http.Header) balancer.Report {
 	value := h.Get(HeaderLoad)
 	if value == "" {
-		return noReport
+		return balancer.Report{}
 	}
-	n, err := strconv.ParseInt(value, 10, 64)
+	n, err := strconv.ParseInt(value, 10, 32)
 	if err != nil || n < 0 {
-		return noReport
+		return balancer.Report{}
 	}
-	return n
+	return balancer.Report{Valid: true, InFlight: int(n)}
 }
-
-// noReport marks an answer without a load report.
-const noReport = -1
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -107,7 +107,7 @@
 	if h.ended {
 		return false
 	}
-	second, err := h.x.bindHedge(h.delay, h.crowded)
+	second, err := h.x.bindHedge(h.ctx, h.delay, h.crowded)
 	if errors.Is(err, errLimit) || errors.Is(err, balancer.ErrNoSlot) {
 		h.crowded = true
 		h.timer.Reset(hintInterval)
@@ -153,13 +153,13 @@
 
 // bindHedge binds a second send without waiting for a slot. Again is true when
 // it found no room before; the event about that is not repeated.
-func (x *exchange) bindHedge(delay time.Duration, again bool) (binding, error) {
+func (x *exchange) bindHedge(ctx context.Context, delay time.Duration, again bool) (binding, error) {
 	reason := retry.Decide(x.attemptState(errkind.None), x.state.budget)
 	if reason != retry.Allowed {
 		x.hedgeDenied(reason, delay)
 		return binding{}, errHedgeDenied
 	}
-	b, err := x.tryHedge(x.sent + 1)
+	b, err := x.tryHedge(ctx, x.sent+1)
 	if err != nil {
 		x.state.budget.Refund()
 		if !again {
@@ -187,26 +187,26 @@
 // tryHedge binds send number n as a hedge. Its request holds a place in the
 // limit already, and an upstream that is stuck holds many: so a hedge may go
 // beyond the limit as far as the high priority, and past those who wait.
-func (x *exchange) tryHedge(n int) (binding, error) {
+func (x *exchange) tryHedge(ctx context.Context, n int) (binding, error) {
 	g := x.state.group
 	if !g.limiter.Acquire(limit.Headroom) {
 		return binding{}, errLimit
 	}
-	return x.pickHeld(n)
+	return x.pickHeld(ctx, n)
 }
 
 // tryBind binds send number n if a place in the limit and a slot are free now.
-func (x *exchange) tryBind(n int) (binding, error) {
+func (x *exchange) tryBind(ctx context.Context, n int) (binding, error) {
 	g := x.state.group
 	if !g.acquire(priorityOf(x.rule.Config)) {
 		return binding{}, errLimit
 	}
-	return x.pickHeld(n)
+	return x.pickHeld(ctx, n)
 }
 
 // pickHeld picks with a place in the limit held, or gives it back.
-func (x *exchange) pickHeld(n int) (binding, error) {
-	b, err := x.pick(n, 0)
+func (x *exchange) pickHeld(ctx context.Context, n int) (binding, error) {
+	b, err := x.pick(ctx, n, 0)
 	if err != nil {
 		x.state.group.limiter.Release(limit.Sample{Outcome: limit.Ignored})
 	}
--- a/internal/proxy/overdue_test.go
+++ b/internal/proxy/overdue_test.go
@@ -140,7 +140,7 @@
 		sender := &stuckFirst{sends: make(map[string][]string)}
 		p := newProxy(service(3, lookup()), (&overduePicker{}).groups, sender, events)
 		for range retry.MinSamples {
-			p.state.Load().byRule[name{"test", "lookup"}].latency.Observe(15 * time.Millisecond)
+			p.state.Load().byRule[targetName{"test", "lookup", groupName{"test", "main"}}].latency.Observe(15 * time.Millisecond)
 		}
 		req := request("GET")
 		req.Header.Set(HeaderTimeout, "30")
--- a/internal/proxy/overload_test.go
+++ b/internal/proxy/overload_test.go
@@ -295,7 +295,7 @@
 		is.True(resp.Header.Get(HeaderRetryAfter) != "")
 		is.Equal(events.reason(event.RequestShed), "queue-full")
 		wg.Wait()
-		g := p.state.Load().groups[name{"test", "main"}]
+		g := p.state.Load().groups[groupName{"test", "main"}]
 		is.Equal(g.waiting.Load(), int64(0))
 		_, inFlight := g.limiter.Limit()
 		is.Equal(inFlight, 0)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -16,6 +16,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/execution"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/internal/tracing"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/limit"
@@ -36,6 +37,8 @@
 	sender    Sender
 	executor  Executor
 	events    event.Sink
+	dialect   *Dialect
+	asker     Asker
 	tracer    *tracing.Tracer
 	upstreams Upstreams
 	random    func() uint64
@@ -49,6 +52,8 @@
 	// measure what a part is worth leave it out.
 	newBudget  func(percent float64) *retry.Budget
 	newLimiter func(slots int) *limit.Limiter
+	// sharedBudget makes the budget of a registered service.
+	sharedBudget func() *retry.Budget
 }
 
 // Option changes a Proxy that New builds.
@@ -60,6 +65,14 @@
 // WithTracer makes a span for each request and each send. A nil tracer is off.
 func WithTracer(t *tracing.Tracer) Option { return func(p *Proxy) { p.tracer = t } }
 
+// WithSharedBudget bounds the extra sends to a registered service, over all
+// rules, to a share of the first sends, in percent, and a reserve.
+func WithSharedBudget(percent, reserve float64) Option {
+	return func(p *Proxy) {
+		p.sharedBudget = func() *retry.Budget { return retry.NewBudgetWithReserve(percent, reserve) }
+	}
+}
+
 // WithRandom takes random numbers from f, which must be safe for concurrent use.
 func WithRandom(f func() uint64) Option { return func(p *Proxy) { p.random = f } }
 
@@ -72,10 +85,14 @@
 		sender:     sender,
 		executor:   sendOnce{},
 		events:     events,
+		dialect:    OwnDialect(),
 		random:     rand.Uint64,
 		entryHosts: 1,
 		newBudget:  retry.NewBudget,
 		newLimiter: newLimiter,
+		sharedBudget: func() *retry.Budget {
+			return retry.NewBudget(config.DefaultBudgetPercent)
+		},
 	}
 	for _, o := range options {
 		o(p)
@@ -88,6 +105,18 @@
 	p.state.Store(p.nextSnapshot(p.state.Load(), t))
 }
 
+// SetGroup publishes a newer snapshot of a group that the table has, when
+// nothing but its upstreams changed. The control goroutine calls it.
+func (p *Proxy) SetGroup(service *config.Service, group *routing.Group) {
+	s := p.state.Load()
+	if s == nil {
+		return
+	}
+	if g := s.groups[nameOf(service, group.Config)]; g != nil {
+		g.configure(group, p.entryHosts)
+	}
+}
+
 // SetEntryHosts says over how many live entry hosts the load is spread, which
 // bounds this one's share of a group. The control goroutine calls it.
 func (p *Proxy) SetEntryHosts(n int) {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -206,7 +206,7 @@
 		is.Equal(events.count(event.HedgeWon), 1)
 		is.Equal(events.count(event.HedgeCancelled), 1)
 		synctest.Wait()
-		_, inFlight := p.state.Load().groups[name{"test", "main"}].limiter.Limit()
+		_, inFlight := p.state.Load().groups[groupName{"test", "main"}].limiter.Limit()
 		is.Equal(inFlight, 0)
 	})
 }
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -36,7 +36,7 @@
 func WithUpstreams(u Upstreams) Option { return func(p *Proxy) { p.upstreams = u } }
 
 func (x *exchange) upstreamKey(b binding) lifecycle.UpstreamKey {
-	return lifecycle.UpstreamKey{Service: x.rule.Service.Name, Upstream: b.upstream.ID}
+	return lifecycle.UpstreamKey{Service: x.state.group.owner, Upstream: b.upstream.ID}
 }
 
 // mayStillSend is the last check before a send: the upstream may have left
@@ -79,7 +79,7 @@
 	if lifecycle.SaysLeaving(resp.Header.Get(lifecycle.HeaderLeaving)) {
 		u.Leaving(key, b.view.Activation)
 	}
-	if loadReport(resp.Header) != noReport {
+	if x.proxy.dialect.Load(resp.Header).Valid {
 		u.Reported(b.upstream.Address, time.Now())
 	}
 }
--- a/internal/proxy/wait.go
+++ b/internal/proxy/wait.go
@@ -34,7 +34,7 @@
 	}
 	g := x.state.group
 	ends := g.ends.Load()
-	b, err := x.tryBind(x.sent + 1)
+	b, err := x.tryBind(ctx, x.sent+1)
 	switch {
 	case err == nil:
 		x.admitted(true)
@@ -86,12 +86,12 @@
 			return binding{}, x.expired(ctx)
 		}
 		ends := g.ends.Load()
-		b, err := x.pick(x.sent+1, time.Since(start))
+		b, err := x.pick(ctx, x.sent+1, time.Since(start))
 		if err == nil {
 			return b, nil
 		}
 		if errors.Is(err, balancer.ErrNoUpstream) {
-			g.release(time.Now(), feedback{outcome: limit.Ignored, load: noReport})
+			g.release(time.Now(), feedback{outcome: limit.Ignored})
 			return binding{}, errkind.Wrap(errkind.NoUpstream, err, g.current.Load().Config.Name)
 		}
 		g.limiter.Release(limit.Sample{Outcome: limit.Ignored})
@@ -110,7 +110,7 @@
 		return
 	}
 	if <-w.signal == queue.Kept {
-		g.release(time.Now(), feedback{outcome: limit.Ignored, load: noReport})
+		g.release(time.Now(), feedback{outcome: limit.Ignored})
 	}
 }
 
--- /dev/null
+++ b/internal/source/follower.go
@@ -0,0 +1,205 @@
+package source
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+)
+
+// Config bounds a Follower.
+type Config struct {
+	// Store is what is followed.
+	Store Store
+	// Read takes in everything that is published. Like Changed and Returned it is
+	// called on the follower's goroutine.
+	Read func(*State)
+	// Changed takes in changes.
+	Changed func(*Changes)
+	// Returned is told that the store answers again after it did not.
+	Returned func()
+	// Events receives what was lost, regained and refused.
+	Events event.Sink
+	// WatchWait is how long one watch waits at the store.
+	WatchWait time.Duration
+	// ReadTimeout bounds reading everything.
+	ReadTimeout time.Duration
+	// AliveEvery is the pause between two checks that the store still answers
+	// while a watch waits.
+	AliveEvery time.Duration
+	// AliveTimeout is the silence after which a check has failed.
+	AliveTimeout time.Duration
+	// Settle is the pause before the next watch, so that a burst of changes costs
+	// one call.
+	Settle time.Duration
+	// RetryMin and RetryMax bound the pause before a failed call is made again;
+	// it doubles from one to the other.
+	RetryMin, RetryMax time.Duration
+}
+
+// Follower keeps an entry host in step with a store.
+type Follower struct {
+	conf     Config
+	revision uint64
+	known    bool // everything was read, and nothing was missed since
+	away     bool // the last call failed
+	failures int
+}
+
+// NewFollower returns a follower that has read nothing.
+func NewFollower(conf Config) *Follower { return &Follower{conf: conf} }
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := f.conf.Settle
+		changed, err := f.step(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, ErrHistoryLost):
+			f.known = false
+			f.emit(event.Event{Code: event.StoreHistoryLost, Value: int64(f.revision)})
+			pause = 0
+		case err != nil:
+			f.lost(err)
+			pause = f.backoff()
+		case !changed:
+			f.regained()
+			pause = 0
+		default:
+			f.regained()
+		}
+		if !sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+// step reads everything, or what has changed. It reports whether anything has.
+func (f *Follower) step(ctx context.Context) (bool, error) {
+	if !f.known {
+		return true, f.read(ctx)
+	}
+	return f.watch(ctx)
+}
+
+func (f *Follower) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.conf.ReadTimeout)
+	defer cancel()
+	state, err := f.conf.Store.Read(ctx)
+	if err != nil {
+		return err
+	}
+	f.regained()
+	f.reject(state.Rejected)
+	f.conf.Read(state)
+	f.known = true
+	f.revision = state.Revision
+	return nil
+}
+
+// watch waits for changes, and meanwhile checks that the store answers: a
+// watch at a store that has gone silent would wait in vain.
+func (f *Follower) watch(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.conf.WatchWait+f.conf.ReadTimeout)
+	defer cancel()
+	silent := make(chan error, 1)
+	checking := make(chan struct{})
+	go func() {
+		defer close(checking)
+		if err := f.check(ctx); err != nil {
+			silent <- err
+			cancel()
+		}
+	}()
+	changes, err := f.conf.Store.Watch(ctx, f.revision, f.conf.WatchWait)
+	cancel()
+	<-checking
+	if err != nil {
+		select {
+		case cause := <-silent:
+			return false, cause
+		default:
+			return false, err
+		}
+	}
+	f.regained()
+	f.reject(changes.Rejected)
+	if changes.Revision > f.revision {
+		f.revision = changes.Revision
+	}
+	if len(changes.Configurations) == 0 && len(changes.Events) == 0 {
+		return false, nil
+	}
+	f.conf.Changed(changes)
+	return true, nil
+}
+
+// check returns the first failed check, or nil when ctx ends.
+func (f *Follower) check(ctx context.Context) error {
+	for sleep(ctx, f.conf.AliveEvery) {
+		call, cancel := context.WithTimeout(ctx, f.conf.AliveTimeout)
+		err := f.conf.Store.Alive(call)
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			return errors.Wrap(err, "check during a watch")
+		}
+	}
+	return nil
+}
+
+func (f *Follower) lost(err error) {
+	f.failures++
+	if !f.away {
+		f.away = true
+		f.emit(event.Event{Code: event.StoreLost, Detail: err.Error(), Value: int64(f.revision)})
+	}
+}
+
+func (f *Follower) regained() {
+	f.failures = 0
+	if f.away {
+		f.away = false
+		f.emit(event.Event{Code: event.StoreRegained, Value: int64(f.revision)})
+		f.conf.Returned()
+	}
+}
+
+// backoff spreads the hosts' calls over the pause.
+func (f *Follower) backoff() time.Duration {
+	pause := f.conf.RetryMin
+	for range f.failures - 1 {
+		pause = min(2*pause, f.conf.RetryMax)
+	}
+	return pause/2 + rand.N(pause/2+1)
+}
+
+func (f *Follower) reject(list []Rejected) {
+	for _, r := range list {
+		f.emit(event.Event{Code: event.StoreItemRejected, Reason: r.Item, Detail: r.Reason, Value: int64(r.Revision)})
+	}
+}
+
+func (f *Follower) emit(e event.Event) {
+	e.At = time.Now()
+	f.conf.Events.Emit(e)
+}
+
+// sleep reports false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/source/source.go
@@ -0,0 +1,75 @@
+// Package source follows what a store publishes: the operators' configuration
+// and the upstreams that register themselves.
+//
+// Store is the seam to a deployment's own store; its implementations know
+// names and formats and decide nothing. Follower decides when to read, what
+// to believe and when to try again.
+package source
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/registered"
+)
+
+// Store reads what is published. Calls end with their context.
+type Store interface {
+	// Read returns everything, and the revision from which a watch misses nothing.
+	Read(ctx context.Context) (*State, error)
+	// Watch returns the changes after a revision, waiting up to wait for one. The
+	// error is ErrHistoryLost when the store no longer has all of them.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
+	// Alive makes the cheapest call that shows that the store answers.
+	Alive(ctx context.Context) error
+}
+
+// ErrHistoryLost says that changes were missed; everything must be read anew.
+var ErrHistoryLost = errors.New("the store no longer has the history")
+
+// State is everything that is published.
+type State struct {
+	// Revision is the store's at or before the first read.
+	Revision uint64
+	// Configuration is the newest one, nil if there is none.
+	Configuration *config.Configuration
+	// Upstreams are the registered upstreams.
+	Upstreams []registered.Upstream
+	// Rejected are the items that could not be decoded.
+	Rejected []Rejected
+}
+
+// Changes are what happened after a revision, oldest first.
+type Changes struct {
+	// Revision is where the next watch goes on.
+	Revision uint64
+	// Configurations are those that were published.
+	Configurations []*config.Configuration
+	// Events are the changes of upstreams.
+	Events []Event
+	// Rejected are the items that could not be decoded.
+	Rejected []Rejected
+}
+
+// Event is one change of a registered upstream: an entry, or the end of one.
+type Event struct {
+	// Upstream is the new entry; nil when it was removed.
+	Upstream *registered.Upstream
+	// Removed is the id of an upstream whose entry is gone.
+	Removed string
+	// Revision is the store's revision of the change.
+	Revision uint64
+}
+
+// Rejected is a published item that could not be decoded.
+type Rejected struct {
+	// Item names it.
+	Item string
+	// Revision is its revision.
+	Revision uint64
+	// Reason names the field and the problem.
+	Reason string
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -12,6 +12,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -44,6 +45,9 @@
 	// MaxConnections bounds the connections to one upstream, unless SetLimits
 	// gives another bound for it.
 	MaxConnections int
+	// Mine reports whether an answer belongs to a request; one that does not is
+	// dropped and the next one is awaited. Nil takes every answer.
+	Mine func(req *httpwire.Request, h http.Header) bool
 	// MaxHeadBytes bounds the head of an answer, in bytes.
 	MaxHeadBytes int
 	// MaxResponseBytes bounds the body of an answer, in bytes.
@@ -130,6 +134,18 @@
 	}
 }
 
+// Forget closes the idle connections to an address that is not used any more
+// and drops what is known of it. Requests in flight end as usual.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	p := c.pools[address]
+	delete(c.pools, address)
+	c.mu.Unlock()
+	if p != nil {
+		p.retire(time.Now())
+	}
+}
+
 // Do sends req to address and waits for the whole answer. The error is an
 // *errkind.Error; its kind says whether the request can have run. When ctx
 // ends the connection is closed, so that the upstream can stop its work.
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -16,6 +16,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/matryer/is"
 
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 )
 
@@ -142,7 +143,7 @@
 	p := c.knownPool(address)
 	for end := time.Now().Add(testWait); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		p.mu.Lock()
-		usable := len(p.idle) > 0 && p.idle[0].usable()
+		usable := len(p.idle) > 0 && p.idle[0].usable(time.Now())
 		p.mu.Unlock()
 		if !usable {
 			return
@@ -162,7 +163,7 @@
 	_, err := client.Do(testContext(t), address, request("GET", nil))
 	is.True(err == nil)
 	cn := client.knownPool(address).idle[0]
-	is.True(cn.begin("GET"))
+	is.True(cn.begin(&httpwire.Request{Method: "GET"}))
 	is.Equal(cn.Parse([]byte(okAnswer)), errLateBytes)
 	r := <-cn.result
 	is.Equal(r.err, errLateBytes)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -43,6 +43,9 @@
 	// or to the pool while it is idle.
 	reused    bool
 	idleSince time.Time
+	// idleFor is how long the upstream keeps it idle; 0 if it does not say. It is
+	// set before the answer is handed over.
+	idleFor time.Duration
 
 	// queued counts the bytes that were written for the request.
 	queued atomic.Int64
@@ -54,6 +57,10 @@
 	busy    bool
 	closed  bool
 	interim int
+	// request is the one in flight, and late whether an answer to an earlier one
+	// came before its own.
+	request *httpwire.Request
+	late    bool
 	scanner framing.Scanner
 	buf     []byte
 	// gathering is the answer that the parser is calling back for.
@@ -80,7 +87,7 @@
 // roundTrip sends one request and waits for its answer. Afterwards the
 // connection is back in the pool or closed and released.
 func (c *conn) roundTrip(ctx context.Context, req *httpwire.Request) (*httpwire.Response, *errkind.Error) {
-	if !c.begin(req.Method) {
+	if !c.begin(req) {
 		return nil, c.fail(ctx, 1, errClosed)
 	}
 	head, err := httpwire.WriteRequest(c, req)
@@ -103,7 +110,7 @@
 	return r.resp, nil
 }
 
-func (c *conn) begin(method string) bool {
+func (c *conn) begin(req *httpwire.Request) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent.Store(0)
@@ -113,7 +120,9 @@
 	}
 	c.busy = true
 	c.interim = 0
-	c.scanner.ResetResponse(method, c.limits)
+	c.request = req
+	c.late = false
+	c.scanner.ResetResponse(req.Method, c.limits)
 	return true
 }
 
@@ -215,6 +224,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closed {
+		c.completeAtClose(err)
 		_ = c.end(errors.CombineErrors(errClosed, err))
 	}
 	c.parser.CloseAndClean(err)
@@ -234,5 +244,6 @@
 		return
 	}
 	c.busy = false
+	c.request = nil
 	c.result <- r
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,14 +1,19 @@
 package upstream
 
 import (
+	"net/http"
 	"sync"
 	"time"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 )
 
 // pool holds the connections to one upstream.
 type pool struct {
 	address string
 	target  target
+	// mine is Config.Mine.
+	mine func(*httpwire.Request, http.Header) bool
 
 	mu sync.Mutex
 	// idle is a stack: the connection used last is taken first.
@@ -28,7 +33,7 @@
 		cn := p.idle[n-1]
 		p.idle[n-1] = nil
 		p.idle = p.idle[:n-1]
-		if cn.usable() {
+		if cn.usable(time.Now()) {
 			return cn, true
 		}
 		cn.close()
@@ -62,6 +67,14 @@
 	p.open--
 }
 
+// retire closes the idle connections and keeps none from now on.
+func (p *pool) retire(now time.Time) {
+	p.mu.Lock()
+	p.maxIdle = 0
+	p.mu.Unlock()
+	p.closeIdle(now)
+}
+
 func (p *pool) setLimit(limit int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -95,7 +108,7 @@
 	if p := c.pools[address]; p != nil {
 		return p
 	}
-	p := &pool{address: address, target: parseTarget(address), maxIdle: c.conf.IdlePerUpstream, limit: c.limit(address)}
+	p := &pool{address: address, target: parseTarget(address), maxIdle: c.conf.IdlePerUpstream, mine: c.conf.Mine, limit: c.limit(address)}
 	c.pools[address] = p
 	return p
 }
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio/nbhttp"
@@ -15,6 +17,9 @@
 const (
 	firstFinalStatus = 200
 	maxInterim       = 16
+	// keepAliveMargin is how long before the announced end of an idle connection
+	// it is not used any more: a request may be on its way when it closes.
+	keepAliveMargin = 700 * time.Millisecond
 )
 
 // receive adds data to the answer being received and hands it over when it is
@@ -33,10 +38,14 @@
 		if !done {
 			break
 		}
+		end := c.scanner.End()
 		if c.scanner.Head().Status >= firstFinalStatus {
-			return c.complete(data, owned)
+			mine, err := c.complete(data[:end:end], owned, len(data) == end)
+			if mine || err != nil {
+				return err
+			}
 		}
-		data = data[c.scanner.End():]
+		data = data[end:]
 		if c.interim++; c.interim > maxInterim {
 			return errTooInterim
 		}
@@ -49,18 +58,33 @@
 	return nil
 }
 
-// complete hands over the whole answer. Bytes behind it mean that the
-// connection cannot be trusted with another request.
-func (c *conn) complete(data []byte, owned bool) error {
-	end := c.scanner.End()
-	resp, err := c.parse(data[:end:end], owned)
+// complete hands over the whole answer. It reports false if the answer is a
+// late one to an earlier request, which is dropped. Bytes behind the answer, or
+// a late one before it, mean that the connection cannot be trusted with
+// another request; alone says that there are none behind.
+func (c *conn) complete(message []byte, owned, alone bool) (bool, error) {
+	resp, err := c.parse(message, owned)
 	if err != nil {
-		return err
+		return false, err
+	}
+	if mine := c.pool.mine; mine != nil && !mine(c.request, resp.Header) {
+		c.late = true
+		return false, nil
 	}
 	c.buf = nil
-	reusable := c.scanner.Head().Persistent() && len(data) == end
-	c.finish(result{resp: resp, reusable: reusable})
-	return nil
+	head := c.scanner.Head()
+	c.idleFor = time.Duration(head.KeepAliveFor) * time.Second
+	c.finish(result{resp: resp, reusable: head.Persistent() && alone && !c.late})
+	return true, nil
+}
+
+// completeAtClose hands over an answer whose end is that of the connection.
+func (c *conn) completeAtClose(err error) {
+	if !errors.Is(err, io.EOF) || !c.busy || !c.scanner.Closed() {
+		return
+	}
+	// A failure is reported by the caller, which ends the connection.
+	_, _ = c.complete(c.buf, true, true)
 }
 
 var errNotOneAnswer = errors.New("not exactly one answer")
@@ -79,9 +103,17 @@
 	if !owned && c.scanner.BodyBytes() > 0 {
 		g.resp.Body = make([]byte, 0, c.scanner.BodyBytes())
 	}
+	if head.UntilClose {
+		// The parser would wait for a length: it is shown the head alone.
+		g.resp.Body = message[head.Bytes:]
+		message = message[:head.Bytes]
+	}
 	if err := c.scanner.Feed(message, c.parser.Parse); err != nil {
 		return nil, err
 	}
+	if head.UntilClose {
+		return g.resp, nil
+	}
 	if g.complete != 1 || len(g.resp.Body) != c.scanner.BodyBytes() {
 		return nil, errNotOneAnswer
 	}
@@ -89,11 +121,14 @@
 }
 
 // usable reports whether an idle connection may carry a request.
-func (c *conn) usable() bool {
+func (c *conn) usable(now time.Time) bool {
 	c.mu.Lock()
 	closed := c.closed
 	c.mu.Unlock()
-	return !closed && socket.Quiet(c.nbc)
+	if closed || (c.idleFor > 0 && now.Sub(c.idleSince) > c.idleFor-keepAliveMargin) {
+		return false
+	}
+	return socket.Quiet(c.nbc)
 }
 
 // gathering implements nbhttp.Processor: it collects the answer that the
--- a/internal/upstream/tls.go
+++ b/internal/upstream/tls.go
@@ -18,12 +18,18 @@
 	name string
 }
 
-// A target with TLS is written "tls:NAME@IP:port".
+// A target with TLS is written "tls:NAME@IP:port", and one with connections of
+// its own "id:UPSTREAM@IP:port".
 const (
 	tlsPrefix     = "tls:"
+	idPrefix      = "id:"
 	nameSeparator = "@"
 )
 
+// InstanceTarget returns what Do takes as the address of one instance of an
+// upstream: its connections are never used for another at the same address.
+func InstanceTarget(id, address string) string { return idPrefix + id + nameSeparator + address }
+
 // Target returns what Do takes as the address of an upstream of a group with
 // these TLS settings. Plain and TLS connections to one address never mix.
 func Target(address string, t config.TLS) string {
@@ -37,6 +43,10 @@
 func HostOf(s string) string { return parseTarget(s).address }
 
 func parseTarget(s string) target {
+	if rest, ok := strings.CutPrefix(s, idPrefix); ok {
+		_, address, _ := strings.Cut(rest, nameSeparator)
+		return target{address: address}
+	}
 	rest, ok := strings.CutPrefix(s, tlsPrefix)
 	if !ok {
 		return target{address: s}
--- a/pkg/balancer/ewma.go
+++ b/pkg/balancer/ewma.go
@@ -49,3 +49,16 @@
 func weight(age time.Duration) float64 {
 	return math.Exp(-float64(age) / float64(LatencyDecay))
 }
+
+// blendOver mixes a sample in by how long ago the last one was: after decay
+// the old average has lost 63% of its weight. A sample weighs at least a
+// quarter, so that two in a row count although no time has passed.
+func (e *ewma) blendOver(now time.Time, sample, decay time.Duration) {
+	mean, age := e.value(now)
+	w := min(math.Exp(-float64(age)/float64(decay)), maxBlendWeight)
+	e.mean.Store(int64(float64(mean)*w + float64(sample)*(1-w)))
+	e.at.Store(now.UnixNano())
+}
+
+// maxBlendWeight bounds what the old average keeps of its weight.
+const maxBlendWeight = 0.75
--- a/pkg/balancer/feedback.go
+++ b/pkg/balancer/feedback.go
@@ -24,6 +24,12 @@
 	InFlight int
 	// Age is the time between the sampling of InFlight and the answer's arrival.
 	Age time.Duration
+	// Slots is the number of requests that it serves at the same time; 0 if the
+	// report does not say.
+	Slots int
+	// Slowdown is how long work takes there at this moment, relative to usual;
+	// 0 if the report does not say.
+	Slowdown float64
 }
 
 // Feedback is the end of one send or one probe.
@@ -62,6 +68,11 @@
 // request's.
 func FinishProbe(p Picker, u *Upstream, f Feedback) {
 	u.learnReport(f)
+	u.learnLoad(f)
+	if f.Outcome == Failed {
+		u.failedAt.Store(f.Now.UnixNano())
+		u.trouble.blendOver(f.Now, troubleUnit, TroubleDecay)
+	}
 	if o, ok := p.(Observer); ok {
 		o.Observe(u, f)
 	}
--- /dev/null
+++ b/pkg/balancer/probefirst/probefirst.go
@@ -0,0 +1,205 @@
+// Package probefirst asks a few upstreams for their load right before each
+// choice, and takes the one that should finish the request first.
+//
+// It is for upstreams whose speed changes many times a second, behind entry
+// hosts that each send too little to know it from their own answers. Upstreams
+// in the own failure domain are asked first; others only if none of those is
+// good, because their traffic crosses failure domains.
+package probefirst
+
+import (
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+)
+
+// Name is the name in configuration documents.
+const Name = "probe-first"
+
+// Constants of the choice; docs/design/05-choosing.md names the runs.
+const (
+	// FreshFor is the age up to which a report is trusted. Upstreams change
+	// their speed about every 150 ms.
+	FreshFor = 40 * time.Millisecond
+	// AskAtOnce is the number of upstreams asked in one round.
+	AskAtOnce = 2
+	// MaxRounds bounds the rounds of asking before one choice.
+	MaxRounds = 3
+	// GoodCost is the cost up to which a candidate is taken without asking more.
+	GoodCost = 1.35
+	// FarCost is added for an upstream in another failure domain: the way is
+	// longer and the bytes are paid for.
+	FarCost = 0.15
+	// fullFrom is the share of busy slots above which work slows down.
+	fullFrom = 0.8
+	// fullSlowdown is how much it slows down then.
+	fullSlowdown = 1.7
+	// TroubleCost multiplies the share of recent sends that failed.
+	TroubleCost = 6.0
+	// MaxWaiting is the number of requests that may wait at an upstream; beyond
+	// it the request waits on the entry host.
+	MaxWaiting = 2
+)
+
+// Builder creates policies.
+type Builder struct{}
+
+// Name implements balancer.Builder.
+func (Builder) Name() string { return Name }
+
+// Build implements balancer.Builder.
+func (Builder) Build(o balancer.Options) balancer.Policy { return policy{o.FailureDomain} }
+
+type policy struct {
+	failureDomain string
+}
+
+// Update implements balancer.Policy.
+func (p policy) Update(members []*balancer.Upstream) balancer.Picker {
+	next := new(picker)
+	for _, u := range members {
+		if u.FailureDomain == p.failureDomain {
+			next.near = append(next.near, u)
+		} else {
+			next.far = append(next.far, u)
+		}
+	}
+	return next
+}
+
+// picker is an immutable membership.
+type picker struct {
+	near, far []*balancer.Upstream
+}
+
+// Ask implements balancer.Asker.
+func (p *picker) Ask(info balancer.PickInfo, round int) []*balancer.Upstream {
+	if round >= MaxRounds {
+		return nil
+	}
+	if best, cost := p.best(info); best != nil && cost <= GoodCost {
+		return nil
+	}
+	asked := appendStale(nil, p.near, info)
+	if len(asked) < AskAtOnce {
+		asked = appendStale(asked, p.far, info)
+	}
+	return asked
+}
+
+// appendStale adds members without a fresh report to list, up to AskAtOnce.
+func appendStale(list, members []*balancer.Upstream, info balancer.PickInfo) []*balancer.Upstream {
+	n := uint64(len(members))
+	for i := range n {
+		if len(list) == AskAtOnce {
+			break
+		}
+		u := members[(info.Random+i)%n]
+		if !info.Excludes(u) && !fresh(u, info.Now) {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+// fresh reports whether u was asked or heard of lately. One that did not
+// answer counts too.
+func fresh(u *balancer.Upstream, now time.Time) bool {
+	if l := u.Load(); l != nil && now.Sub(l.At) <= FreshFor {
+		return true
+	}
+	_, age := u.Failures(now)
+	return age <= FreshFor
+}
+
+// Pick implements balancer.Picker.
+func (p *picker) Pick(info balancer.PickInfo) (balancer.Result, error) {
+	if best, cost := p.best(info); best != nil {
+		if tooFull(best) {
+			return balancer.Result{RetryAfter: FreshFor}, balancer.ErrNoSlot
+		}
+		reason := "fresh-report"
+		if cost > GoodCost {
+			reason = "best-of-slow"
+		}
+		return balancer.Result{Upstream: best, Reason: reason}, nil
+	}
+	if u := p.blind(info); u != nil {
+		return balancer.Result{Upstream: u, Reason: "no-report"}, nil
+	}
+	return balancer.Result{}, balancer.ErrNoUpstream
+}
+
+// tooFull reports whether as many requests wait at u as may.
+func tooFull(u *balancer.Upstream) bool {
+	l := u.Load()
+	return l.InFlight >= l.Slots+MaxWaiting
+}
+
+// best returns the cheapest member with a fresh report, or nil.
+func (p *picker) best(info balancer.PickInfo) (*balancer.Upstream, float64) {
+	near, cost := cheapest(p.near, info, 0)
+	far, farCost := cheapest(p.far, info, FarCost)
+	if near == nil || (far != nil && farCost < cost) {
+		return far, farCost
+	}
+	return near, cost
+}
+
+func cheapest(members []*balancer.Upstream, info balancer.PickInfo, extra float64) (*balancer.Upstream, float64) {
+	var best *balancer.Upstream
+	var lowest float64
+	n := uint64(len(members))
+	for i := range n {
+		u := members[(info.Random+i)%n]
+		l := u.Load()
+		if l == nil || info.Now.Sub(l.At) > FreshFor || info.Excludes(u) {
+			continue
+		}
+		if c := cost(u, l, info.Now) + extra; best == nil || c < lowest {
+			best, lowest = u, c
+		}
+	}
+	return best, lowest
+}
+
+// cost estimates the time of the next request at u, relative to that at an
+// idle upstream of usual speed.
+func cost(u *balancer.Upstream, l *balancer.Load, now time.Time) float64 {
+	slots := float64(max(l.Slots, 1))
+	busy := float64(l.InFlight + 1)
+	work := max(l.Slowdown, 1)
+	if busy/slots > fullFrom {
+		work *= fullSlowdown
+	}
+	if busy > slots {
+		work *= 1 + (busy-slots)/slots
+	}
+	return work * (1 + TroubleCost*u.Trouble(now))
+}
+
+// blind chooses without any fresh report: the fewest in flight from here, in
+// the own failure domain if there is one.
+func (p *picker) blind(info balancer.PickInfo) *balancer.Upstream {
+	if u := fewest(p.near, info); u != nil {
+		return u
+	}
+	return fewest(p.far, info)
+}
+
+func fewest(members []*balancer.Upstream, info balancer.PickInfo) *balancer.Upstream {
+	var best *balancer.Upstream
+	lowest := 0.0
+	n := uint64(len(members))
+	for i := range n {
+		u := members[(info.Random+i)%n]
+		if info.Excludes(u) {
+			continue
+		}
+		c := float64(u.Outstanding()) + TroubleCost*u.Trouble(info.Now)
+		if best == nil || c < lowest {
+			best, lowest = u, c
+		}
+	}
+	return best
+}
--- a/pkg/balancer/registry/registry.go
+++ b/pkg/balancer/registry/registry.go
@@ -10,6 +10,7 @@
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/leastoutstanding"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/peakewma"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer/probefirst"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/probepool"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/random"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/roundrobin"
@@ -34,6 +35,7 @@
 	leastoutstanding.Builder{},
 	twochoices.Builder{},
 	peakewma.Builder{},
+	probefirst.Builder{},
 	probepool.Builder{},
 	spindle.Builder{},
 )
--- a/pkg/balancer/upstream.go
+++ b/pkg/balancer/upstream.go
@@ -9,6 +9,11 @@
 const (
 	// LatencyDecay is the time after which a latency sample has lost 63% of its weight.
 	LatencyDecay = 100 * time.Millisecond
+	// TroubleDecay is the time after which a failed send has lost 63% of its
+	// weight: some seconds, in which an entry host sends to an upstream again.
+	TroubleDecay = 4 * time.Second
+	// troubleUnit is a share of 1 in the moving average.
+	troubleUnit = time.Second
 	// maxTracked is the number of sends whose start is known, per upstream.
 	maxTracked = 8
 	// untracked marks a call whose start has no cell.
@@ -33,6 +38,8 @@
 	MaxConnections int
 	// Added is when it joined the group; zero if it was there at the start.
 	Added time.Time
+	// ColdUntil is until when it is slow after its own start; zero if it is warm.
+	ColdUntil time.Time
 
 	outstanding atomic.Int64
 	started     [maxTracked]atomic.Int64 // Unix time in ns, 0 if free
@@ -42,6 +49,48 @@
 	failures    atomic.Int64
 	failedAt    atomic.Int64 // Unix time in ns
 	refusedAt   atomic.Int64 // Unix time in ns, 0 if never
+	load        atomic.Pointer[Load]
+	trouble     ewma // share of recent sends that failed, in units of troubleUnit
+}
+
+// Load is the newest whole load report of an upstream.
+type Load struct {
+	// InFlight is the number of requests there, waiting ones included.
+	InFlight int
+	// Slots is the number of requests that it serves at the same time.
+	Slots int
+	// Slowdown is how long work takes there, relative to usual.
+	Slowdown float64
+	// At is when it arrived.
+	At time.Time
+	// own is what this entry host had in flight there at that time.
+	own int64
+}
+
+// Load returns the newest whole load report, or nil. InFlight counts what this
+// entry host has sent or seen end since then.
+func (u *Upstream) Load() *Load {
+	l := u.load.Load()
+	if l == nil {
+		return nil
+	}
+	now := *l
+	now.InFlight = max(now.InFlight+int(u.Outstanding()-l.own), 0)
+	return &now
+}
+
+// learnLoad keeps a whole report. Of two that arrive at once one may be lost.
+func (u *Upstream) learnLoad(f Feedback) {
+	if !f.Report.Valid || f.Report.Slots == 0 {
+		return
+	}
+	u.load.Store(&Load{
+		InFlight: f.Report.InFlight,
+		Slots:    f.Report.Slots,
+		Slowdown: max(f.Report.Slowdown, 0),
+		At:       f.Now.Add(-f.Report.Age),
+		own:      u.Outstanding(),
+	})
 }
 
 // Outstanding returns the requests that this entry host has in flight there.
@@ -69,17 +118,20 @@
 func (u *Upstream) end(c Call, f Feedback) {
 	u.learnReport(f)
 	u.outstanding.Add(-1)
+	u.learnLoad(f)
 	if c.cell != untracked {
 		u.started[c.cell].Store(0)
 	}
 	switch f.Outcome {
 	case Answered:
 		u.failures.Store(0)
+		u.trouble.blendOver(f.Now, 0, TroubleDecay)
 		u.latency.add(f.Now, f.Latency)
 		u.peak.addPeak(f.Now, f.Latency)
 	case Failed:
 		u.failedAt.Store(f.Now.UnixNano())
 		u.failures.Add(1)
+		u.trouble.blendOver(f.Now, troubleUnit, TroubleDecay)
 	case Refused:
 		u.refusedAt.Store(f.Now.UnixNano())
 	case Cancelled:
@@ -116,6 +168,13 @@
 	return int64(r >> reportTimeBits), max(age, 0), true
 }
 
+// Trouble returns the share of this host's recent sends there that failed, from
+// 0 to 1. It fades with time when nothing is sent.
+func (u *Upstream) Trouble(now time.Time) float64 {
+	share, age := u.trouble.value(now)
+	return float64(share) / float64(troubleUnit) * math.Exp(-float64(age)/float64(TroubleDecay))
+}
+
 // OldestAge returns how long the oldest request in flight has been waiting for
 // its answer. At most eight sends are tracked.
 func (u *Upstream) OldestAge(now time.Time) time.Duration {
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -120,6 +120,16 @@
 	Policy string `json:"policy,omitempty"`
 	// Upstreams are the members.
 	Upstreams []Upstream `json:"upstreams"`
+	// Registered names the service under which the members register themselves;
+	// Upstreams is then empty. Groups of one registered service share what the
+	// entry host knows of its upstreams. Default: empty, Upstreams are the members.
+	Registered string `json:"registered,omitempty"`
+	// HealthPath is the path at which a registered upstream reports its load.
+	// Default: empty, it is not asked.
+	HealthPath string `json:"health_path,omitempty"`
+	// MaxConnections is the bound for each registered upstream over all entry
+	// hosts. Default: 200.
+	MaxConnections int `json:"max_connections,omitempty"`
 	// TLS states how the members are reached.
 	TLS TLS `json:"tls,omitzero"`
 	// Probe is the measuring budget.
@@ -182,20 +192,41 @@
 	Methods []string `json:"methods,omitempty"`
 	// PathPrefix is relative to nothing: the whole path; empty matches all.
 	PathPrefix string `json:"path_prefix,omitempty"`
-	// Group names the upstream group.
-	Group string `json:"group"`
+	// Group names the upstream group; empty with Split.
+	Group string `json:"group,omitempty"`
+	// Split shares the requests among several groups by weight.
+	Split []Share `json:"split,omitempty"`
 	// Repeat states whether the request may be sent twice. Required.
 	Repeat Repeat `json:"repeat"`
 	// Execution applies to non-repeatable requests. Default: ticket.
 	Execution Execution `json:"execution,omitempty"`
 	// Deadline bounds the whole request when the caller sends none. Default: 1s.
 	Deadline Duration `json:"deadline,omitempty"`
+	// TargetLatency is the time within which an answer has its full worth to the
+	// caller. Default: 0, no target.
+	TargetLatency Duration `json:"target_latency,omitempty"`
 	// Priority orders requests under overload. Default: normal.
 	Priority Priority `json:"priority,omitempty"`
 	// Retry applies to repeatable requests.
 	Retry Retry `json:"retry,omitempty"`
 }
 
+// Share is one group's part of a rule's requests.
+type Share struct {
+	// Group names the upstream group.
+	Group string `json:"group"`
+	// Weight is the part, relative to the other shares; at least 1.
+	Weight int `json:"weight"`
+}
+
+// Shares returns the groups of the rule with their weights.
+func (r *Rule) Shares() []Share {
+	if len(r.Split) > 0 {
+		return r.Split
+	}
+	return []Share{{Group: r.Group, Weight: 1}}
+}
+
 // Retry bounds how often a repeatable request is sent.
 type Retry struct {
 	// MaxAttempts counts all sends. Default: 2.
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -31,6 +31,7 @@
 	maxConns     = 100_000
 	maxAttempts  = 10
 	maxUpstreams = 4096
+	maxWeight    = 1_000_000
 
 	maxServerName = 253 // bytes
 )
@@ -91,6 +92,9 @@
 func (g *Group) setDefaults() {
 	g.Policy = cmp.Or(g.Policy, DefaultPolicy)
 	g.Queue.MaxWaiting = cmp.Or(g.Queue.MaxWaiting, DefaultMaxWaiting)
+	if g.Registered != "" {
+		g.MaxConnections = cmp.Or(g.MaxConnections, DefaultMaxConnections)
+	}
 	g.Probe.Cost = cmp.Or(g.Probe.Cost, Duration(DefaultProbeCost))
 	for i := range g.Upstreams {
 		u := &g.Upstreams[i]
@@ -152,6 +156,9 @@
 	if err := checkName(field+".name", g.Name); err != nil {
 		return err
 	}
+	if err := g.validateRegistered(field); err != nil {
+		return err
+	}
 	if len(g.Upstreams) > maxUpstreams {
 		return &FieldError{field + ".upstreams", "has over 4096 members", "split the group"}
 	}
@@ -184,6 +191,25 @@
 	return nil
 }
 
+func (g *Group) validateRegistered(field string) error {
+	if g.Registered == "" {
+		if g.HealthPath != "" || g.MaxConnections != 0 {
+			return &FieldError{field + ".registered", "is empty beside health_path or max_connections", "name the registered service or remove them"}
+		}
+		return nil
+	}
+	if len(g.Upstreams) > 0 {
+		return &FieldError{field + ".upstreams", "is set beside registered", "write one of both"}
+	}
+	if g.HealthPath != "" && !strings.HasPrefix(g.HealthPath, "/") {
+		return &FieldError{field + ".health_path", "does not start with /", "write for example \"/health\""}
+	}
+	if g.MaxConnections < 1 || g.MaxConnections > maxConns {
+		return &FieldError{field + ".max_connections", "is outside 1 to 100000", "write the bound over all entry hosts"}
+	}
+	return nil
+}
+
 func (t *TLS) validate(field string) error {
 	if t.ServerName == "" {
 		return nil
@@ -223,8 +249,8 @@
 	if err := checkName(field+".name", r.Name); err != nil {
 		return err
 	}
-	if !groups[r.Group] {
-		return &FieldError{field + ".group", "names no group of this service", "add the group or correct the name"}
+	if err := r.validateShares(field, groups); err != nil {
+		return err
 	}
 	for i, m := range r.Methods {
 		if !methodPattern.MatchString(m) {
@@ -234,6 +260,9 @@
 	if r.PathPrefix != "" && !strings.HasPrefix(r.PathPrefix, "/") {
 		return &FieldError{field + ".path_prefix", "does not start with /", "write the whole path prefix"}
 	}
+	if r.TargetLatency < 0 || r.TargetLatency.Std() > maxDeadline {
+		return &FieldError{field + ".target_latency", "is outside 0 to 5m", "write for example \"250ms\""}
+	}
 	if r.Deadline <= 0 || r.Deadline.Std() > maxDeadline {
 		return &FieldError{field + ".deadline", "is outside 0 to 5m", "write for example \"250ms\""}
 	}
@@ -245,6 +274,25 @@
 	return r.validateRepeat(field)
 }
 
+func (r *Rule) validateShares(field string, groups map[string]bool) error {
+	if len(r.Split) > 0 && r.Group != "" {
+		return &FieldError{field + ".group", "is set beside split", "write one of both"}
+	}
+	for i, share := range r.Shares() {
+		at := field
+		if len(r.Split) > 0 {
+			at = index(field+".split", i)
+		}
+		if !groups[share.Group] {
+			return &FieldError{at + ".group", "names no group of this service", "add the group or correct the name"}
+		}
+		if share.Weight < 1 || share.Weight > maxWeight {
+			return &FieldError{at + ".weight", "is outside 1 to 1000000", "leave out a group that gets nothing"}
+		}
+	}
+	return nil
+}
+
 func (r *Rule) validateRepeat(field string) error {
 	switch r.Repeat {
 	case Repeatable:
--- a/pkg/lifecycle/snapshot.go
+++ b/pkg/lifecycle/snapshot.go
@@ -73,6 +73,15 @@
 	return 0
 }
 
+// Services returns the names of the services that have upstreams, in no order.
+func (s *Snapshot) Services() []string {
+	names := make([]string, 0, len(s.services))
+	for name := range s.services {
+		names = append(names, name)
+	}
+	return names
+}
+
 // Takes reports whether an upstream may be sent new requests.
 func (s *Snapshot) Takes(k UpstreamKey) bool {
 	view, _ := s.View(k)
--- /dev/null
+++ b/pkg/registered/registered.go
@@ -0,0 +1,190 @@
+// Package registered keeps the upstreams that register themselves with a
+// store, as one entry host knows them.
+//
+// News may come late, twice and out of order; each piece carries the store's
+// revision. Draining is final for an id. An entry may vanish because its
+// upstream ended, or because its lease ran out while the store was away; what
+// vanishes right after the store has come back is therefore kept for a while.
+//
+// The package does no I/O and reads no clock. A Set belongs to one goroutine.
+package registered
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Upstream is one upstream as it registered itself.
+type Upstream struct {
+	// ID names one start of the upstream; it is never used again.
+	ID string
+	// Service is what it belongs to.
+	Service string
+	// Address is "IP:port".
+	Address string
+	// FailureDomain is where it runs.
+	FailureDomain string
+	// Slots is the number of requests that it serves at the same time.
+	Slots int
+	// Draining is true when it is about to end and takes no new requests.
+	Draining bool
+	// ColdFor is how long it stays slow after its start, from Seen on.
+	ColdFor time.Duration
+	// Seen is when this host learned of the entry.
+	Seen time.Time
+	// Revision is the store's revision of the entry.
+	Revision uint64
+}
+
+// entry is one id, also after it has vanished.
+type entry struct {
+	upstream Upstream
+	// revision is that of the newest news, a removal included.
+	revision uint64
+	gone     bool
+	// vanished is when a kept entry went missing in the store; zero if it is there.
+	vanished time.Time
+}
+
+// Config bounds a Set.
+type Config struct {
+	// ReturnGrace is how long after the store came back a vanished entry is kept:
+	// the time in which living upstreams register again.
+	ReturnGrace time.Duration
+	// Forget is how long the id of an upstream that is gone is remembered, so that
+	// a read of an old state can't bring it back.
+	Forget time.Duration
+}
+
+// Set holds the known upstreams.
+type Set struct {
+	conf    Config
+	entries map[string]*entry
+	changed map[string]bool // services, since the last Changed
+	// returned is when the store was last reached again after an outage.
+	returned time.Time
+	goneAt   map[string]time.Time
+}
+
+// NewSet returns an empty set.
+func NewSet(conf Config) *Set {
+	return &Set{
+		conf:    conf,
+		entries: make(map[string]*entry),
+		changed: make(map[string]bool),
+		goneAt:  make(map[string]time.Time),
+	}
+}
+
+// Returned records that the store is reached again after an outage.
+func (s *Set) Returned(now time.Time) { s.returned = now }
+
+// Put takes in an entry. News that is not newer than what is known is ignored.
+func (s *Set) Put(u Upstream) {
+	e := s.entries[u.ID]
+	if e == nil {
+		s.entries[u.ID] = &entry{upstream: u, revision: u.Revision}
+		s.changed[u.Service] = true
+		return
+	}
+	if u.Revision < e.revision || (e.gone && u.Revision == e.revision) {
+		return
+	}
+	old := e.upstream
+	u.Draining = u.Draining || old.Draining
+	e.upstream, e.revision = u, u.Revision
+	e.gone, e.vanished = false, time.Time{}
+	delete(s.goneAt, u.ID)
+	s.changed[old.Service] = true
+	s.changed[u.Service] = true
+}
+
+// Remove takes in that the entry of an id vanished at a revision.
+func (s *Set) Remove(now time.Time, id string, revision uint64) {
+	e := s.entries[id]
+	if e == nil || e.gone || revision < e.revision {
+		return
+	}
+	e.revision = revision
+	if s.keeps(now) && !e.upstream.Draining {
+		if e.vanished.IsZero() {
+			e.vanished = now
+		}
+		return
+	}
+	s.drop(now, e)
+}
+
+// keeps reports whether what vanishes now may be back soon.
+func (s *Set) keeps(now time.Time) bool {
+	return !s.returned.IsZero() && now.Sub(s.returned) < s.conf.ReturnGrace
+}
+
+func (s *Set) drop(now time.Time, e *entry) {
+	e.gone = true
+	s.goneAt[e.upstream.ID] = now
+	s.changed[e.upstream.Service] = true
+}
+
+// Replace takes in a whole listing as of a revision: what is not in it has
+// vanished.
+func (s *Set) Replace(now time.Time, list []Upstream, revision uint64) {
+	listed := make(map[string]bool, len(list))
+	for _, u := range list {
+		listed[u.ID] = true
+		s.Put(u)
+	}
+	for id, e := range s.entries {
+		if !listed[id] && e.revision <= revision {
+			s.Remove(now, id, revision)
+		}
+	}
+}
+
+// Due returns when Tick has something to do; zero if never.
+func (s *Set) Due() time.Time {
+	var due time.Time
+	for _, e := range s.entries {
+		if !e.gone && !e.vanished.IsZero() {
+			due = s.returned.Add(s.conf.ReturnGrace)
+		}
+	}
+	return due
+}
+
+// Tick drops the vanished entries whose time to return is over, and forgets ids
+// that are long gone.
+func (s *Set) Tick(now time.Time) {
+	for _, e := range s.entries {
+		if !e.gone && !e.vanished.IsZero() && !s.keeps(now) {
+			s.drop(now, e)
+		}
+	}
+	for id, at := range s.goneAt {
+		if now.Sub(at) > s.conf.Forget {
+			delete(s.goneAt, id)
+			delete(s.entries, id)
+		}
+	}
+}
+
+// Changed returns the services that changed since the last call, sorted.
+func (s *Set) Changed() []string {
+	names := slices.Sorted(maps.Keys(s.changed))
+	clear(s.changed)
+	return names
+}
+
+// Of returns the upstreams of a service, by id.
+func (s *Set) Of(service string) []Upstream {
+	var out []Upstream
+	for _, e := range s.entries {
+		if !e.gone && e.upstream.Service == service {
+			out = append(out, e.upstream)
+		}
+	}
+	slices.SortFunc(out, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -24,14 +24,19 @@
 type Budget struct {
 	tokens atomic.Int64
 	share  atomic.Int64
+	cap    int64 // the most that it can save up, in stored units
 }
 
 // NewBudget returns a full budget that allows percent extra sends per hundred
 // first sends.
-func NewBudget(percent float64) *Budget {
-	b := &Budget{}
+func NewBudget(percent float64) *Budget { return NewBudgetWithReserve(percent, ReserveTokens) }
+
+// NewBudgetWithReserve is NewBudget with another reserve, in extra sends. Where
+// a bound holds for many entry hosts together, each has its part of the reserve.
+func NewBudgetWithReserve(percent, reserve float64) *Budget {
+	b := &Budget{cap: int64(reserve * milli)}
 	b.SetPercent(percent)
-	b.tokens.Store(ReserveTokens * milli)
+	b.tokens.Store(b.cap)
 	return b
 }
 
@@ -90,7 +95,7 @@
 func (b *Budget) add(units int64) {
 	for {
 		held := b.tokens.Load()
-		sum := min(held+units, ReserveTokens*milli)
+		sum := min(held+units, b.cap)
 		if sum == held || b.tokens.CompareAndSwap(held, sum) {
 			return
 		}
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -32,8 +32,16 @@
 	Config *config.Rule
 	// Service is the service that the rule belongs to.
 	Service *config.Service
+	// Targets are the groups that share its requests, at least one.
+	Targets []Target
+}
+
+// Target is one group's share of a rule's requests.
+type Target struct {
 	// Group is the group of upstreams.
 	Group *Group
+	// Weight is its share, relative to the rule's other targets.
+	Weight int
 }
 
 // Group is a compiled group with the policy's current picker.
@@ -78,7 +86,11 @@
 	}
 	for i := range s.Rules {
 		r := &s.Rules[i]
-		compiled.rules = append(compiled.rules, &Rule{Config: r, Service: s, Group: byName[r.Group]})
+		rule := &Rule{Config: r, Service: s}
+		for _, share := range r.Shares() {
+			rule.Targets = append(rule.Targets, Target{Group: byName[share.Group], Weight: share.Weight})
+		}
+		compiled.rules = append(compiled.rules, rule)
 	}
 	return compiled
 }
