Begin a watch anew when it missed a change; bound the questions asked of upstreams

Ruled out: a lost connection (checks on the same store were answered), a late decode. A check now compares the store's revision with the known one.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -145,13 +145,16 @@
 	return max(g.conf.RetryBudgetExtra/maxEntryHosts, 1)
 }
 
-// Times of following the store.
+// Times of following the store. Changes must be in force within two seconds on
+// the platforms known, so checkEvery, watchSlack and settleMax stay below.
 const (
 	watchWait    = 30 * time.Second // the most that the platforms known allow
 	readTimeout  = 2 * time.Second
-	aliveEvery   = 1500 * time.Millisecond
-	aliveTimeout = 700 * time.Millisecond
-	settle       = 150 * time.Millisecond
+	checkEvery   = 1200 * time.Millisecond
+	checkTimeout = 700 * time.Millisecond
+	watchSlack   = 150 * time.Millisecond
+	settleMin    = 150 * time.Millisecond
+	settleMax    = 900 * time.Millisecond
 	retryMin     = 150 * time.Millisecond
 	retryMax     = 600 * time.Millisecond
 )
@@ -165,9 +168,11 @@
 		Events:       g.sink,
 		WatchWait:    watchWait,
 		ReadTimeout:  readTimeout,
-		AliveEvery:   aliveEvery,
-		AliveTimeout: aliveTimeout,
-		Settle:       settle,
+		CheckEvery:   checkEvery,
+		CheckTimeout: checkTimeout,
+		WatchSlack:   watchSlack,
+		SettleMin:    settleMin,
+		SettleMax:    settleMax,
 		RetryMin:     retryMin,
 		RetryMax:     retryMax,
 	})
--- a/internal/proxy/ask.go
+++ b/internal/proxy/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
@@ -26,6 +27,7 @@
 	}
 	for round := 0; ctx.Err() == nil; round++ {
 		list := policy.Ask(*info, round)
+		list = list[:x.state.group.questions.take(len(list))]
 		if len(list) == 0 {
 			return
 		}
@@ -33,3 +35,35 @@
 		info.Now = time.Now()
 	}
 }
+
+// The bound on questions: upstreams pay for them with slot time.
+const (
+	// questionsPerRequest is what each request adds, on average.
+	questionsPerRequest = 3
+	// maxQuestions is the most that can be saved up.
+	maxQuestions = 24
+)
+
+// questions bounds how often a group's upstreams are asked, by the requests
+// that the group gets. It is safe for concurrent use.
+type questions struct {
+	left atomic.Int64
+}
+
+// earn adds what one request allows.
+func (q *questions) earn() {
+	if left := q.left.Load(); left < maxQuestions {
+		q.left.CompareAndSwap(left, min(left+questionsPerRequest, maxQuestions))
+	}
+}
+
+// take returns how many of n questions may be asked now.
+func (q *questions) take(n int) int {
+	for {
+		left := q.left.Load()
+		granted := min(int64(n), max(left, 0))
+		if granted == 0 || q.left.CompareAndSwap(left, left-granted) {
+			return int(granted)
+		}
+	}
+}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -57,6 +57,7 @@
 		return errkind.New(errkind.NoRoute, x.req.Path)
 	}
 	x.state = s.rules[x.rule].next()
+	x.state.group.questions.earn()
 	return nil
 }
 
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -24,9 +24,11 @@
 	current currentGroup
 	limiter *limit.Limiter // nil without a limit
 	// budget is what all rules of a registered service share; else nil.
-	budget  *retry.Budget
-	service queue.ServiceTime
-	excess  limit.Excess
+	budget *retry.Budget
+	// questions bounds how often the upstreams are asked for their load.
+	questions questions
+	service   queue.ServiceTime
+	excess    limit.Excess
 	// waiting mirrors the queue's length, so that the usual case takes no lock.
 	waiting atomic.Int64
 	// ends counts sends that ended, to notice one between a pick and a push.
--- a/internal/proxy/wait.go
+++ b/internal/proxy/wait.go
@@ -18,6 +18,9 @@
 // tries again without an answer that frees a slot.
 const hintInterval = 5 * time.Millisecond
 
+// askInterval is hintInterval where upstreams are asked for their load.
+const askInterval = 25 * time.Millisecond
+
 // waiter is a request in its group's queue. Exactly one signal follows each
 // time that the queue takes the entry out: Kept hands over a place in the
 // limit, any other reason gives the request up.
@@ -70,7 +73,8 @@
 // awaitSlot picks each time that the request is woken, until it is bound.
 func (x *exchange) awaitSlot(ctx context.Context, w *waiter, start time.Time) (binding, *errkind.Error) {
 	g := x.state.group
-	tick := time.NewTicker(hintInterval)
+	interval := x.hintEvery()
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	for {
 		select {
@@ -79,7 +83,7 @@
 				return binding{}, x.shed(reason)
 			}
 		case now := <-tick.C:
-			g.hint(now, hintInterval)
+			g.hint(now, interval)
 			continue
 		case <-ctx.Done():
 			x.leave(w)
@@ -102,6 +106,15 @@
 	}
 }
 
+// hintEvery is how long the queue may stand still: where upstreams are asked
+// before each choice, a try costs questions.
+func (x *exchange) hintEvery() time.Duration {
+	if x.state.group.current.Load().Config.HealthPath != "" {
+		return askInterval
+	}
+	return hintInterval
+}
+
 // leave takes w out of the queue when the request ended. A place in the limit
 // that was handed over meanwhile goes to the next.
 func (x *exchange) leave(w *waiter) {
--- a/internal/source/follower.go
+++ b/internal/source/follower.go
@@ -27,14 +27,17 @@
 	WatchWait time.Duration
 	// ReadTimeout bounds reading everything.
 	ReadTimeout time.Duration
-	// AliveEvery is the pause between two checks that the store still answers
-	// while a watch waits.
-	AliveEvery time.Duration
-	// AliveTimeout is the silence after which a check has failed.
-	AliveTimeout time.Duration
-	// Settle is the pause before the next watch, so that a burst of changes costs
-	// one call.
-	Settle time.Duration
+	// CheckEvery is the pause between two checks, while a watch waits, that the
+	// store answers and that the watch has not missed a change.
+	CheckEvery time.Duration
+	// CheckTimeout is the silence after which a check has failed.
+	CheckTimeout time.Duration
+	// WatchSlack is how long a watch may take to tell of a change that a check
+	// has seen.
+	WatchSlack time.Duration
+	// SettleMin and SettleMax bound the pause before the next watch, so that a
+	// burst of changes costs few calls: it doubles while changes keep coming.
+	SettleMin, SettleMax time.Duration
 	// RetryMin and RetryMax bound the pause before a failed call is made again;
 	// it doubles from one to the other.
 	RetryMin, RetryMax time.Duration
@@ -47,6 +50,7 @@
 	known    bool // everything was read, and nothing was missed since
 	away     bool // the last call failed
 	failures int
+	settle   time.Duration
 }
 
 // NewFollower returns a follower that has read nothing.
@@ -55,23 +59,20 @@
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := f.conf.Settle
+		began := time.Now()
 		changed, err := f.step(ctx)
+		pause := time.Duration(0)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrHistoryLost):
 			f.known = false
 			f.emit(event.Event{Code: event.StoreHistoryLost, Value: int64(f.revision)})
-			pause = 0
 		case err != nil:
 			f.lost(err)
 			pause = f.backoff()
-		case !changed:
-			f.regained()
-			pause = 0
-		default:
-			f.regained()
+		case changed:
+			pause = f.settleAfter(time.Since(began))
 		}
 		if !sleep(ctx, pause) {
 			return
@@ -79,6 +80,15 @@
 	}
 }
 
+// settleAfter returns the pause after changes that took a watch some time.
+func (f *Follower) settleAfter(watched time.Duration) time.Duration {
+	if watched > f.conf.SettleMax {
+		f.settle = 0
+	}
+	f.settle = min(max(2*f.settle, f.conf.SettleMin), f.conf.SettleMax)
+	return f.settle
+}
+
 // step reads everything, or what has changed. It reports whether anything has.
 func (f *Follower) step(ctx context.Context) (bool, error) {
 	if !f.known {
@@ -102,36 +112,36 @@
 	return nil
 }
 
-// watch waits for changes, and meanwhile checks that the store answers: a
-// watch at a store that has gone silent would wait in vain.
+// errWatchBehind says that a watch did not tell of a change.
+var errWatchBehind = errors.New("the watch missed a change")
+
+// watch waits for changes. Meanwhile it checks that the store answers and that
+// the watch has not missed any: one at a store that went silent, or whose end
+// was lost, would wait in vain.
 func (f *Follower) watch(ctx context.Context) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.conf.WatchWait+f.conf.ReadTimeout)
 	defer cancel()
-	silent := make(chan error, 1)
-	checking := make(chan struct{})
+	failed := make(chan error, 1)
 	go func() {
-		defer close(checking)
-		if err := f.check(ctx); err != nil {
-			silent <- err
-			cancel()
-		}
+		failed <- f.check(ctx)
+		cancel()
 	}()
 	changes, err := f.conf.Store.Watch(ctx, f.revision, f.conf.WatchWait)
 	cancel()
-	<-checking
+	cause := <-failed
+	if err != nil && cause != nil {
+		err = cause
+	}
+	if errors.Is(err, errWatchBehind) {
+		f.emit(event.Event{Code: event.StoreWatchBehind, Value: int64(f.revision)})
+		return false, nil // the next watch begins where this one did
+	}
 	if err != nil {
-		select {
-		case cause := <-silent:
-			return false, cause
-		default:
-			return false, err
-		}
+		return false, err
 	}
 	f.regained()
 	f.reject(changes.Rejected)
-	if changes.Revision > f.revision {
-		f.revision = changes.Revision
-	}
+	f.revision = max(f.revision, changes.Revision)
 	if len(changes.Configurations) == 0 && len(changes.Events) == 0 {
 		return false, nil
 	}
@@ -141,12 +151,17 @@
 
 // check returns the first failed check, or nil when ctx ends.
 func (f *Follower) check(ctx context.Context) error {
-	for sleep(ctx, f.conf.AliveEvery) {
-		call, cancel := context.WithTimeout(ctx, f.conf.AliveTimeout)
-		err := f.conf.Store.Alive(call)
+	for sleep(ctx, f.conf.CheckEvery) {
+		call, cancel := context.WithTimeout(ctx, f.conf.CheckTimeout)
+		revision, err := f.conf.Store.Revision(call)
 		cancel()
-		if err != nil && ctx.Err() == nil {
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case err != nil:
 			return errors.Wrap(err, "check during a watch")
+		case revision > f.revision && sleep(ctx, f.conf.WatchSlack):
+			return errWatchBehind
 		}
 	}
 	return nil
--- a/pkg/event/config_events.go
+++ b/pkg/event/config_events.go
@@ -23,6 +23,7 @@
 	ConfigurationOld     Code = 2025
 	UpstreamsRead        Code = 2026
 	UpstreamRegistered   Code = 2027
+	StoreWatchBehind     Code = 2028
 )
 
 // configEvents describes the codes 2xxx: configuration.
@@ -45,6 +46,7 @@
 	ConfigurationInForce: {"configuration-in-force", Info, "A whole configuration is in force on this entry host.", "version"},
 	ConfigurationOld:     {"configuration-old", Info, "A configuration that is not newer than the one in force is ignored.", "version"},
 	UpstreamsRead:        {"upstreams-read", Info, "All registered upstreams were read.", "upstreams"},
+	StoreWatchBehind:     {"store-watch-behind", Info, "A waiting watch did not tell of a change that a check saw; it is begun anew.", "revision known"},
 	UpstreamRegistered:   {"upstream-registered", Info, "The entry of a registered upstream is new or has changed; the reason is its state.", "revision"},
 
 	ConfigSendDropped: {"config-send-dropped", Warn, "Messages to peers were dropped because too many were waiting; comparison repairs it.", "messages"},
