--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -16,9 +16,11 @@
 const (
 	// tickEvery is how often unreachable and vanished upstreams are looked at.
 	tickEvery = 500 * time.Millisecond
-	// returnGrace is how long a vanished entry is kept after the store came back:
-	// living upstreams register again within about two seconds.
-	returnGrace = 2300 * time.Millisecond
+	// returnGrace is how long a vanished entry is kept after this host noticed
+	// that the store is back: living upstreams register again within about two
+	// seconds of its return, which is noticed up to a second late. Three seconds
+	// after its return an upstream that is gone must get nothing any more.
+	returnGrace = 1500 * time.Millisecond
 	// forgetAfter is how long the ids of upstreams that are gone are remembered.
 	forgetAfter = 10 * time.Minute
 )
@@ -86,7 +88,12 @@
 }
 
 // returned is told that the store answers again.
-func (c *controller) returned() { c.set.Returned(time.Now()) }
+func (c *controller) returned() {
+	c.set.Returned(time.Now())
+	time.AfterFunc(returnGrace, func() {
+		c.gateway.loop.Post(func() { c.tick(time.Now()) })
+	})
+}
 
 // configure takes a configuration in if it is newer than the one in force.
 func (c *controller) configure(next *config.Configuration) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -156,7 +156,9 @@
 	settleMin    = 150 * time.Millisecond
 	settleMax    = 900 * time.Millisecond
 	retryMin     = 150 * time.Millisecond
-	retryMax     = 600 * time.Millisecond
+	retryMax     = 400 * time.Millisecond
+	// minOutage is shorter than any lease less the time to notice an outage.
+	minOutage = 500 * time.Millisecond
 )
 
 func (g *Gateway) buildControl(store source.Store) {
@@ -173,6 +175,7 @@
 		WatchSlack:   watchSlack,
 		SettleMin:    settleMin,
 		SettleMax:    settleMax,
+		MinOutage:    minOutage,
 		RetryMin:     retryMin,
 		RetryMax:     retryMax,
 	})
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +40,9 @@
 	resp    *httpwire.Response
 	err     *errkind.Error
 	noRetry bool
+	// failure is the upstream's whole answer if it says that it failed; err is
+	// then set.
+	failure *httpwire.Response
 }
 
 // feedback is what a send teaches the balancer and the limit.
@@ -79,14 +84,17 @@
 
 // pick chooses an upstream for send number n. The place in the limit must be
 // held already. The error is balancer.ErrNoSlot or balancer.ErrNoUpstream.
-// Waited is how long the request has been in the queue.
-func (x *exchange) pick(ctx context.Context, n int, waited time.Duration) (binding, error) {
+// Waited is how long the request has been in the queue, and extra says that
+// another send is still running.
+func (x *exchange) pick(ctx context.Context, n int, waited time.Duration, extra bool) (binding, error) {
 	group := x.state.group.current.Load()
 	info := balancer.PickInfo{
 		Now:     time.Now(),
 		Random:  x.proxy.random(),
 		Exclude: x.tried,
 		Waited:  waited,
+		Extra:   extra,
+		Target:  x.rule.Config.TargetLatency.Std(),
 	}
 	x.ask(ctx, group, &info)
 	now := info.Now
@@ -167,6 +175,11 @@
 	if r.err = d.fault(resp); r.err != nil {
 		return r
 	}
+	if d.Signature != "" && x.repeatable() && resp.Status >= http.StatusInternalServerError {
+		r.err = errkind.New(errkind.UpstreamFailed, b.upstream.ID+" answered "+strconv.Itoa(resp.Status))
+		r.failure = resp
+		return r
+	}
 	r.resp = resp
 	return r
 }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -31,6 +31,7 @@
 	unknown *errkind.Error // the first failure after which the request may have run
 	first   *errkind.Error // the first failure of a send
 	noRetry bool           // an upstream said not to retry
+	failure *result        // the newest answer of an upstream that says it failed
 	guard   guard
 
 	triedFirst [typicalTries]*balancer.Upstream // memory of tried
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -110,7 +110,7 @@
 	second, err := h.x.bindHedge(h.ctx, h.delay, h.crowded)
 	if errors.Is(err, errLimit) || errors.Is(err, balancer.ErrNoSlot) {
 		h.crowded = true
-		h.timer.Reset(hintInterval)
+		h.timer.Reset(h.x.hintEvery())
 	}
 	if err != nil {
 		return false
@@ -192,7 +192,7 @@
 	if !g.limiter.Acquire(limit.Headroom) {
 		return binding{}, errLimit
 	}
-	return x.pickHeld(ctx, n)
+	return x.pickHeld(ctx, n, true)
 }
 
 // tryBind binds send number n if a place in the limit and a slot are free now.
@@ -201,12 +201,12 @@
 	if !g.acquire(priorityOf(x.rule.Config)) {
 		return binding{}, errLimit
 	}
-	return x.pickHeld(ctx, n)
+	return x.pickHeld(ctx, n, false)
 }
 
 // pickHeld picks with a place in the limit held, or gives it back.
-func (x *exchange) pickHeld(ctx context.Context, n int) (binding, error) {
-	b, err := x.pick(ctx, n, 0)
+func (x *exchange) pickHeld(ctx context.Context, n int, extra bool) (binding, error) {
+	b, err := x.pick(ctx, n, 0, extra)
 	if err != nil {
 		x.state.group.limiter.Release(limit.Sample{Outcome: limit.Ignored})
 	}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
@@ -10,8 +11,8 @@
 	"github.com/dapplespindle/dapplespindle/pkg/retry"
 )
 
-// nonRepeatableAttempts bounds the sends of a non-repeatable request, of which
-// all but the last certainly did not run.
+// nonRepeatableAttempts bounds the sends of a non-repeatable request unless its
+// rule does; all but the last certainly did not run.
 const nonRepeatableAttempts = config.DefaultMaxAttempts
 
 // medianQuantile estimates how long a send usually takes.
@@ -23,6 +24,9 @@
 		b, err := x.bind(ctx)
 		if err != nil {
 			x.notSent()
+			if x.failure != nil {
+				return x.answer(*x.failure)
+			}
 			return x.refuse(x.finalError(err))
 		}
 		x.count()
@@ -30,12 +34,24 @@
 		if r.err == nil {
 			return x.answer(r)
 		}
+		x.keep(r)
 		if !x.retry(r) {
+			if x.failure != nil {
+				return x.answer(*x.failure)
+			}
 			return x.refuse(x.finalError(r.err))
 		}
 	}
 }
 
+// keep remembers an upstream's own answer that says it failed. It is passed on
+// if no other answer comes.
+func (x *exchange) keep(r result) {
+	if r.failure != nil {
+		x.failure = &result{binding: r.binding, resp: r.failure}
+	}
+}
+
 // count records a send. The first fills the budget.
 func (x *exchange) count() {
 	x.sent++
@@ -108,7 +124,7 @@
 
 func maxAttempts(r *config.Rule) int {
 	if r.Repeat != config.Repeatable {
-		return nonRepeatableAttempts
+		return cmp.Or(r.Retry.MaxAttempts, nonRepeatableAttempts)
 	}
 	return r.Retry.MaxAttempts
 }
--- a/internal/proxy/wait.go
+++ b/internal/proxy/wait.go
@@ -90,7 +90,7 @@
 			return binding{}, x.expired(ctx)
 		}
 		ends := g.ends.Load()
-		b, err := x.pick(ctx, x.sent+1, time.Since(start))
+		b, err := x.pick(ctx, x.sent+1, time.Since(start), false)
 		if err == nil {
 			return b, nil
 		}
--- a/internal/source/follower.go
+++ b/internal/source/follower.go
@@ -19,7 +19,8 @@
 	Read func(*State)
 	// Changed takes in changes.
 	Changed func(*Changes)
-	// Returned is told that the store answers again after it did not.
+	// Returned is told that the store answers again after an outage in which
+	// leases may have run out.
 	Returned func()
 	// Events receives what was lost, regained and refused.
 	Events event.Sink
@@ -38,6 +39,8 @@
 	// SettleMin and SettleMax bound the pause before the next watch, so that a
 	// burst of changes costs few calls: it doubles while changes keep coming.
 	SettleMin, SettleMax time.Duration
+	// MinOutage is the shortest time without answers that counts as an outage.
+	MinOutage time.Duration
 	// RetryMin and RetryMax bound the pause before a failed call is made again;
 	// it doubles from one to the other.
 	RetryMin, RetryMax time.Duration
@@ -47,8 +50,8 @@
 type Follower struct {
 	conf     Config
 	revision uint64
-	known    bool // everything was read, and nothing was missed since
-	away     bool // the last call failed
+	known    bool      // everything was read, and nothing was missed since
+	away     time.Time // when the first of the calls that failed in a row did; zero if none
 	failures int
 	settle   time.Duration
 }
@@ -169,17 +172,21 @@
 
 func (f *Follower) lost(err error) {
 	f.failures++
-	if !f.away {
-		f.away = true
+	if f.away.IsZero() {
+		f.away = time.Now()
 		f.emit(event.Event{Code: event.StoreLost, Detail: err.Error(), Value: int64(f.revision)})
 	}
 }
 
 func (f *Follower) regained() {
 	f.failures = 0
-	if f.away {
-		f.away = false
-		f.emit(event.Event{Code: event.StoreRegained, Value: int64(f.revision)})
+	if f.away.IsZero() {
+		return
+	}
+	outage := time.Since(f.away)
+	f.away = time.Time{}
+	f.emit(event.Event{Code: event.StoreRegained, Value: outage.Milliseconds()})
+	if outage >= f.conf.MinOutage {
 		f.conf.Returned()
 	}
 }
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -43,6 +43,11 @@
 	Exclude []*Upstream
 	// Waited is how long the request has been in the local queue.
 	Waited time.Duration
+	// Extra is true for a second attempt beside one that is still running: it is
+	// only worth its price at an upstream that is fast now.
+	Extra bool
+	// Target is the time within which an answer has its full worth; 0 if unknown.
+	Target time.Duration
 }
 
 // Excludes reports whether u was already tried.
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -207,7 +207,8 @@
 	TargetLatency Duration `json:"target_latency,omitempty"`
 	// Priority orders requests under overload. Default: normal.
 	Priority Priority `json:"priority,omitempty"`
-	// Retry applies to repeatable requests.
+	// Retry applies to repeatable requests; of a non-repeatable rule only
+	// MaxAttempts, to sends that certainly did not run.
 	Retry Retry `json:"retry,omitempty"`
 }
 
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -316,8 +316,11 @@
 		if r.Execution != ExecutionTicket && r.Execution != ExecutionDirect {
 			return &FieldError{field + ".execution", "is " + strconv.Quote(string(r.Execution)), "write \"ticket\" or \"direct\""}
 		}
-		if r.Retry != (Retry{}) {
-			return &FieldError{field + ".retry", "is set on a non-repeatable rule", "remove it: such a request is sent once"}
+		if r.Retry != (Retry{MaxAttempts: r.Retry.MaxAttempts}) {
+			return &FieldError{field + ".retry", "is set on a non-repeatable rule", "remove all but max_attempts: such a request runs once"}
+		}
+		if r.Retry.MaxAttempts < 0 || r.Retry.MaxAttempts > maxAttempts {
+			return &FieldError{field + ".retry.max_attempts", "is outside 1 to 10", "count all sends, the first included"}
 		}
 	default:
 		return &FieldError{field + ".repeat", "is " + strconv.Quote(string(r.Repeat)), "write \"repeatable\" or \"non-repeatable\""}
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -72,6 +72,9 @@
 	// UpstreamTLSNotSet is a group that asks for TLS on an entry host without an
 	// authority for upstreams; nothing was sent.
 	UpstreamTLSNotSet
+	// UpstreamFailed is a whole answer by which an upstream says that it failed.
+	// It is passed on as it is if no other upstream answers.
+	UpstreamFailed
 
 	numKinds
 )
@@ -118,7 +121,7 @@
 	Overloaded:         {"overloaded", http.StatusServiceUnavailable, NotRun, true},
 	DeadlineBeforeSend: {"deadline-before-send", http.StatusGatewayTimeout, NotRun, false},
 	UpstreamRefused:    {"upstream-refused", http.StatusServiceUnavailable, NotRun, true},
-	ConnectFailed:      {"connect-failed", http.StatusBadGateway, NotRun, true},
+	ConnectFailed:      {"connect-failed", http.StatusServiceUnavailable, NotRun, true},
 	DeadlineAfterSend:  {"deadline-after-send", http.StatusGatewayTimeout, Unknown, false},
 	UpstreamBroken:     {"upstream-broken", http.StatusBadGateway, Unknown, false},
 	OutcomeUnknown:     {"outcome-unknown", http.StatusBadGateway, Unknown, false},
@@ -133,7 +136,8 @@
 	IssuerNotAsked:     {"issuer-not-asked", http.StatusServiceUnavailable, Unknown, true},
 	IssuerGone:         {"issuer-gone", http.StatusGone, Unknown, false},
 	AnswerNotKept:      {"answer-not-kept", http.StatusGone, Ran, false},
-	SendFailed:         {"send-failed", http.StatusBadGateway, NotRun, true},
+	SendFailed:         {"send-failed", http.StatusServiceUnavailable, NotRun, true},
+	UpstreamFailed:     {"upstream-failed", http.StatusBadGateway, Unknown, false},
 	UpstreamTLSNotSet:  {"upstream-tls-not-set", http.StatusBadGateway, NotRun, false},
 }
 
--- a/pkg/event/config_events.go
+++ b/pkg/event/config_events.go
@@ -40,7 +40,7 @@
 	ConfigFallbackRead:   {"config-fallback-read", Info, "The entry host is no reader but reads the platform, for want of news.", ""},
 	ConfigDamaged:        {"config-damaged", Error, "A document from a peer did not fit its digest and was dropped.", ""},
 	StoreLost:            {"store-lost", Warn, "The store does not answer; what is in force stays.", "revision known"},
-	StoreRegained:        {"store-regained", Info, "The store answers again.", "revision known"},
+	StoreRegained:        {"store-regained", Info, "The store answers again.", "ms without an answer"},
 	StoreHistoryLost:     {"store-history-lost", Info, "The store no longer has the changes after the known revision; everything is read anew.", "revision known"},
 	StoreItemRejected:    {"store-item-rejected", Warn, "A published item can't be decoded and is ignored; the detail names the field.", "revision"},
 	ConfigurationInForce: {"configuration-in-force", Info, "A whole configuration is in force on this entry host.", "version"},
--- a/pkg/retry/decide.go
+++ b/pkg/retry/decide.go
@@ -92,7 +92,7 @@
 	switch kind {
 	case errkind.ConnectFailed, errkind.SendFailed, errkind.UpstreamRefused:
 		return true
-	case errkind.UpstreamBroken:
+	case errkind.UpstreamBroken, errkind.UpstreamFailed:
 		return repeatable
 	default:
 		return false
