--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -149,7 +149,9 @@
 // done reports the end of a send to the balancer, the limit and the queue.
 func (x *exchange) done(b binding, f feedback) {
 	now := time.Now()
-	balancer.Finish(x.state.group.current.Load().Picker, b.call, f.balancer(now))
+	told := f.balancer(now)
+	told.Target = x.rule.Config.TargetLatency.Std()
+	balancer.Finish(x.state.group.current.Load().Picker, b.call, told)
 	if f.outcome == limit.Answered {
 		x.state.latency.Observe(f.latency)
 	}
--- a/internal/proxy/wait.go
+++ b/internal/proxy/wait.go
@@ -143,7 +143,7 @@
 
 func (x *exchange) newWaiter() *waiter {
 	w := &waiter{signal: make(chan queue.Reason, 1)}
-	w.entry = queue.Entry[*waiter]{Value: w, Priority: priorityOf(x.rule.Config), Deadline: x.deadline}
+	w.entry = queue.Entry[*waiter]{Value: w, Priority: priorityOf(x.rule.Config), Deadline: x.usefulUntil()}
 	return w
 }
 
@@ -157,3 +157,16 @@
 		return queue.Normal
 	}
 }
+
+// usefulUntil is when an answer has lost most of its worth: the target, or else
+// the deadline.
+func (x *exchange) usefulUntil() time.Time {
+	target := x.rule.Config.TargetLatency.Std()
+	if target == 0 {
+		return x.deadline
+	}
+	if at := x.req.Received.Add(target); at.Before(x.deadline) {
+		return at
+	}
+	return x.deadline
+}
--- a/pkg/balancer/feedback.go
+++ b/pkg/balancer/feedback.go
@@ -42,6 +42,11 @@
 	Outcome Outcome
 	// Report is the load report that came with the answer.
 	Report Report
+	// Target is the time within which an answer has its full worth; 0 if unknown.
+	Target time.Duration
+	// Sent is what was known of the upstream's load at the send, that request
+	// included; nil if nothing fresh was. Finish sets it.
+	Sent *Load
 }
 
 // Call is one request in flight. It belongs to the goroutine that sent it.
@@ -52,12 +57,14 @@
 	Started time.Time
 
 	cell int
+	load *Load
 }
 
 // Finish records the end of a call and passes the feedback to the picker.
 // Traffic goroutines call it exactly once for each Begin; the picker is the
 // one in force now, which may be newer than the one that chose.
 func Finish(p Picker, c Call, f Feedback) {
+	f.Sent = c.load
 	c.Upstream.end(c, f)
 	if o, ok := p.(Observer); ok {
 		o.Observe(c.Upstream, f)
--- a/pkg/balancer/probefirst/probefirst.go
+++ b/pkg/balancer/probefirst/probefirst.go
@@ -32,16 +32,17 @@
 	FarCost = 0.15
 	// fullFrom is the share of busy slots above which work slows down.
 	fullFrom = 0.8
-	// fullSlowdown is how much it slows down then.
+	// fullSlowdown is how much it is assumed to slow down then, before that is
+	// learned.
 	fullSlowdown = 1.7
 	// TroubleCost multiplies the share of recent sends that failed.
 	TroubleCost = 6.0
 	// OverdueShare is the part of the target latency after which an answer is
 	// overdue.
-	OverdueShare = 0.55
-	// MaxWaiting is the number of requests that may wait at an upstream; beyond
-	// it the request waits on the entry host.
-	MaxWaiting = 2
+	OverdueShare = 0
+	// MaxWaiting is the number of requests that may wait at an upstream that does
+	// not slow down when it is full; beyond it the request waits on the entry host.
+	MaxWaiting = 3
 )
 
 // Builder creates policies.
@@ -51,15 +52,18 @@
 func (Builder) Name() string { return Name }
 
 // Build implements balancer.Builder.
-func (Builder) Build(o balancer.Options) balancer.Policy { return policy{o.FailureDomain} }
+func (Builder) Build(o balancer.Options) balancer.Policy {
+	return &policy{failureDomain: o.FailureDomain, crowding: new(crowding)}
+}
 
 type policy struct {
 	failureDomain string
+	crowding      *crowding
 }
 
 // Update implements balancer.Policy.
-func (p policy) Update(members []*balancer.Upstream) balancer.Picker {
-	next := new(picker)
+func (p *policy) Update(members []*balancer.Upstream) balancer.Picker {
+	next := &picker{crowding: p.crowding}
 	for _, u := range members {
 		if u.FailureDomain == p.failureDomain {
 			next.near = append(next.near, u)
@@ -73,14 +77,18 @@
 // picker is an immutable membership.
 type picker struct {
 	near, far []*balancer.Upstream
+	crowding  *crowding
 }
 
+// Observe implements balancer.Observer.
+func (p *picker) Observe(_ *balancer.Upstream, f balancer.Feedback) { p.crowding.observe(f) }
+
 // Ask implements balancer.Asker.
 func (p *picker) Ask(info balancer.PickInfo, round int) []*balancer.Upstream {
 	if round >= MaxRounds {
 		return nil
 	}
-	if best, cost := p.best(info); best != nil && cost <= GoodCost {
+	if best, cost := p.best(info, p.crowding.slowdown()); best != nil && cost <= GoodCost {
 		return nil
 	}
 	asked := appendStale(nil, p.near, info)
@@ -117,8 +125,9 @@
 
 // Pick implements balancer.Picker.
 func (p *picker) Pick(info balancer.PickInfo) (balancer.Result, error) {
-	if best, cost := p.best(info); best != nil {
-		if tooFull(best) || (info.Extra && cost > GoodCost) {
+	crowded := p.crowding.slowdown()
+	if best, cost := p.best(info, crowded); best != nil {
+		if tooFull(best, crowded) || (info.Extra && cost > GoodCost) {
 			return balancer.Result{RetryAfter: FreshFor}, balancer.ErrNoSlot
 		}
 		reason := "fresh-report"
@@ -142,22 +151,26 @@
 }
 
 // tooFull reports whether as many requests wait at u as may.
-func tooFull(u *balancer.Upstream) bool {
+func tooFull(u *balancer.Upstream, crowded float64) bool {
 	l := u.Load()
-	return l.InFlight >= l.Slots+MaxWaiting
+	waiting := MaxWaiting
+	if crowded > CrowdedFrom {
+		waiting = 0
+	}
+	return l.InFlight >= l.Slots+waiting
 }
 
 // best returns the cheapest member with a fresh report, or nil.
-func (p *picker) best(info balancer.PickInfo) (*balancer.Upstream, float64) {
-	near, cost := cheapest(p.near, info, 0)
-	far, farCost := cheapest(p.far, info, FarCost)
+func (p *picker) best(info balancer.PickInfo, crowded float64) (*balancer.Upstream, float64) {
+	near, cost := cheapest(p.near, info, crowded, 0)
+	far, farCost := cheapest(p.far, info, crowded, FarCost)
 	if near == nil || (far != nil && farCost < cost) {
 		return far, farCost
 	}
 	return near, cost
 }
 
-func cheapest(members []*balancer.Upstream, info balancer.PickInfo, extra float64) (*balancer.Upstream, float64) {
+func cheapest(members []*balancer.Upstream, info balancer.PickInfo, crowded, extra float64) (*balancer.Upstream, float64) {
 	var best *balancer.Upstream
 	var lowest float64
 	n := uint64(len(members))
@@ -167,7 +180,7 @@
 		if l == nil || info.Now.Sub(l.At) > FreshFor || info.Excludes(u) {
 			continue
 		}
-		if c := cost(u, l, info.Now) + extra; best == nil || c < lowest {
+		if c := cost(u, l, crowded, info.Now) + extra; best == nil || c < lowest {
 			best, lowest = u, c
 		}
 	}
@@ -176,12 +189,12 @@
 
 // cost estimates the time of the next request at u, relative to that at an
 // idle upstream of usual speed.
-func cost(u *balancer.Upstream, l *balancer.Load, now time.Time) float64 {
+func cost(u *balancer.Upstream, l *balancer.Load, crowded float64, now time.Time) float64 {
 	slots := float64(max(l.Slots, 1))
 	busy := float64(l.InFlight + 1)
 	work := max(l.Slowdown, 1)
 	if busy/slots > fullFrom {
-		work *= fullSlowdown
+		work *= crowded
 	}
 	if busy > slots {
 		work *= 1 + (busy-slots)/slots
--- a/pkg/balancer/upstream.go
+++ b/pkg/balancer/upstream.go
@@ -105,7 +105,8 @@
 // Begin records a request sent to u. Finish must be called once for the result.
 func (u *Upstream) Begin(now time.Time) Call {
 	u.outstanding.Add(1)
-	c := Call{Upstream: u, Started: now, cell: untracked}
+	load := u.Load()
+	c := Call{Upstream: u, Started: now, cell: untracked, load: load}
 	for i := range u.started {
 		if u.started[i].CompareAndSwap(0, now.UnixNano()) {
 			c.cell = i
