--- a/internal/proxy/ask.go
+++ b/internal/proxy/ask.go
@@ -39,9 +39,9 @@
 // The bound on questions: upstreams pay for them with slot time.
 const (
 	// questionsPerRequest is what each request adds, on average.
-	questionsPerRequest = 3
+	questionsPerRequest = 6
 	// maxQuestions is the most that can be saved up.
-	maxQuestions = 24
+	maxQuestions = 60
 )
 
 // questions bounds how often a group's upstreams are asked, by the requests
--- a/pkg/balancer/probefirst/probefirst.go
+++ b/pkg/balancer/probefirst/probefirst.go
@@ -26,7 +26,7 @@
 	// MaxRounds bounds the rounds of asking before one choice.
 	MaxRounds = 3
 	// GoodCost is the cost up to which a candidate is taken without asking more.
-	GoodCost = 1.35
+	GoodCost = 1.8
 	// FarCost is added for an upstream in another failure domain: the way is
 	// longer and the bytes are paid for.
 	FarCost = 0.15
