Pass on answers that end with their connection

Cause: the parser was shown the body behind the head, and the event loop says end of file also for a reset that comes with the last bytes; the socket is now asked.

--- a/internal/httpwire/framing/scanner.go
+++ b/internal/httpwire/framing/scanner.go
@@ -253,5 +253,5 @@
 		}
 		from = h.to
 	}
-	return parse(buf[from:s.pos])
+	return parse(buf[from:min(s.pos, len(buf))])
 }
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -55,9 +55,14 @@
 	if !owned {
 		c.buf = bytes.Clone(data)
 	}
+	if c.scanner.Head().UntilClose && socket.Reset(c.nbc) {
+		return errReset
+	}
 	return nil
 }
 
+var errReset = errors.New("connection reset within an answer without a length")
+
 // complete hands over the whole answer. It reports false if the answer is a
 // late one to an earlier request, which is dropped. Bytes behind the answer, or
 // a late one before it, mean that the connection cannot be trusted with
