Write the whole way of a request that failed; latency buckets that add up over hosts

Cause: a failed request's debug events were never written, and every refusal wrote a line however many there were.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,8 @@
 	conf    Settings
 	sink    event.Sink
 	metrics *metrics.Sink
+	output  *logging.NonBlockingWriter
+	trails  *logging.Trails
 
 	loop     *control.Loop
 	control  *controller
@@ -66,7 +68,11 @@
 		return err
 	}
 	g.metrics = metrics.New()
-	g.sink = hostSink{g.conf.Host, events.Fanout{logging.New(w, level), g.metrics}}
+	g.output = logging.NonBlocking(w)
+	log := logging.New(g.output, level)
+	g.trails = logging.NewTrails(log)
+	g.metrics.AddLog(g.output.Dropped, g.trails.Dropped)
+	g.sink = hostSink{g.conf.Host, events.Fanout{logging.WithoutRequests{Sink: log}, g.metrics}}
 	logging.CaptureLibrary(g.sink)
 	return nil
 }
@@ -117,6 +123,7 @@
 		proxy.WithDialect(dialect),
 		proxy.WithAsker(&asker{client: g.client, dialect: dialect, events: g.sink}),
 		proxy.WithUpstreams(g.control),
+		proxy.WithTrails(g.trails),
 		proxy.WithSharedBudget(g.retryPercent(), g.retryReserve()),
 	)
 	g.server = httpwire.NewServer(httpwire.ServerConfig{
@@ -187,6 +194,7 @@
 func (g *Gateway) Run(ctx context.Context, signals <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer func() { _ = g.output.Close() }() // writes what waits
 	if err := g.start(ctx); err != nil {
 		return err
 	}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -29,10 +29,15 @@
 // Emit implements event.Sink.
 func (s *Sink) Emit(e event.Event) {
 	entry := event.Catalogue[e.Code]
-	line := s.log.WithLevel(levels[entry.Level])
-	if levels[entry.Level] < s.log.GetLevel() || line == nil {
-		return
+	if levels[entry.Level] >= s.log.GetLevel() {
+		s.Write(e)
 	}
+}
+
+// Write writes an event whatever its level.
+func (s *Sink) Write(e event.Event) {
+	entry := event.Catalogue[e.Code]
+	line := s.log.Log().Str(zerolog.LevelFieldName, levels[entry.Level].String())
 	line.Time("time", e.At).
 		Uint16("event", uint16(e.Code)).
 		Str("name", entry.Name).
@@ -52,6 +57,15 @@
 	if e.Elapsed > 0 {
 		line.Int64("elapsed_us", e.Elapsed.Microseconds())
 	}
+	if e.Version > 0 {
+		line.Uint64("config_version", e.Version)
+	}
+	if l := e.Load; l != nil {
+		line.Int("load_in_flight", l.InFlight).
+			Int("load_slots", l.Slots).
+			Float64("load_slowdown", l.Slowdown).
+			Int64("load_age_us", l.Age.Microseconds())
+	}
 	line.Send()
 }
 
--- /dev/null
+++ b/internal/logging/trails.go
@@ -0,0 +1,115 @@
+package logging
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog/diode"
+
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+)
+
+// Bounds of what an entry host writes. A line is about 250 bytes, so that the
+// lines of a second stay below 100 KB however many requests fail.
+const (
+	// LinesPerSecond bounds the lines about requests, in the long run.
+	LinesPerSecond = 200
+	// LinesAtOnce bounds those of a burst.
+	LinesAtOnce = 1000
+	// OrdinaryLines is what is left of a burst for requests that failed: ordinary
+	// ones are written only while more than this is left.
+	OrdinaryLines = 500
+	// OrdinaryEvery is the number of ordinary requests of which one is written.
+	OrdinaryEvery = 256
+	// bufferedLines is the number of lines that wait for the reader of the output.
+	bufferedLines = 4096
+)
+
+// NonBlocking returns a writer that never waits for w: lines that find no room
+// are dropped and counted. Close writes what waits.
+func NonBlocking(w io.Writer) *NonBlockingWriter {
+	n := new(NonBlockingWriter)
+	n.Writer = diode.NewWriter(w, bufferedLines, 0, func(missed int) { n.dropped.Add(int64(missed)) })
+	return n
+}
+
+// NonBlockingWriter is an io.Writer whose Write does not wait.
+type NonBlockingWriter struct {
+	diode.Writer
+	dropped atomic.Int64
+}
+
+// Dropped returns the number of lines that found no room.
+func (n *NonBlockingWriter) Dropped() int64 { return n.dropped.Load() }
+
+// Trails writes all events of a request at its end, if the request is worth it
+// and the bound allows it: one that failed, was refused, sent again or late in
+// preference to an ordinary one. It is safe for concurrent use.
+type Trails struct {
+	sink *Sink
+
+	mu       sync.Mutex
+	left     float64 // lines that may be written now
+	at       time.Time
+	ordinary int
+	dropped  atomic.Int64
+}
+
+// NewTrails returns a writer of trails to a sink.
+func NewTrails(sink *Sink) *Trails { return &Trails{sink: sink, left: LinesAtOnce} }
+
+// Ended takes in the events of one request, oldest first. It keeps none.
+func (t *Trails) Ended(trail []event.Event, notable bool) {
+	if len(trail) == 0 {
+		return
+	}
+	if !t.admit(trail[len(trail)-1].At, len(trail), notable) {
+		return
+	}
+	for i := range trail {
+		t.sink.Write(trail[i])
+	}
+}
+
+// admit takes the lines out of the bound, or counts the request as dropped.
+func (t *Trails) admit(now time.Time, lines int, notable bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if passed := now.Sub(t.at); passed > 0 {
+		t.left = min(t.left+passed.Seconds()*LinesPerSecond, LinesAtOnce)
+		t.at = now
+	}
+	reserve := 0.0
+	if !notable {
+		t.ordinary++
+		if t.ordinary%OrdinaryEvery != 1 {
+			return false
+		}
+		reserve = OrdinaryLines
+	}
+	if t.left < reserve+float64(lines) {
+		t.dropped.Add(1)
+		return false
+	}
+	t.left -= float64(lines)
+	return true
+}
+
+// Dropped returns the number of requests whose events were not written for the
+// bound's sake.
+func (t *Trails) Dropped() int64 { return t.dropped.Load() }
+
+// WithoutRequests passes on the events that are about no request.
+type WithoutRequests struct {
+	// Sink receives them.
+	Sink event.Sink
+}
+
+// Emit implements event.Sink.
+func (w WithoutRequests) Emit(e event.Event) {
+	if e.Request == "" {
+		w.Sink.Emit(e)
+	}
+}
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -44,6 +44,9 @@
 	nameRetriesSent   = "retries.sent"
 	nameRetriesDenied = "retries.denied"
 	nameLatency       = "latency.service."
+	nameBucket        = "latency.upto."
+	nameLogLines      = "log.dropped.lines"
+	nameLogRequests   = "log.dropped.requests"
 	nameRevision      = "config.revision"
 	nameEvents        = "events.count."
 	nameKept          = "events.ring.kept"
@@ -70,7 +73,10 @@
 	{nameRetriesSent, CounterKind, "requests", "Repeatable requests sent again."},
 	{nameRetriesDenied, CounterKind, "requests", "Requests that a limit kept from being sent again."},
 	{nameLatency + "<service>", HistogramKind, "microseconds", "Time from a request's arrival to the upstream's answer, of answered requests; over the newest 2048."},
-	{nameRevision, GaugeKind, "revision", "Platform revision of the newest document taken into force."},
+	{nameBucket + "<bound>", CounterKind, "requests", "Answered requests by the time from arrival to the upstream's answer, in buckets that are the same on every host; each request is in one."},
+	{nameLogLines, GaugeKind, "lines", "Log lines dropped because the reader of the output was too slow."},
+	{nameLogRequests, GaugeKind, "requests", "Requests whose lines were not written because of the bound on lines."},
+	{nameRevision, GaugeKind, "revision", "Platform revision of the newest document taken into force, or the version of the configuration in force."},
 	{nameEvents + "<event>", CounterKind, "events", "Decision events by name (docs/EVENTS.md)."},
 	{nameKept, GaugeKind, "events", "Events written to the ring since the start."},
 	{nameSampledOut, GaugeKind, "events", "Debug events over the ring's budget."},
--- a/internal/metrics/sink.go
+++ b/internal/metrics/sink.go
@@ -2,8 +2,10 @@
 
 import (
 	"runtime/metrics"
+	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 
@@ -33,6 +35,7 @@
 	unknown       map[string]gometrics.Counter
 	failed        map[string]gometrics.Counter
 	events        map[event.Code]gometrics.Counter
+	buckets       []gometrics.Counter
 	latencies     sync.Map // service name to gometrics.Histogram
 }
 
@@ -60,6 +63,10 @@
 	for code, entry := range event.Catalogue {
 		s.events[code] = gometrics.NewRegisteredCounter(nameEvents+entry.Name, r)
 	}
+	for _, bound := range bucketBounds {
+		s.buckets = append(s.buckets, gometrics.NewRegisteredCounter(nameBucket+strconv.FormatInt(bound.Milliseconds(), 10)+"ms", r))
+	}
+	s.buckets = append(s.buckets, gometrics.NewRegisteredCounter(nameBucket+"more", r))
 	registerProcess(r)
 	return s
 }
@@ -106,6 +113,8 @@
 		increase(s.unknown[e.Reason])
 	case event.AttemptFailed:
 		increase(s.failed[e.Reason])
+	case event.ConfigurationInForce:
+		s.revision.Update(e.Value)
 	case event.RetrySent:
 		s.retriesSent.Inc(1)
 	case event.RetryDenied:
@@ -128,6 +137,27 @@
 		s.classes[class].Inc(1)
 	}
 	s.latency(e.Service).Update(e.Elapsed.Microseconds())
+	s.buckets[bucketOf(e.Elapsed)].Inc(1)
+}
+
+// bucketBounds are the upper bounds of the latency buckets. They are the same
+// on every host, so that the counts of several can be added.
+var bucketBounds = []time.Duration{
+	5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond,
+	100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2 * time.Second, 5 * time.Second,
+}
+
+func bucketOf(d time.Duration) int {
+	at, _ := slices.BinarySearch(bucketBounds, d)
+	return at
+}
+
+// AddLog registers what the log left out: lines that its reader was too slow
+// for, and requests over the bound on lines.
+func (s *Sink) AddLog(lines, requests func() int64) {
+	gometrics.NewRegisteredFunctionalGauge(nameLogLines, s.registry, lines)
+	gometrics.NewRegisteredFunctionalGauge(nameLogRequests, s.registry, requests)
 }
 
 // latency returns the service's histogram. Names come from published
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -108,10 +108,19 @@
 		b.view, _ = x.proxy.upstreams.Snapshot().View(x.upstreamKey(b))
 	}
 	x.tried = append(x.tried, u)
-	x.emit(event.Event{Code: event.UpstreamChosen, Upstream: u.ID, Reason: choice.Reason, Attempt: n, Value: u.Outstanding()})
+	x.emit(event.Event{Code: event.UpstreamChosen, Upstream: u.ID, Reason: choice.Reason, Attempt: n, Value: u.Outstanding(), Load: loadOf(u, now)})
 	return b, nil
 }
 
+// loadOf states what was known of the load of a chosen upstream.
+func loadOf(u *balancer.Upstream, now time.Time) *event.Load {
+	l := u.Load()
+	if l == nil {
+		return nil
+	}
+	return &event.Load{InFlight: l.InFlight, Slots: l.Slots, Slowdown: l.Slowdown, Age: now.Sub(l.At)}
+}
+
 // send sends the bound request and ends the binding.
 func (x *exchange) send(ctx context.Context, b binding) result {
 	if !x.guard.begin(x.repeatable()) {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -21,6 +21,7 @@
 	req      *httpwire.Request
 	id       string
 	rule     *routing.Rule
+	version  uint64 // of the configuration that admitted it
 	state    *ruleState
 	deadline time.Time
 	isRetry  bool
@@ -36,6 +37,8 @@
 
 	triedFirst [typicalTries]*balancer.Upstream // memory of tried
 
+	trail trail // used with Trails
+
 	sendMu sync.Mutex
 	lent   bool   // req was given to a send
 	values values // of the headers that are set
@@ -53,6 +56,7 @@
 	if s == nil {
 		return errkind.New(errkind.NotReady, "no configuration yet")
 	}
+	x.version = s.table.Revision
 	x.rule = s.table.Route(x.req.Method, x.req.Host, x.req.Path)
 	if x.rule == nil {
 		return errkind.New(errkind.NoRoute, x.req.Path)
@@ -74,6 +78,10 @@
 		e.Service = x.rule.Service.Name
 		e.Rule = x.rule.Config.Name
 	}
+	e.Version = x.version
 	x.proxy.events.Emit(e)
+	if x.proxy.trails != nil {
+		x.trail.add(e)
+	}
 	x.hop.Emit(e)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -39,6 +39,7 @@
 	events    event.Sink
 	dialect   *Dialect
 	asker     Asker
+	trails    Trails
 	tracer    *tracing.Tracer
 	upstreams Upstreams
 	random    func() uint64
@@ -137,10 +138,16 @@
 func (p *Proxy) Serve(ctx context.Context, req *httpwire.Request) *httpwire.Response {
 	x := p.newExchange(req)
 	defer x.hop.End()
+	resp := x.respond(ctx)
+	x.ended(resp)
+	return resp
+}
+
+func (x *exchange) respond(ctx context.Context) *httpwire.Response {
 	if err := x.admit(); err != nil {
-		return x.refuse(execution.Undecided(req.Header, err))
+		return x.refuse(execution.Undecided(x.req.Header, err))
 	}
-	return x.serve(ctx, p.executor)
+	return x.serve(ctx, x.proxy.executor)
 }
 
 // ServeForwarded runs a request that a peer forwarded to this host, which has
@@ -158,7 +165,9 @@
 func (p *Proxy) RefuseUnread(remoteAddr string, err *errkind.Error) *httpwire.Response {
 	x := p.newExchange(&httpwire.Request{RemoteAddr: remoteAddr, Received: time.Now(), Header: make(http.Header)})
 	defer x.hop.End()
-	return x.refuse(err)
+	resp := x.refuse(err)
+	x.ended(resp)
+	return resp
 }
 
 func (p *Proxy) newExchange(req *httpwire.Request) *exchange {
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -45,6 +45,22 @@
 	Value int64
 	// Elapsed is the time since the request arrived.
 	Elapsed time.Duration
+	// Version is that of the configuration which decided; 0 if none did.
+	Version uint64
+	// Load is what was known of the upstream's load; nil if nothing was.
+	Load *Load
+}
+
+// Load is an upstream's load report as a decision used it.
+type Load struct {
+	// InFlight is the number of requests there, waiting ones included.
+	InFlight int
+	// Slots is the number of requests that it serves at the same time.
+	Slots int
+	// Slowdown is how long work takes there, relative to usual.
+	Slowdown float64
+	// Age is how old the report was.
+	Age time.Duration
 }
 
 // Sink receives events. Emit is called on traffic goroutines: it must not
