Look with the cheapest call whether the store is back

Found by a test: after an outage without changes the follower stayed 'away' until the next change came, and then took that late moment for the store's return, so that what vanished then would have been kept.

--- a/internal/source/follower.go
+++ b/internal/source/follower.go
@@ -93,7 +93,14 @@
 }
 
 // step reads everything, or what has changed. It reports whether anything has.
+// While the store is away the cheapest call looks whether it is back.
 func (f *Follower) step(ctx context.Context) (bool, error) {
+	if !f.away.IsZero() {
+		if err := f.ask(ctx); err != nil {
+			return false, err
+		}
+		f.regained()
+	}
 	if !f.known {
 		return true, f.read(ctx)
 	}
@@ -152,12 +159,22 @@
 	return true, nil
 }
 
+// ask looks whether the store answers.
+func (f *Follower) ask(ctx context.Context) error {
+	_, err := f.revisionNow(ctx)
+	return err
+}
+
+func (f *Follower) revisionNow(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.conf.CheckTimeout)
+	defer cancel()
+	return f.conf.Store.Revision(ctx)
+}
+
 // check returns the first failed check, or nil when ctx ends.
 func (f *Follower) check(ctx context.Context) error {
 	for sleep(ctx, f.conf.CheckEvery) {
-		call, cancel := context.WithTimeout(ctx, f.conf.CheckTimeout)
-		revision, err := f.conf.Store.Revision(call)
-		cancel()
+		revision, err := f.revisionNow(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return nil
--- /dev/null
+++ b/internal/source/follower_test.go
@@ -0,0 +1,310 @@
+package source
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/registered"
+)
+
+var errDown = errors.New("down")
+
+// fakeStore answers in virtual time. A call that finds down set fails.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision uint64
+	oldest   uint64
+	events   []Event
+	down     bool
+	silent   bool // calls wait until their context ends
+	deaf     bool // watches hear nothing
+	reads    int
+	watches  int
+	changed  chan struct{}
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{changed: make(chan struct{})} }
+
+func (s *fakeStore) change(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) put(id string) {
+	s.change(func() {
+		s.revision++
+		s.events = append(s.events, Event{Upstream: &registered.Upstream{ID: id, Revision: s.revision}, Revision: s.revision})
+	})
+}
+
+func (s *fakeStore) call(ctx context.Context) error {
+	s.mu.Lock()
+	down, silent := s.down, s.silent
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if down {
+		return errDown
+	}
+	return nil
+}
+
+func (s *fakeStore) Read(ctx context.Context) (*State, error) {
+	if err := s.call(ctx); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	out := &State{Revision: s.revision}
+	for _, e := range s.events {
+		out.Upstreams = append(out.Upstreams, *e.Upstream)
+	}
+	return out, nil
+}
+
+func (s *fakeStore) Revision(ctx context.Context) (uint64, error) {
+	if err := s.call(ctx); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision, nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error) {
+	s.mu.Lock()
+	s.watches++
+	deaf := s.deaf // a watch that began deaf stays so
+	s.mu.Unlock()
+	timeout := time.After(wait)
+	for {
+		if err := s.call(ctx); err != nil {
+			return nil, err
+		}
+		s.mu.Lock()
+		changed := s.changed
+		out := &Changes{Revision: s.revision}
+		for _, e := range s.events {
+			if e.Revision > after {
+				out.Events = append(out.Events, e)
+			}
+		}
+		lost := after < s.oldest
+		s.mu.Unlock()
+		switch {
+		case deaf:
+		case lost:
+			return nil, ErrHistoryLost
+		case len(out.Events) > 0:
+			return out, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-timeout:
+			return &Changes{Revision: after}, nil
+		case <-changed:
+		}
+	}
+}
+
+// follow runs a follower; what it learned is kept in learned, and the number
+// of outages it told of in returned.
+type following struct {
+	store    *fakeStore
+	mu       sync.Mutex
+	learned  map[string]time.Time
+	returned int
+	events   map[event.Code]int
+}
+
+func (f *following) Emit(e event.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.events[e.Code]++
+}
+
+func (f *following) learn(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.learned[id]; !ok {
+		f.learned[id] = time.Now()
+	}
+}
+
+func follow(t *testing.T, store *fakeStore) *following {
+	f := &following{store: store, learned: make(map[string]time.Time), events: make(map[event.Code]int)}
+	follower := NewFollower(Config{
+		Store: store,
+		Read: func(s *State) {
+			for _, u := range s.Upstreams {
+				f.learn(u.ID)
+			}
+		},
+		Changed: func(c *Changes) {
+			for _, e := range c.Events {
+				f.learn(e.Upstream.ID)
+			}
+		},
+		Returned: func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.returned++
+		},
+		Events:       f,
+		WatchWait:    30 * time.Second,
+		ReadTimeout:  2 * time.Second,
+		CheckEvery:   1200 * time.Millisecond,
+		CheckTimeout: 700 * time.Millisecond,
+		WatchSlack:   150 * time.Millisecond,
+		SettleMin:    150 * time.Millisecond,
+		SettleMax:    900 * time.Millisecond,
+		MinOutage:    500 * time.Millisecond,
+		RetryMin:     150 * time.Millisecond,
+		RetryMax:     400 * time.Millisecond,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return f
+}
+
+// after returns how long after from the id was learned; false if it was not.
+func (f *following) after(id string, from time.Time) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, ok := f.learned[id]
+	return at.Sub(from), ok
+}
+
+// bound is within what a change must be in force on the platforms known.
+const bound = 2 * time.Second
+
+// inTime requires that a change made now is learned within the bound.
+func (f *following) inTime(t *testing.T, id string) {
+	t.Helper()
+	from := time.Now()
+	f.store.put(id)
+	time.Sleep(bound)
+	took, ok := f.after(id, from)
+	if !ok || took > bound {
+		t.Fatalf("%s: learned %v after %v", id, ok, took)
+	}
+}
+
+func TestChangesAreLearnedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		f := follow(t, store)
+		time.Sleep(time.Second)
+		for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+			f.inTime(t, id)
+		}
+	})
+}
+
+// TestBurstCostsFewCalls changes something every 50 ms for five seconds.
+func TestBurstCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newFakeStore()
+		f := follow(t, store)
+		time.Sleep(time.Second)
+		before := store.watches
+		for i := range 100 {
+			store.put(string(rune('a' + i)))
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.True(store.watches-before <= 10)
+		f.inTime(t, "last")
+	})
+}
+
+// TestWatchThatHearsNothingIsBegunAnew: the store answers every call, but the
+// watch that waits there is never told of a change.
+func TestWatchThatHearsNothingIsBegunAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newFakeStore()
+		store.deaf = true
+		f := follow(t, store)
+		time.Sleep(time.Second)
+		store.change(func() { store.deaf = false })
+		f.inTime(t, "a")
+		is.Equal(f.events[event.StoreWatchBehind], 1)
+		is.Equal(f.returned, 0)
+	})
+}
+
+func TestLostHistoryIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newFakeStore()
+		f := follow(t, store)
+		time.Sleep(time.Second)
+		store.change(func() {
+			store.revision += 5
+			store.oldest = store.revision
+			store.events = []Event{{Upstream: &registered.Upstream{ID: "a"}, Revision: store.revision}}
+		})
+		time.Sleep(bound)
+		_, ok := f.after("a", time.Now())
+		is.True(ok)
+		is.Equal(store.reads, 2)
+		is.Equal(f.events[event.StoreHistoryLost], 1)
+	})
+}
+
+// TestSilentStore stops answering while a watch waits, and comes back.
+func TestSilentStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newFakeStore()
+		f := follow(t, store)
+		time.Sleep(time.Second)
+		store.change(func() { store.silent = true })
+		time.Sleep(10 * time.Second)
+		is.Equal(f.events[event.StoreLost], 1)
+		store.change(func() { store.silent = false })
+		time.Sleep(3 * time.Second)
+		is.Equal(f.events[event.StoreRegained], 1)
+		is.Equal(f.returned, 1)
+		f.inTime(t, "a")
+	})
+}
+
+// TestShortLossIsNoOutage: one failed call says nothing about leases.
+func TestShortLossIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newFakeStore()
+		f := follow(t, store)
+		time.Sleep(time.Second)
+		store.change(func() { store.down = true })
+		time.Sleep(100 * time.Millisecond)
+		store.change(func() { store.down = false })
+		time.Sleep(time.Second)
+		is.Equal(f.events[event.StoreRegained], 1)
+		is.Equal(f.returned, 0)
+	})
+}
--- /dev/null
+++ b/pkg/registered/registered_test.go
@@ -0,0 +1,116 @@
+package registered
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func newSet() *Set {
+	return NewSet(Config{ReturnGrace: 1500 * time.Millisecond, Forget: time.Minute})
+}
+
+func entryOf(id string, revision uint64) Upstream {
+	return Upstream{ID: id, Service: "a", Address: "10.0.0.1:80", Slots: 3, Revision: revision}
+}
+
+func ids(s *Set) []string {
+	var out []string
+	for _, u := range s.Of("a") {
+		out = append(out, u.ID)
+	}
+	return out
+}
+
+func TestLateNewsChangesNothing(t *testing.T) {
+	is := is.New(t)
+	s := newSet()
+	s.Put(entryOf("i-1", 5))
+	s.Remove(at(0), "i-1", 9)
+	s.Put(entryOf("i-1", 7)) // read from an old state
+	is.Equal(len(ids(s)), 0)
+	s.Put(entryOf("i-1", 10)) // its lease had run out, and it is back
+	is.Equal(ids(s), []string{"i-1"})
+	s.Remove(at(1), "i-1", 9)
+	is.Equal(ids(s), []string{"i-1"})
+}
+
+func TestDrainingIsFinal(t *testing.T) {
+	is := is.New(t)
+	s := newSet()
+	leaving := entryOf("i-1", 5)
+	leaving.Draining = true
+	s.Put(leaving)
+	s.Put(entryOf("i-1", 6))
+	is.True(s.Of("a")[0].Draining)
+}
+
+// TestVanishedAfterAnOutage keeps what vanished while the store was away, but
+// no longer than its upstream could need to be back.
+func TestVanishedAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	s := newSet()
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		s.Put(entryOf(id, 1))
+	}
+	leaving := entryOf("i-3", 2)
+	leaving.Draining = true
+	s.Put(leaving)
+	s.Returned(at(0))
+	s.Replace(at(0), nil, 10)
+	is.Equal(ids(s), []string{"i-1", "i-2"}) // one that said it leaves is gone
+	s.Put(entryOf("i-2", 11))
+	is.Equal(s.Due(), at(1500))
+	s.Tick(at(1499))
+	is.Equal(ids(s), []string{"i-1", "i-2"})
+	s.Tick(at(1500))
+	is.Equal(ids(s), []string{"i-2"})
+	is.True(s.Due().IsZero())
+}
+
+func TestVanishedAtOtherTimesIsGoneAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSet()
+	s.Put(entryOf("i-1", 1))
+	s.Returned(at(0))
+	s.Remove(at(1500), "i-1", 2)
+	is.Equal(len(ids(s)), 0)
+}
+
+func TestReplaceIgnoresOlderListings(t *testing.T) {
+	is := is.New(t)
+	s := newSet()
+	s.Put(entryOf("i-1", 8))
+	s.Replace(at(0), nil, 7) // as of before the entry
+	is.Equal(ids(s), []string{"i-1"})
+	s.Replace(at(0), []Upstream{entryOf("i-2", 3)}, 9)
+	is.Equal(ids(s), []string{"i-2"})
+}
+
+func TestChangedNamesBothServices(t *testing.T) {
+	is := is.New(t)
+	s := newSet()
+	s.Put(entryOf("i-1", 1))
+	is.Equal(s.Changed(), []string{"a"})
+	moved := entryOf("i-1", 2)
+	moved.Service = "b"
+	s.Put(moved)
+	is.Equal(s.Changed(), []string{"a", "b"})
+	is.Equal(len(s.Changed()), 0)
+}
+
+func TestForgetsWhatIsLongGone(t *testing.T) {
+	is := is.New(t)
+	s := newSet()
+	s.Put(entryOf("i-1", 1))
+	s.Remove(at(0), "i-1", 2)
+	s.Tick(at(59_000))
+	is.Equal(len(s.entries), 1)
+	s.Tick(at(61_000))
+	is.Equal(len(s.entries), 0)
+}
