--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"io"
 	"os"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -31,7 +32,9 @@
 
 // Gateway is one entry host. New builds its parts; Run starts and stops them.
 type Gateway struct {
-	conf    Settings
+	confMu  sync.Mutex
+	conf    Settings // guarded by confMu once the process runs
+	stopper *hoststop.Stopper
 	sink    event.Sink
 	metrics *metrics.Sink
 	output  *logging.NonBlockingWriter
@@ -59,6 +62,13 @@
 	if conf.MetricsListen != "" {
 		g.figures = admin.New(admin.Config{Address: conf.MetricsListen, Metrics: g.metrics})
 	}
+	g.stopper = hoststop.New(hoststop.Config{
+		Times:    stopTimes(conf),
+		Server:   g.server,
+		Ready:    g.control.served,
+		SetReady: g.ready.SetReady,
+		Emit:     g.emit,
+	})
 	return g, nil
 }
 
@@ -124,7 +134,7 @@
 		proxy.WithAsker(&asker{client: g.client, dialect: dialect, events: g.sink}),
 		proxy.WithUpstreams(g.control),
 		proxy.WithTrails(g.trails),
-		proxy.WithSharedBudget(g.retryPercent(), g.retryReserve()),
+		proxy.WithSharedBudget(retryPercent(g.conf), retryReserve(g.conf)),
 	)
 	g.server = httpwire.NewServer(httpwire.ServerConfig{
 		Address:      g.conf.Listen,
@@ -146,11 +156,9 @@
 	percent = 100
 )
 
-func (g *Gateway) retryPercent() float64 { return g.conf.RetryBudgetRatio * retryUse * percent }
+func retryPercent(s Settings) float64 { return s.RetryBudgetRatio * retryUse * percent }
 
-func (g *Gateway) retryReserve() float64 {
-	return max(g.conf.RetryBudgetExtra/maxEntryHosts, 1)
-}
+func retryReserve(s Settings) float64 { return max(s.RetryBudgetExtra/maxEntryHosts, 1) }
 
 // Times of following the store. Changes must be in force within two seconds on
 // the platforms known, so checkEvery, watchSlack and settleMax stay below.
@@ -199,13 +207,7 @@
 		return err
 	}
 	g.emit(event.Event{Code: event.ProcessStarted})
-	hoststop.New(hoststop.Config{
-		Times:    g.stopTimes(),
-		Server:   g.server,
-		Ready:    g.control.served,
-		SetReady: g.ready.SetReady,
-		Emit:     g.emit,
-	}).Run(ctx, signals)
+	g.stopper.Run(ctx, signals)
 	return nil
 }
 
@@ -217,8 +219,8 @@
 	stopMargin = 150 * time.Millisecond
 )
 
-func (g *Gateway) stopTimes() lifecycle.HostConfig {
-	deadline := g.conf.StopWithin - stopMargin
+func stopTimes(s Settings) lifecycle.HostConfig {
+	deadline := s.StopWithin - stopMargin
 	return lifecycle.HostConfig{Grace: min(acceptWhileStopping, deadline/2), Deadline: deadline}
 }
 
--- a/internal/hoststop/hoststop.go
+++ b/internal/hoststop/hoststop.go
@@ -38,6 +38,7 @@
 // Stopper runs the lifecycle of a process from its signals.
 type Stopper struct {
 	conf   Config
+	times  chan lifecycle.HostConfig
 	host   *lifecycle.Host
 	busy   atomic.Bool // connections with a request are left after the listener closed
 	cancel context.CancelFunc
@@ -45,9 +46,13 @@
 
 // New returns a stopper for a process that is starting.
 func New(conf Config) *Stopper {
-	return &Stopper{conf: conf, host: lifecycle.NewHost(conf.Times)}
+	return &Stopper{conf: conf, times: make(chan lifecycle.HostConfig, 1), host: lifecycle.NewHost(conf.Times)}
 }
 
+// SetTimes replaces the bounds of the stop. It must not be called after Run has
+// returned.
+func (s *Stopper) SetTimes(times lifecycle.HostConfig) { s.times <- times }
+
 // Run returns when the process may exit. A first signal begins the planned
 // stop, a second one ends it at once. Nothing ticks before the first.
 func (s *Stopper) Run(ctx context.Context, signals <-chan os.Signal) {
@@ -62,6 +67,8 @@
 		case <-ready:
 			ready = nil
 			effects = s.host.Ready()
+		case times := <-s.times:
+			s.host.SetConfig(times)
 		case <-signals:
 			effects = s.host.Signal(time.Now(), s.inFlight())
 			if ticker == nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -69,9 +69,11 @@
 // WithSharedBudget bounds the extra sends to a registered service, over all
 // rules, to a share of the first sends, in percent, and a reserve.
 func WithSharedBudget(percent, reserve float64) Option {
-	return func(p *Proxy) {
-		p.sharedBudget = func() *retry.Budget { return retry.NewBudgetWithReserve(percent, reserve) }
-	}
+	return func(p *Proxy) { p.setSharedBudget(percent, reserve) }
+}
+
+func (p *Proxy) setSharedBudget(percent, reserve float64) {
+	p.sharedBudget = func() *retry.Budget { return retry.NewBudgetWithReserve(percent, reserve) }
 }
 
 // WithRandom takes random numbers from f, which must be safe for concurrent use.
@@ -118,6 +120,19 @@
 	}
 }
 
+// SetSharedBudget changes what WithSharedBudget set. The reserve holds for
+// services that appear from then on. The control goroutine calls it.
+func (p *Proxy) SetSharedBudget(percent, reserve float64) {
+	p.setSharedBudget(percent, reserve)
+	s := p.state.Load()
+	if s == nil {
+		return
+	}
+	for _, g := range s.groups {
+		g.budget.SetPercent(percent)
+	}
+}
+
 // SetEntryHosts says over how many live entry hosts the load is spread, which
 // bounds this one's share of a group. The control goroutine calls it.
 func (p *Proxy) SetEntryHosts(n int) {
--- a/pkg/event/process_events.go
+++ b/pkg/event/process_events.go
@@ -12,6 +12,9 @@
 	CertificatesRejected Code = 1007
 	CertificateExpired   Code = 1008
 	HandshakeFailed      Code = 1009
+
+	SettingsReloaded Code = 1010
+	SettingsRejected Code = 1011
 )
 
 // processEvents describes the codes 1xxx: the process.
@@ -24,5 +27,7 @@
 	CertificatesRejected: {"certificates-rejected", Warn, "Changed certificate files can't be used; the old ones stay.", ""},
 	CertificateExpired:   {"certificate-expired", Warn, "This side's certificate had expired at the start; the other side will refuse it.", ""},
 	HandshakeFailed:      {"handshake-failed", Debug, "A caller's TLS handshake failed; no request was read.", ""},
+	SettingsReloaded:     {"settings-reloaded", Info, "A changed settings file is in force.", ""},
+	SettingsRejected:     {"settings-rejected", Warn, "A changed settings file is refused whole; the settings in force stay, and the detail names the field.", ""},
 	LibraryMessage:       {"library-message", Warn, "The event loop library reported a problem.", ""},
 }
--- a/pkg/lifecycle/host.go
+++ b/pkg/lifecycle/host.go
@@ -77,6 +77,10 @@
 	return &Host{conf: conf, state: charts.EntryHost.Initial()}
 }
 
+// SetConfig replaces the times of a planned stop; one that has begun goes on by
+// the new ones.
+func (h *Host) SetConfig(conf HostConfig) { h.conf = conf }
+
 // State returns the name of the state in charts/entry-host.yaml.
 func (h *Host) State() string { return charts.EntryHost.StateName(h.state) }
 
