Count own sends that a load report may have missed; test the call path on the stand-ins

Found by the walk of a refused request: of several requests that asked at once, each counted the others as if the answer to its question held them, so that a full upstream seemed to have a free slot. A question now marks the sends before it.

--- a/internal/gateway/asker.go
+++ b/internal/gateway/asker.go
@@ -39,7 +39,7 @@
 
 // ask records what one upstream says of its load.
 func (a *asker) ask(ctx context.Context, group *routing.Group, u *balancer.Upstream) {
-	sent := time.Now()
+	sent, mark := time.Now(), u.Mark()
 	resp, err := a.client.Do(ctx, u.Address, &httpwire.Request{
 		Method: http.MethodGet,
 		Target: group.Config.HealthPath,
@@ -48,7 +48,7 @@
 		Header: http.Header{},
 	})
 	now := time.Now()
-	feedback := balancer.Feedback{Now: now, Latency: now.Sub(sent)}
+	feedback := balancer.Feedback{Now: now, Latency: now.Sub(sent), Asked: mark}
 	switch {
 	case err != nil:
 		feedback.Outcome = balancer.Failed
--- /dev/null
+++ b/internal/proxy/dialect_test.go
@@ -0,0 +1,275 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer/leastoutstanding"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/routing"
+)
+
+// Headers of the dialect that these tests speak.
+const (
+	testID        = "Test-Id"
+	testTimeout   = "Test-Left"
+	testExpect    = "Test-Expect"
+	testSignature = "Test-Signature"
+	testNotRun    = "Test-Not-Run"
+)
+
+func testDialect() *Dialect {
+	return &Dialect{
+		RequestID: testID, Timeout: testTimeout, Expect: testExpect, Signature: testSignature,
+		Echoes: true, FractionalRetryAfter: true,
+		Load:   func(http.Header) balancer.Report { return balancer.Report{} },
+		NotRun: func(status int, h http.Header) bool { return h.Get(testNotRun) != "" || status == 421 },
+	}
+}
+
+// registeredService has one rule over groups of registered services.
+func registeredService(rule config.Rule, weights map[string]int) *config.Service {
+	s := &config.Service{Name: "test", Match: config.Match{PathPrefix: "/"}}
+	for _, name := range []string{"a", "b"} {
+		if weights[name] > 0 {
+			s.Groups = append(s.Groups, config.Group{Name: name, Registered: name})
+			rule.Split = append(rule.Split, config.Share{Group: name, Weight: weights[name]})
+		}
+	}
+	s.Rules = []config.Rule{rule}
+	s.SetDefaults()
+	return s
+}
+
+// twoOfEach gives each group two upstreams named after it.
+func twoOfEach(_ *config.Service, g *config.Group) *routing.Group {
+	members := []*balancer.Upstream{{ID: g.Name + "-1", Address: g.Name + "-1"}, {ID: g.Name + "-2", Address: g.Name + "-2"}}
+	return &routing.Group{Config: g, Picker: leastoutstanding.Builder{}.Build(balancer.Options{}).Update(members)}
+}
+
+func dialectProxy(s *config.Service, sender Sender, events event.Sink) *Proxy {
+	p := New("127.0.0.1", "test", sender, events, WithRandom(seeded(1)), WithDialect(testDialect()))
+	p.SetTable(routing.Compile(7, []*config.Service{s}, groupsFunc(twoOfEach)))
+	return p
+}
+
+func dialectRequest(method string) *httpwire.Request {
+	r := request(method)
+	r.Header.Set(testID, "id-1")
+	r.Header.Set(testTimeout, "5000")
+	return r
+}
+
+// TestAnswersThatAreNotTheUpstreamsOwn: one row for each way in which a whole
+// answer can't be taken at its word.
+func TestAnswersThatAreNotTheUpstreamsOwn(t *testing.T) {
+	signed := http.Header{testSignature: {"s"}}
+	encoded := http.Header{testSignature: {"s"}, "Content-Encoding": {"gzip"}}
+	declared := http.Header{testNotRun: {"1"}}
+	for name, test := range map[string]struct {
+		status       int
+		header       http.Header
+		lookup, sale int // the caller's status
+		lookups      int // sends of a lookup
+		sales        int
+	}{
+		"signed":               {200, signed, 200, 200, 1, 1},
+		"unsigned success":     {200, http.Header{}, 502, 502, 2, 1},
+		"encoded":              {200, encoded, 502, 502, 2, 1},
+		"own failure":          {500, signed, 500, 500, 2, 1},
+		"own not found":        {404, signed, 404, 404, 1, 1},
+		"promise, not kept":    {503, signed, 502, 502, 2, 1},
+		"too many, not kept":   {429, http.Header{}, 502, 502, 2, 1},
+		"time-out, not kept":   {408, http.Header{}, 502, 502, 2, 1},
+		"declared not run":     {503, declared, 503, 503, 2, 2},
+		"declared, other code": {400, declared, 503, 503, 2, 2},
+		"another upstream":     {421, http.Header{}, 503, 503, 2, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var sends atomic.Int64
+			sender := senderFunc(func(context.Context, string, *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+				sends.Add(1)
+				return &httpwire.Response{Status: test.status, Header: test.header.Clone()}, nil
+			})
+			p := dialectProxy(registeredService(lookup(), map[string]int{"a": 1}), sender, event.Discard{})
+			resp := p.Serve(t.Context(), dialectRequest("GET"))
+			is.Equal(resp.Status, test.lookup)
+			is.Equal(int(sends.Load()), test.lookups)
+			is.True(resp.Status != 502 || resp.Header.Get(testSignature) == "") // an answer of ours is not signed
+			sends.Store(0)
+			p = dialectProxy(registeredService(sale(), map[string]int{"a": 1}), sender, event.Discard{})
+			resp = p.Serve(t.Context(), dialectRequest("POST"))
+			is.Equal(resp.Status, test.sale)
+			is.Equal(int(sends.Load()), test.sales)
+			is.Equal(resp.Header.Get(HeaderRetryAfter) != "", resp.Status == 503)
+		})
+	}
+}
+
+func TestDialectOfASend(t *testing.T) {
+	is := is.New(t)
+	var got http.Header
+	var to string
+	sender := senderFunc(func(_ context.Context, address string, r *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+		got, to = r.Header.Clone(), address
+		return &httpwire.Response{Status: 200, Header: http.Header{testSignature: {"s"}}}, nil
+	})
+	p := dialectProxy(registeredService(lookup(), map[string]int{"a": 1}), sender, event.Discard{})
+	r := dialectRequest("GET")
+	r.Header.Set("X-Other", "kept")
+	r.Header.Set("Connection", "close")
+	resp := p.Serve(t.Context(), r)
+	is.Equal(got.Get(testID), "id-1")
+	is.Equal(got.Get(testExpect), to)
+	is.Equal(got.Get("X-Other"), "kept")
+	left, err := strconv.Atoi(got.Get(testTimeout))
+	is.NoErr(err)
+	is.True(left > 0 && left <= 1000) // the rule's deadline is shorter than the caller's
+	is.Equal(len(got["Connection"])+len(got[headerVia])+len(got[headerForwardedFor])+len(got[HeaderAttempt]), 0)
+	is.Equal(len(resp.Header), 1) // nothing of ours on an upstream's answer
+}
+
+// TestNoIDIsNotInvented: a request without an id reaches the upstream so.
+func TestNoIDIsNotInvented(t *testing.T) {
+	is := is.New(t)
+	sender := senderFunc(func(_ context.Context, _ string, r *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+		is.Equal(len(r.Header[testID]), 0)
+		return &httpwire.Response{Status: 400, Header: http.Header{testSignature: {"s"}}}, nil
+	})
+	p := dialectProxy(registeredService(lookup(), map[string]int{"a": 1}), sender, event.Discard{})
+	is.Equal(p.Serve(t.Context(), request("GET")).Status, 400)
+}
+
+func TestMine(t *testing.T) {
+	is := is.New(t)
+	d := testDialect()
+	req := dialectRequest("GET")
+	is.True(d.Mine(req, http.Header{testID: {"id-1"}}))
+	is.True(d.Mine(req, http.Header{})) // its connection says whose it is
+	is.True(!d.Mine(req, http.Header{testID: {"id-0"}}))
+	is.True(OwnDialect().Mine(req, http.Header{HeaderRequestID: {"id-0"}}))
+}
+
+// TestSplitKeepsItsWeights: over any stretch each group is within one request
+// of its share, also beside a group that fails.
+func TestSplitKeepsItsWeights(t *testing.T) {
+	is := is.New(t)
+	sends := make(map[byte]int)
+	sender := senderFunc(func(_ context.Context, address string, _ *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+		sends[address[0]]++
+		status := 200
+		if address[0] == 'b' {
+			status = 500
+		}
+		return &httpwire.Response{Status: status, Header: http.Header{testSignature: {"s"}}}, nil
+	})
+	rule := sale()
+	p := dialectProxy(registeredService(rule, map[string]int{"a": 9, "b": 1}), sender, event.Discard{})
+	for range 200 {
+		p.Serve(t.Context(), dialectRequest("POST"))
+	}
+	is.True(sends['a'] >= 179 && sends['a'] <= 181)
+	is.Equal(sends['a']+sends['b'], 200)
+}
+
+// TestRefusalsTellWhenToComeBack in seconds with fractions.
+func TestRefusalsTellWhenToComeBack(t *testing.T) {
+	is := is.New(t)
+	p := New("127.0.0.1", "test", nil, event.Discard{}, WithRandom(seeded(1)), WithDialect(testDialect()))
+	resp := p.Serve(t.Context(), dialectRequest("GET"))
+	is.Equal(resp.Status, 503) // knows no configuration yet
+	wait, err := time.ParseDuration(resp.Header.Get(HeaderRetryAfter) + "s")
+	is.NoErr(err)
+	is.True(wait > 0)
+}
+
+// askPicker asks for its members until they were asked.
+type askPicker struct {
+	members []*balancer.Upstream
+	asked   map[*balancer.Upstream]bool
+}
+
+func (p *askPicker) Ask(_ balancer.PickInfo, _ int) []*balancer.Upstream {
+	var out []*balancer.Upstream
+	for _, u := range p.members {
+		if !p.asked[u] {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+func (p *askPicker) Pick(balancer.PickInfo) (balancer.Result, error) {
+	return balancer.Result{Upstream: p.members[len(p.members)-1]}, nil
+}
+
+type askerFunc func([]*balancer.Upstream)
+
+func (f askerFunc) Ask(_ context.Context, _ *routing.Group, list []*balancer.Upstream) { f(list) }
+
+// TestQuestionsAreBounded asks for ever, and is cut at what requests allow.
+func TestQuestionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := registeredService(lookup(), map[string]int{"a": 1})
+	s.Groups[0].HealthPath = "/health"
+	picker := &askPicker{members: []*balancer.Upstream{{ID: "a-1"}, {ID: "a-2"}}}
+	asked := 0
+	sender := senderFunc(func(context.Context, string, *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+		return &httpwire.Response{Status: 200, Header: http.Header{testSignature: {"s"}}}, nil
+	})
+	p := New("127.0.0.1", "test", sender, event.Discard{}, WithRandom(seeded(1)), WithDialect(testDialect()),
+		WithAsker(askerFunc(func(list []*balancer.Upstream) { asked += len(list) })))
+	p.SetTable(routing.Compile(1, []*config.Service{s}, groupsFunc(func(_ *config.Service, g *config.Group) *routing.Group {
+		return &routing.Group{Config: g, Picker: picker}
+	})))
+	for range 50 {
+		is.Equal(p.Serve(t.Context(), dialectRequest("GET")).Status, 200)
+	}
+	is.Equal(asked, 50*questionsPerRequest)
+}
+
+// trailRecorder keeps what Ended was told.
+type trailRecorder struct {
+	codes   []event.Code
+	notable bool
+	load    *event.Load
+	version uint64
+}
+
+func (r *trailRecorder) Ended(trail []event.Event, notable bool) {
+	r.codes, r.notable, r.load = nil, notable, nil
+	for _, e := range trail {
+		r.codes = append(r.codes, e.Code)
+		r.version = e.Version
+	}
+}
+
+func TestTrailHoldsTheWholeWay(t *testing.T) {
+	is := is.New(t)
+	status := 200
+	sender := senderFunc(func(context.Context, string, *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+		return &httpwire.Response{Status: status, Header: http.Header{testSignature: {"s"}}}, nil
+	})
+	trails := new(trailRecorder)
+	p := New("127.0.0.1", "test", sender, event.Discard{}, WithRandom(seeded(1)), WithDialect(testDialect()), WithTrails(trails))
+	p.SetTable(routing.Compile(7, []*config.Service{registeredService(sale(), map[string]int{"a": 1})}, groupsFunc(twoOfEach)))
+	p.Serve(t.Context(), dialectRequest("POST"))
+	is.Equal(trails.codes, []event.Code{event.RequestReceived, event.UpstreamChosen, event.RequestAnswered})
+	is.True(!trails.notable)
+	is.Equal(trails.version, uint64(7))
+	status = 503
+	p.Serve(t.Context(), dialectRequest("POST"))
+	is.True(trails.notable)
+	is.Equal(trails.codes[len(trails.codes)-1], event.RequestUnknown)
+}
--- a/pkg/balancer/feedback.go
+++ b/pkg/balancer/feedback.go
@@ -42,6 +42,8 @@
 	Outcome Outcome
 	// Report is the load report that came with the answer.
 	Report Report
+	// Asked is when a probe was sent; zero for the answer to a request.
+	Asked Mark
 	// Target is the time within which an answer has its full worth; 0 if unknown.
 	Target time.Duration
 	// Sent is what was known of the upstream's load at the send, that request
--- a/pkg/balancer/upstream.go
+++ b/pkg/balancer/upstream.go
@@ -42,6 +42,7 @@
 	ColdUntil time.Time
 
 	outstanding atomic.Int64
+	begun       atomic.Int64             // sends, ever
 	started     [maxTracked]atomic.Int64 // Unix time in ns, 0 if free
 	latency     ewma
 	peak        ewma
@@ -63,19 +64,32 @@
 	Slowdown float64
 	// At is when it arrived.
 	At time.Time
-	// own is what this entry host had in flight there at that time.
-	own int64
+	// begun and ended count this entry host's sends that the report may hold.
+	begun, ended int64
 }
 
+// Mark is a moment in the sends of one entry host to one upstream.
+type Mark struct {
+	begun int64
+	set   bool
+}
+
+// Mark returns the present moment. What is sent after it may be missing in a
+// report that is asked for now.
+func (u *Upstream) Mark() Mark { return Mark{u.begun.Load(), true} }
+
 // Load returns the newest whole load report, or nil. InFlight counts what this
-// entry host has sent or seen end since then.
+// entry host has sent since it asked, and seen end since the answer came: where
+// the report may or may not hold a request, it is counted.
 func (u *Upstream) Load() *Load {
 	l := u.load.Load()
 	if l == nil {
 		return nil
 	}
 	now := *l
-	now.InFlight = max(now.InFlight+int(u.Outstanding()-l.own), 0)
+	begun := u.begun.Load()
+	ended := begun - u.outstanding.Load()
+	now.InFlight = max(now.InFlight+int(begun-l.begun)-int(ended-l.ended), 0)
 	return &now
 }
 
@@ -84,12 +98,18 @@
 	if !f.Report.Valid || f.Report.Slots == 0 {
 		return
 	}
+	begun := u.begun.Load()
+	ended := begun - u.outstanding.Load()
+	if f.Asked.set {
+		begun = f.Asked.begun
+	}
 	u.load.Store(&Load{
 		InFlight: f.Report.InFlight,
 		Slots:    f.Report.Slots,
 		Slowdown: max(f.Report.Slowdown, 0),
 		At:       f.Now.Add(-f.Report.Age),
-		own:      u.Outstanding(),
+		begun:    begun,
+		ended:    ended,
 	})
 }
 
@@ -97,13 +117,17 @@
 func (u *Upstream) Outstanding() int64 { return u.outstanding.Load() }
 
 // Start records a request sent to u without its time. Prefer Begin.
-func (u *Upstream) Start() { u.outstanding.Add(1) }
+func (u *Upstream) Start() {
+	u.begun.Add(1)
+	u.outstanding.Add(1)
+}
 
 // Done records the end of a request that was recorded with Start.
 func (u *Upstream) Done() { u.outstanding.Add(-1) }
 
 // Begin records a request sent to u. Finish must be called once for the result.
 func (u *Upstream) Begin(now time.Time) Call {
+	u.begun.Add(1)
 	u.outstanding.Add(1)
 	load := u.Load()
 	c := Call{Upstream: u, Started: now, cell: untracked, load: load}
