--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Commands for developers. `make test` is what CI runs; measurements are apart.
-BINARIES := spindled spindlectl spindle-standin spindle-load spindle-lab
+BINARIES := spindled spindled-platform spindlectl spindle-standin spindle-load spindle-lab
 
 .PHONY: build demo test unit lint ldd charts measure-lifecycle spec long-execution measure-membership long-membership bench-wire bench-tls fuzz-wire
 
@@ -7,10 +7,15 @@
 	@mkdir -p bin
 	@for b in $(BINARIES); do CGO_ENABLED=1 go build -o bin/$$b ./cmd/$$b || exit 1; done
 
-demo:
+demo: setup
 	@scripts/demo.sh
 
-test: lint generated build ldd unit spec
+test: setup lint generated build ldd unit spec
+
+# Installs what a fresh machine lacks, from Debian's packages.
+.PHONY: setup
+setup:
+	@scripts/setup.sh
 
 # test/e2e starts programs that the test cache does not know of, so that its
 # results are never taken from there.
