--- a/pkg/balancer/probefirst/probefirst.go
+++ b/pkg/balancer/probefirst/probefirst.go
@@ -22,9 +22,9 @@
 	// their speed about every 150 ms.
 	FreshFor = 40 * time.Millisecond
 	// AskAtOnce is the number of upstreams asked in one round.
-	AskAtOnce = 2
+	AskAtOnce = 1
 	// MaxRounds bounds the rounds of asking before one choice.
-	MaxRounds = 3
+	MaxRounds = 6
 	// GoodCost is the cost up to which a candidate is taken without asking more.
 	GoodCost = 1.8
 	// FarCost is added for an upstream in another failure domain: the way is
