--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -108,7 +108,7 @@
 	(&settings.Entry{}).Register(set)
 	(&settings.TLS{}).Register(set, "tls", "")
 	set.VisitAll(func(f *pflag.Flag) { known[f.Name] = true })
-	for _, dir := range []string{root + "/cmd", root + "/internal"} {
+	for _, dir := range []string{root + "/cmd", root + "/internal", root + "/platform"} {
 		for _, file := range files(t, dir, ".go") {
 			for _, m := range registered.FindAllStringSubmatch(read(t, file), -1) {
 				known[m[1]] = true
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -89,7 +89,7 @@
 	root.AddCommand(
 		a.serviceCommand(), a.groupCommand(), a.ruleCommand(), a.upstreamCommand(),
 		a.statusCommand(), a.watchCommand(), a.explainCommand(), a.followCommand(),
-		a.checkCommand(), a.versionCommand(),
+		a.checkCommand(), a.logsCommand(), a.versionCommand(),
 	)
 	return root
 }
