Know a reset from an end in order when an answer has no length

Cause: the event loop closes with 'end of file' also on an error event without a readable one, and tells of it after the descriptor is closed, so that asking the socket when bytes arrive came too early. Ruled out: the error consumed by the question. The loop's reads are now our own, and only a read of nothing ends an answer.

--- a/internal/httpwire/socket/socket.go
+++ b/internal/httpwire/socket/socket.go
@@ -83,19 +83,6 @@
 	}
 }
 
-// Reset reports whether the other side has reset the connection. The loop says
-// "end of file" for a reset that arrives together with the last bytes.
-func Reset(nc *nbio.Conn) bool {
-	nc.Lock()
-	defer nc.Unlock()
-	if closed, _ := nc.IsClosed(); closed {
-		return true
-	}
-	var one [1]byte
-	_, _, err := syscall.Recvfrom(nc.Hash(), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err != nil && !errors.Is(err, syscall.EAGAIN)
-}
-
 // Quiet reports whether the connection is open and the kernel holds neither a
 // byte nor an end from the other side that the loop has not read yet.
 func Quiet(nc *nbio.Conn) bool {
--- a/internal/upstream/answers_test.go
+++ b/internal/upstream/answers_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,9 +50,9 @@
 	client := startClient(t, Config{Mine: func(req *httpwire.Request, h http.Header) bool {
 		return h.Get("Echo") == req.Header.Get("Id")
 	}})
-	connections := 0
+	var connections atomic.Int64
 	address := startUpstream(t, func(n int, c net.Conn, r *bufio.Reader) {
-		connections = n + 1
+		connections.Store(int64(n + 1))
 		for readRequest(r) {
 			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nEcho: old\r\nContent-Length: 3\r\n\r\nold"))
 			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nEcho: new\r\nContent-Length: 3\r\n\r\nnew"))
@@ -64,7 +65,7 @@
 		is.True(err == nil)
 		is.Equal(string(resp.Body), "new")
 	}
-	is.Equal(connections, 2)
+	is.Equal(connections.Load(), int64(2))
 }
 
 // TestKeepAliveIsHeeded: an idle connection that its upstream is about to close
@@ -72,9 +73,9 @@
 func TestKeepAliveIsHeeded(t *testing.T) {
 	is := is.New(t)
 	client := startClient(t, Config{})
-	connections := 0
+	var connections atomic.Int64
 	address := startUpstream(t, func(n int, c net.Conn, r *bufio.Reader) {
-		connections = n + 1
+		connections.Store(int64(n + 1))
 		for readRequest(r) {
 			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok"))
 		}
@@ -83,9 +84,9 @@
 		_, err := client.Do(testContext(t), address, request("GET", nil))
 		is.True(err == nil)
 	}
-	is.Equal(connections, 1)
+	is.Equal(connections.Load(), int64(1))
 	time.Sleep(time.Second - keepAliveMargin + 50*time.Millisecond)
 	_, err := client.Do(testContext(t), address, request("GET", nil))
 	is.True(err == nil)
-	is.Equal(connections, 2)
+	is.Equal(connections.Load(), int64(2))
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -78,9 +78,6 @@
 	limits map[string]int
 }
 
-// readBufferBytes is the size of one read of the event loop.
-const readBufferBytes = 64 << 10
-
 // New returns a client; Start must be called before Do.
 func New(conf Config) *Client {
 	conf = conf.withDefaults()
@@ -89,12 +86,9 @@
 		Name:            "upstreams",
 		MaxHTTPBodySize: conf.MaxResponseBytes,
 		ReadLimit:       conf.MaxResponseBytes + conf.MaxHeadBytes,
-		ReadBufferSize:  readBufferBytes,
-		// The loop closes a connection as soon as the other side has, even with
-		// bytes unread; so it must read a whole answer before it looks.
-		MaxConnReadTimesPerEventLoop: 2*(conf.MaxResponseBytes+conf.MaxHeadBytes)/readBufferBytes + 2,
 	})
 	c.engine.OnWrittenSize(socket.OnWritten)
+	c.engine.Engine.Engine.OnRead(socket.OnRead)
 	return c
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -224,7 +224,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closed {
-		c.completeAtClose(err)
 		_ = c.end(errors.CombineErrors(errClosed, err))
 	}
 	c.parser.CloseAndClean(err)
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -55,14 +54,9 @@
 	if !owned {
 		c.buf = bytes.Clone(data)
 	}
-	if c.scanner.Head().UntilClose && socket.Reset(c.nbc) {
-		return errReset
-	}
 	return nil
 }
 
-var errReset = errors.New("connection reset within an answer without a length")
-
 // complete hands over the whole answer. It reports false if the answer is a
 // late one to an earlier request, which is dropped. Bytes behind the answer, or
 // a late one before it, mean that the connection cannot be trusted with
@@ -83,13 +77,24 @@
 	return true, nil
 }
 
-// completeAtClose hands over an answer whose end is that of the connection.
-func (c *conn) completeAtClose(err error) {
-	if !errors.Is(err, io.EOF) || !c.busy || !c.scanner.Closed() {
+// ReadsOn implements socket.Ender.
+func (c *conn) ReadsOn() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy && c.scanner.Head().UntilClose
+}
+
+// EndOfFile implements socket.Ender: it hands over an answer whose end is that
+// of the connection.
+func (c *conn) EndOfFile() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || !c.busy || !c.scanner.Closed() {
 		return
 	}
-	// A failure is reported by the caller, which ends the connection.
-	_, _ = c.complete(c.buf, true, true)
+	if _, err := c.complete(c.buf, true, true); err != nil {
+		_ = c.end(err) // given to the request
+	}
 }
 
 var errNotOneAnswer = errors.New("not exactly one answer")
