--- a/internal/gateway/asker.go
+++ b/internal/gateway/asker.go
@@ -10,6 +10,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/proxy"
 	"github.com/dapplespindle/dapplespindle/internal/upstream"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/routing"
 )
@@ -40,13 +41,12 @@
 // ask records what one upstream says of its load.
 func (a *asker) ask(ctx context.Context, group *routing.Group, u *balancer.Upstream) {
 	sent, mark := time.Now(), u.Mark()
-	resp, err := a.client.Do(ctx, u.Address, &httpwire.Request{
-		Method: http.MethodGet,
-		Target: group.Config.HealthPath,
-		Path:   group.Config.HealthPath,
-		Host:   upstream.HostOf(u.Address),
-		Header: http.Header{},
-	})
+	resp, err := a.question(ctx, group, u)
+	if err != nil && err.Kind == errkind.UpstreamBroken {
+		// Upstreams may forget idle connections and reset what comes on them; a
+		// question may be asked twice, and the next one is on another connection.
+		resp, err = a.question(ctx, group, u)
+	}
 	now := time.Now()
 	feedback := balancer.Feedback{Now: now, Latency: now.Sub(sent), Asked: mark}
 	switch {
@@ -63,3 +63,13 @@
 	}
 	balancer.FinishProbe(group.Picker, u, feedback)
 }
+
+func (a *asker) question(ctx context.Context, group *routing.Group, u *balancer.Upstream) (*httpwire.Response, *errkind.Error) {
+	return a.client.Do(ctx, u.Address, &httpwire.Request{
+		Method: http.MethodGet,
+		Target: group.Config.HealthPath,
+		Path:   group.Config.HealthPath,
+		Host:   upstream.HostOf(u.Address),
+		Header: http.Header{},
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,7 +134,7 @@
 		proxy.WithAsker(&asker{client: g.client, dialect: dialect, events: g.sink}),
 		proxy.WithUpstreams(g.control),
 		proxy.WithTrails(g.trails),
-		proxy.WithSharedBudget(retryPercent(g.conf), retryReserve(g.conf)),
+		proxy.WithSharedBudget(retryPercent(g.conf), retryReserve),
 	)
 	g.server = httpwire.NewServer(httpwire.ServerConfig{
 		Address:      g.conf.Listen,
@@ -149,17 +149,16 @@
 	// retryUse is the part of the fleet's retry budget that is used: requests are
 	// counted here when they are first sent, there when callers send them.
 	retryUse = 0.85
-	// maxEntryHosts is the number of hosts among which the fixed part of the
-	// budget is divided; how many there are is not known.
-	maxEntryHosts = 40
+	// retryReserve is each host's part of the fixed part of the budget, in sends.
+	// How many hosts there are is not known; on the platforms known the fixed part
+	// is 1.5 to 4.3 sends a host.
+	retryReserve = 1
 	// percent is the whole of a percentage.
 	percent = 100
 )
 
 func retryPercent(s Settings) float64 { return s.RetryBudgetRatio * retryUse * percent }
 
-func retryReserve(s Settings) float64 { return max(s.RetryBudgetExtra/maxEntryHosts, 1) }
-
 // Times of following the store. Changes must be in force within two seconds on
 // the platforms known, so checkEvery, watchSlack and settleMax stay below.
 const (
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -29,7 +29,7 @@
 		return errors.Newf("%s: can't change while the process runs", name)
 	}
 	g.conf = next
-	g.loop.Post(func() { g.proxy.SetSharedBudget(retryPercent(next), retryReserve(next)) })
+	g.loop.Post(func() { g.proxy.SetSharedBudget(retryPercent(next), retryReserve) })
 	g.stopper.SetTimes(stopTimes(next))
 	return nil
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -29,8 +29,6 @@
 	// RetryBudgetRatio bounds the sends beyond the first to a service, over all
 	// entry hosts, as a share of its requests.
 	RetryBudgetRatio float64
-	// RetryBudgetExtra is what may be added to that, over all entry hosts, in sends.
-	RetryBudgetExtra float64
 }
 
 // Validate reports the first setting that is wrong.
@@ -59,9 +57,6 @@
 	if s.RetryBudgetRatio < 0 || s.RetryBudgetRatio > 1 {
 		return errors.Newf("retry-budget-ratio: %v is outside 0 to 1", s.RetryBudgetRatio)
 	}
-	if s.RetryBudgetExtra < 0 {
-		return errors.Newf("retry-budget-extra: %v is negative", s.RetryBudgetExtra)
-	}
 	return nil
 }
 
--- a/internal/httpwire/message.go
+++ b/internal/httpwire/message.go
@@ -29,6 +29,9 @@
 	RemoteAddr string
 	// Received is when the last byte of the request arrived.
 	Received time.Time
+	// Once is true for a request that must not be sent again after it may have
+	// arrived: it goes over a connection that is surely alive.
+	Once bool
 
 	minor     int
 	keepAlive bool
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -101,6 +101,7 @@
 		req = &own
 	}
 	x.lent = true
+	req.Once = !x.repeatable()
 	d := x.proxy.dialect
 	req.Header[d.Timeout] = x.values.one(x.timeoutValue())
 	if d.Annotates {
--- a/internal/upstream/answers_test.go
+++ b/internal/upstream/answers_test.go
@@ -90,3 +90,28 @@
 	is.True(err == nil)
 	is.Equal(connections.Load(), int64(2))
 }
+
+// TestOnceNeedsALivingConnection: an upstream forgets idle connections and
+// resets what comes on them.
+func TestOnceNeedsALivingConnection(t *testing.T) {
+	is := is.New(t)
+	client := startClient(t, Config{})
+	var connections atomic.Int64
+	address := startUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		connections.Add(1)
+		for readRequest(r) {
+			_, _ = c.Write([]byte(okAnswer))
+		}
+	})
+	once := request("POST", nil)
+	once.Once = true
+	for range 2 { // right after one another
+		_, err := client.Do(testContext(t), address, once)
+		is.True(err == nil)
+	}
+	is.Equal(connections.Load(), int64(1))
+	time.Sleep(onceIdle + 50*time.Millisecond)
+	_, err := client.Do(testContext(t), address, once)
+	is.True(err == nil)
+	is.Equal(connections.Load(), int64(2))
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -149,7 +149,7 @@
 		return nil, errkind.New(errkind.UpstreamTLSNotSet, p.target.address)
 	}
 	for {
-		cn, err := c.acquire(ctx, p)
+		cn, err := c.acquire(ctx, p, req.Once)
 		if err != nil {
 			return nil, err
 		}
@@ -167,11 +167,11 @@
 }
 
 // acquire takes an idle connection or makes one.
-func (c *Client) acquire(ctx context.Context, p *pool) (*conn, *errkind.Error) {
+func (c *Client) acquire(ctx context.Context, p *pool, once bool) (*conn, *errkind.Error) {
 	if ctx.Err() != nil {
 		return nil, endedBeforeSend(ctx, p.address)
 	}
-	cn, ok := p.take()
+	cn, ok := p.take(once)
 	if cn != nil {
 		return cn, nil
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,13 +24,22 @@
 	limit int
 }
 
+// onceIdle is how long a connection may have been idle for a request that must
+// not be sent twice: upstreams may forget idle connections without a word, and
+// reset what comes on them.
+const onceIdle = time.Second
+
 // take returns an idle connection, or nil and whether a new one may be made;
-// if so it is counted as open and must be released.
-func (p *pool) take() (*conn, bool) {
+// if so it is counted as open and must be released. Once asks for a connection
+// that was used a moment ago.
+func (p *pool) take(once bool) (*conn, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		cn := p.idle[n-1]
+		if once && p.open < p.limit && time.Since(cn.idleSince) > onceIdle {
+			break // the others have been idle for longer
+		}
 		p.idle[n-1] = nil
 		p.idle = p.idle[:n-1]
 		if cn.usable(time.Now()) {
