--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -159,8 +159,7 @@
 
 func retryPercent(s Settings) float64 { return s.RetryBudgetRatio * retryUse * percent }
 
-// Times of following the store. Changes must be in force within two seconds on
-// the platforms known, so checkEvery, watchSlack and settleMax stay below.
+// Times of following the store.
 const (
 	watchWait    = 30 * time.Second // the most that the platforms known allow
 	readTimeout  = 2 * time.Second
@@ -168,9 +167,11 @@
 	checkTimeout = 700 * time.Millisecond
 	watchSlack   = 150 * time.Millisecond
 	settleMin    = 150 * time.Millisecond
-	settleMax    = 900 * time.Millisecond
-	retryMin     = 150 * time.Millisecond
-	retryMax     = 400 * time.Millisecond
+	// settleShare is the longest pause between two watches, as a share of the time
+	// in which changes must be in force: the rest is for the call and for slack.
+	settleShare = 0.65
+	retryMin    = 150 * time.Millisecond
+	retryMax    = 400 * time.Millisecond
 	// minOutage is shorter than any lease less the time to notice an outage.
 	minOutage = 500 * time.Millisecond
 )
@@ -188,7 +189,7 @@
 		CheckTimeout: checkTimeout,
 		WatchSlack:   watchSlack,
 		SettleMin:    settleMin,
-		SettleMax:    settleMax,
+		SettleMax:    time.Duration(settleShare * float64(g.conf.ChangeWithin)),
 		MinOutage:    minOutage,
 		RetryMin:     retryMin,
 		RetryMax:     retryMax,
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -44,6 +44,7 @@
 		{"ready-path", s.ReadyPath, next.ReadyPath},
 		{"metrics-listen", s.MetricsListen, next.MetricsListen},
 		{"log-level", s.LogLevel, next.LogLevel},
+		{"change-within", s.ChangeWithin.String(), next.ChangeWithin.String()},
 	} {
 		if f.old != f.new {
 			return f.name
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -26,6 +26,8 @@
 	LogLevel string
 	// StopWithin is the time after a signal in which the process must have ended.
 	StopWithin time.Duration
+	// ChangeWithin is the time in which a published change must be in force.
+	ChangeWithin time.Duration
 	// RetryBudgetRatio bounds the sends beyond the first to a service, over all
 	// entry hosts, as a share of its requests.
 	RetryBudgetRatio float64
@@ -54,11 +56,18 @@
 	if s.StopWithin <= minStop {
 		return errors.Newf("stop-within: %s is not above %s", s.StopWithin, minStop)
 	}
+	if s.ChangeWithin < minChange {
+		return errors.Newf("change-within: %s is below %s", s.ChangeWithin, minChange)
+	}
 	if s.RetryBudgetRatio < 0 || s.RetryBudgetRatio > 1 {
 		return errors.Newf("retry-budget-ratio: %v is outside 0 to 1", s.RetryBudgetRatio)
 	}
 	return nil
 }
 
+// minChange is the shortest time in which a change can surely be learned: a check
+// of the store and a new watch fit in.
+const minChange = checkEvery + watchSlack + 400*time.Millisecond
+
 // minStop is the shortest planned stop that can be carried out.
 const minStop = time.Second
