--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,13 +6,14 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpjson"
 )
 
 // Change is one published version of one document.
@@ -76,27 +77,13 @@
 // maxAnswerBytes bounds one answer, in bytes.
 const maxAnswerBytes = 64 << 20
 
-// StatusError is an answer other than 200.
-type StatusError struct {
-	// Code is the HTTP status.
-	Code int
-}
-
-// Error implements error.
-func (e *StatusError) Error() string {
-	return "platform answered " + strconv.Itoa(e.Code) + " " + http.StatusText(e.Code)
-}
-
-// ErrTooLarge says that an answer exceeds 64 MiB.
-var ErrTooLarge = errors.New("platform answer exceeds 64 MiB")
-
 // NewClient returns a client of the service at base, "http://IP:port".
 func NewClient(base string) *Client {
 	return &Client{base: base, http: &http.Client{}}
 }
 
 // Watch returns the changes after revision, waiting up to wait for one. The
-// error is a *StatusError, ErrTooLarge, or one of transport or decoding.
+// error is one of internal/httpjson.
 func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error) {
 	q := url.Values{
 		"after": {strconv.FormatUint(after, 10)},
@@ -113,24 +100,5 @@
 }
 
 func (c *Client) get(ctx context.Context, path string, out any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
-	if err != nil {
-		return errors.Wrap(err, "platform request")
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return errors.Wrap(err, "platform read")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return &StatusError{resp.StatusCode}
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err != nil {
-		return errors.Wrap(err, "platform body")
-	}
-	if len(body) > maxAnswerBytes {
-		return ErrTooLarge
-	}
-	return errors.Wrap(json.Unmarshal(body, out), "platform answer")
+	return errors.Wrap(httpjson.Get(ctx, c.http, c.base+path, maxAnswerBytes, out), "platform")
 }
