--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -91,13 +91,21 @@
 	return errkind.Wrap(errkind.OutcomeUnknown, err, "sent once")
 }
 
+// comeBackDivisor divides the target latency: before that part of it has passed,
+// the queue that refused a request holds much the same requests.
+const comeBackDivisor = 2
+
 // setRetryAfter tells the caller when to come back, spread by the excess.
 func (x *exchange) setRetryAfter(h http.Header) {
 	excess := 0.0
 	if x.state != nil {
 		excess = x.state.group.excess.Ratio()
 	}
-	x.proxy.dialect.retryAfter(h, limit.RetryAfter(excess, x.proxy.random()))
+	wait := limit.RetryAfter(excess, x.proxy.random())
+	if x.rule != nil {
+		wait = max(wait, x.rule.Config.TargetLatency.Std()/comeBackDivisor)
+	}
+	x.proxy.dialect.retryAfter(h, wait)
 }
 
 // setOwnRetryAfter writes both of the product's headers.
