Bound the lines about no request; drop what nothing reads

Taken out: the time until an upstream is warm (its load reports say how slow it is), the share after which an answer is overdue (0).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,8 +81,9 @@
 	g.output = logging.NonBlocking(w)
 	log := logging.New(g.output, level)
 	g.trails = logging.NewTrails(log)
-	g.metrics.AddLog(g.output.Dropped, g.trails.Dropped)
-	g.sink = hostSink{g.conf.Host, events.Fanout{logging.WithoutRequests{Sink: log}, g.metrics}}
+	other := logging.NewWithoutRequests(log)
+	g.metrics.AddLog(func() int64 { return g.output.Dropped() + other.Dropped() }, g.trails.Dropped)
+	g.sink = hostSink{g.conf.Host, events.Fanout{other, g.metrics}}
 	logging.CaptureLibrary(g.sink)
 	return nil
 }
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -109,18 +109,15 @@
 	pl.records = known
 }
 
+// newRecord makes the record of an upstream. That it is cold after its start it
+// says itself, in the slowdown of its load reports.
 func newRecord(entry registered.Upstream) *balancer.Upstream {
-	u := &balancer.Upstream{
+	return &balancer.Upstream{
 		ID:            entry.ID,
 		Address:       upstream.InstanceTarget(entry.ID, entry.Address),
 		FailureDomain: entry.FailureDomain,
 		Slots:         entry.Slots,
 	}
-	if entry.ColdFor > 0 {
-		u.Added = entry.Seen
-		u.ColdUntil = entry.Seen.Add(entry.ColdFor)
-	}
-	return u
 }
 
 // rebuild makes the picker anew of those that take requests; those that can't
--- a/internal/logging/trails.go
+++ b/internal/logging/trails.go
@@ -23,6 +23,9 @@
 	OrdinaryLines = 500
 	// OrdinaryEvery is the number of ordinary requests of which one is written.
 	OrdinaryEvery = 256
+	// OtherPerSecond and OtherAtOnce bound the lines that are about no request.
+	OtherPerSecond = 50
+	OtherAtOnce    = 500
 	// bufferedLines is the number of lines that wait for the reader of the output.
 	bufferedLines = 4096
 )
@@ -48,17 +51,16 @@
 // and the bound allows it: one that failed, was refused, sent again or late in
 // preference to an ordinary one. It is safe for concurrent use.
 type Trails struct {
-	sink *Sink
-
-	mu       sync.Mutex
-	left     float64 // lines that may be written now
-	at       time.Time
-	ordinary int
+	sink     *Sink
+	bound    bucket
+	ordinary atomic.Int64
 	dropped  atomic.Int64
 }
 
 // NewTrails returns a writer of trails to a sink.
-func NewTrails(sink *Sink) *Trails { return &Trails{sink: sink, left: LinesAtOnce} }
+func NewTrails(sink *Sink) *Trails {
+	return &Trails{sink: sink, bound: bucket{perSecond: LinesPerSecond, most: LinesAtOnce, left: LinesAtOnce}}
+}
 
 // Ended takes in the events of one request, oldest first. It keeps none.
 func (t *Trails) Ended(trail []event.Event, notable bool) {
@@ -75,25 +77,17 @@
 
 // admit takes the lines out of the bound, or counts the request as dropped.
 func (t *Trails) admit(now time.Time, lines int, notable bool) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if passed := now.Sub(t.at); passed > 0 {
-		t.left = min(t.left+passed.Seconds()*LinesPerSecond, LinesAtOnce)
-		t.at = now
-	}
 	reserve := 0.0
 	if !notable {
-		t.ordinary++
-		if t.ordinary%OrdinaryEvery != 1 {
+		if t.ordinary.Add(1)%OrdinaryEvery != 1 {
 			return false
 		}
 		reserve = OrdinaryLines
 	}
-	if t.left < reserve+float64(lines) {
+	if !t.bound.take(now, lines, reserve) {
 		t.dropped.Add(1)
 		return false
 	}
-	t.left -= float64(lines)
 	return true
 }
 
@@ -101,15 +95,55 @@
 // bound's sake.
 func (t *Trails) Dropped() int64 { return t.dropped.Load() }
 
-// WithoutRequests passes on the events that are about no request.
+// WithoutRequests writes the events that are about no request. Warnings and
+// errors are always written; the others, such as questions that an upstream did
+// not answer, within a bound of their own. It is safe for concurrent use.
 type WithoutRequests struct {
-	// Sink receives them.
-	Sink event.Sink
+	sink    *Sink
+	bound   bucket
+	dropped atomic.Int64
+}
+
+// NewWithoutRequests returns a writer to a sink.
+func NewWithoutRequests(sink *Sink) *WithoutRequests {
+	return &WithoutRequests{sink: sink, bound: bucket{perSecond: OtherPerSecond, most: OtherAtOnce, left: OtherAtOnce}}
 }
 
 // Emit implements event.Sink.
-func (w WithoutRequests) Emit(e event.Event) {
-	if e.Request == "" {
-		w.Sink.Emit(e)
+func (w *WithoutRequests) Emit(e event.Event) {
+	if e.Request != "" {
+		return
 	}
+	if event.Catalogue[e.Code].Level < event.Warn && !w.bound.take(e.At, 1, 0) {
+		w.dropped.Add(1)
+		return
+	}
+	w.sink.Emit(e)
+}
+
+// Dropped returns the number of lines that were not written for the bound's sake.
+func (w *WithoutRequests) Dropped() int64 { return w.dropped.Load() }
+
+// bucket bounds lines over time. It is safe for concurrent use.
+type bucket struct {
+	perSecond, most float64
+
+	mu   sync.Mutex
+	left float64
+	at   time.Time
+}
+
+// take takes lines out of the bucket if reserve is left in it afterwards.
+func (b *bucket) take(now time.Time, lines int, reserve float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if passed := now.Sub(b.at); passed > 0 {
+		b.left = min(b.left+passed.Seconds()*b.perSecond, b.most)
+		b.at = now
+	}
+	if b.left < reserve+float64(lines) {
+		return false
+	}
+	b.left -= float64(lines)
+	return true
 }
--- a/internal/logging/trails_test.go
+++ b/internal/logging/trails_test.go
@@ -87,11 +87,25 @@
 func TestOnlyEventsWithoutRequestPass(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
-	sink := WithoutRequests{New(&out, zerolog.InfoLevel)}
+	sink := NewWithoutRequests(New(&out, zerolog.InfoLevel))
 	sink.Emit(event.Event{Code: event.RequestRefused, Request: "r"})
 	is.Equal(out.Len(), 0)
 	sink.Emit(event.Event{Code: event.ProcessStarted})
 	is.True(out.Len() > 0)
 }
 
+func TestOtherLinesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	sink := NewWithoutRequests(New(&out, zerolog.InfoLevel))
+	at := time.Unix(1000, 0)
+	for range 10 * OtherAtOnce {
+		sink.Emit(event.Event{Code: event.ProbeFailed, At: at})
+	}
+	is.Equal(bytes.Count(out.Bytes(), []byte("\n")), OtherAtOnce)
+	is.Equal(sink.Dropped(), int64(9*OtherAtOnce))
+	sink.Emit(event.Event{Code: event.StoreLost, At: at}) // a warning
+	is.Equal(bytes.Count(out.Bytes(), []byte("\n")), OtherAtOnce+1)
+}
+
 var _ io.Writer = (*NonBlockingWriter)(nil)
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -74,7 +74,7 @@
 	{nameRetriesDenied, CounterKind, "requests", "Requests that a limit kept from being sent again."},
 	{nameLatency + "<service>", HistogramKind, "microseconds", "Time from a request's arrival to the upstream's answer, of answered requests; over the newest 2048."},
 	{nameBucket + "<bound>", CounterKind, "requests", "Answered requests by the time from arrival to the upstream's answer, in buckets that are the same on every host; each request is in one."},
-	{nameLogLines, GaugeKind, "lines", "Log lines dropped because the reader of the output was too slow."},
+	{nameLogLines, GaugeKind, "lines", "Log lines dropped: the reader of the output was too slow, or there were too many about no request."},
 	{nameLogRequests, GaugeKind, "requests", "Requests whose lines were not written because of the bound on lines."},
 	{nameRevision, GaugeKind, "revision", "Platform revision of the newest document taken into force, or the version of the configuration in force."},
 	{nameEvents + "<event>", CounterKind, "events", "Decision events by name (docs/EVENTS.md)."},
--- a/pkg/balancer/probefirst/probefirst.go
+++ b/pkg/balancer/probefirst/probefirst.go
@@ -37,9 +37,6 @@
 	fullSlowdown = 1.7
 	// TroubleCost multiplies the share of recent sends that failed.
 	TroubleCost = 6.0
-	// OverdueShare is the part of the target latency after which an answer is
-	// overdue.
-	OverdueShare = 0
 	// MaxWaiting is the number of requests that may wait at an upstream that does
 	// not slow down when it is full; beyond it the request waits on the entry host.
 	MaxWaiting = 3
@@ -134,22 +131,17 @@
 		if cost > GoodCost {
 			reason = "best-of-slow"
 		}
-		return balancer.Result{Upstream: best, Reason: reason, OverdueAfter: overdue(info)}, nil
+		return balancer.Result{Upstream: best, Reason: reason}, nil
 	}
 	if info.Extra {
 		return balancer.Result{}, balancer.ErrNoSlot
 	}
 	if u := p.blind(info); u != nil {
-		return balancer.Result{Upstream: u, Reason: "no-report", OverdueAfter: overdue(info)}, nil
+		return balancer.Result{Upstream: u, Reason: "no-report"}, nil
 	}
 	return balancer.Result{}, balancer.ErrNoUpstream
 }
 
-// overdue is when a second attempt can still be answered within the target.
-func overdue(info balancer.PickInfo) time.Duration {
-	return time.Duration(float64(info.Target) * OverdueShare)
-}
-
 // tooFull reports whether as many requests wait at u as may.
 func tooFull(u *balancer.Upstream, crowded float64) bool {
 	l := u.Load()
--- a/pkg/balancer/upstream.go
+++ b/pkg/balancer/upstream.go
@@ -38,8 +38,6 @@
 	MaxConnections int
 	// Added is when it joined the group; zero if it was there at the start.
 	Added time.Time
-	// ColdUntil is until when it is slow after its own start; zero if it is warm.
-	ColdUntil time.Time
 
 	outstanding atomic.Int64
 	begun       atomic.Int64             // sends, ever
--- a/pkg/registered/registered.go
+++ b/pkg/registered/registered.go
@@ -30,10 +30,8 @@
 	Slots int
 	// Draining is true when it is about to end and takes no new requests.
 	Draining bool
-	// ColdFor is how long it stays slow after its start, from Seen on.
+	// ColdFor is how long it stays slow after its start, from its entry on.
 	ColdFor time.Duration
-	// Seen is when this host learned of the entry.
-	Seen time.Time
 	// Revision is the store's revision of the entry.
 	Revision uint64
 }
@@ -143,17 +141,6 @@
 	}
 }
 
-// Due returns when Tick has something to do; zero if never.
-func (s *Set) Due() time.Time {
-	var due time.Time
-	for _, e := range s.entries {
-		if !e.gone && !e.vanished.IsZero() {
-			due = s.returned.Add(s.conf.ReturnGrace)
-		}
-	}
-	return due
-}
-
 // Tick drops the vanished entries whose time to return is over, and forgets ids
 // that are long gone.
 func (s *Set) Tick(now time.Time) {
--- a/pkg/registered/registered_test.go
+++ b/pkg/registered/registered_test.go
@@ -65,12 +65,10 @@
 	s.Replace(at(0), nil, 10)
 	is.Equal(ids(s), []string{"i-1", "i-2"}) // one that said it leaves is gone
 	s.Put(entryOf("i-2", 11))
-	is.Equal(s.Due(), at(1500))
 	s.Tick(at(1499))
 	is.Equal(ids(s), []string{"i-1", "i-2"})
 	s.Tick(at(1500))
 	is.Equal(ids(s), []string{"i-2"})
-	is.True(s.Due().IsZero())
 }
 
 func TestVanishedAtOtherTimesIsGoneAtOnce(t *testing.T) {
