Check a waiting watch by the store's newest revision

Cause: the store reset its watches and dropped its history, the reset was lost on a link that loses packets, and checks by reads that may be old were six seconds behind. Ruled out: a late decode, and keep-alive, which does not notice.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,9 +162,11 @@
 
 // Times of following the store.
 const (
-	watchWait    = 30 * time.Second // the most that the platforms known allow
-	readTimeout  = 2 * time.Second
-	checkEvery   = 1200 * time.Millisecond
+	watchWait   = 30 * time.Second // the most that the platforms known allow
+	readTimeout = 2 * time.Second
+	// checkEvery is how long a watch that lost its store unseen can be behind. On
+	// the platforms known, what changed before must be in force three seconds after.
+	checkEvery   = 2600 * time.Millisecond
 	checkTimeout = 700 * time.Millisecond
 	watchSlack   = 150 * time.Millisecond
 	settleMin    = 150 * time.Millisecond
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -65,9 +65,9 @@
 	return nil
 }
 
-// minChange is the shortest time in which a change can surely be learned: a check
-// of the store and a new watch fit in.
-const minChange = checkEvery + watchSlack + 400*time.Millisecond
+// minChange is the shortest time in which a change can be learned: the calls of a
+// watch and the pause before it fit in.
+const minChange = time.Second
 
 // minStop is the shortest planned stop that can be carried out.
 const minStop = time.Second
--- a/internal/source/follower.go
+++ b/internal/source/follower.go
@@ -161,10 +161,13 @@
 
 // ask looks whether the store answers.
 func (f *Follower) ask(ctx context.Context) error {
-	_, err := f.revisionNow(ctx)
-	return err
+	ctx, cancel := context.WithTimeout(ctx, f.conf.CheckTimeout)
+	defer cancel()
+	return f.conf.Store.Alive(ctx)
 }
 
+// revisionNow asks for the newest revision: an older one would hide a change
+// that the watch has missed.
 func (f *Follower) revisionNow(ctx context.Context) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.conf.CheckTimeout)
 	defer cancel()
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -23,9 +23,10 @@
 	// Watch returns the changes after a revision, waiting up to wait for one. The
 	// error is ErrHistoryLost when the store no longer has all of them.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
-	// Revision makes the cheapest call that shows that the store answers. It
-	// returns a revision that may be some seconds old.
+	// Revision returns the store's revision.
 	Revision(ctx context.Context) (uint64, error)
+	// Alive makes the cheapest call that shows that the store answers.
+	Alive(ctx context.Context) error
 }
 
 // ErrHistoryLost says that changes were missed; everything must be read anew.
