Share an upstream's published bound on connections; never drop what was read

The bound was decoded and not used: 12 connections for each host whatever it was. A full control queue dropped a configuration that had been read; the follower now waits.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -125,12 +125,16 @@
 		c.snapshot.Store(s)
 	}
 	c.pools.lifecycle = c.snapshot.Load()
-	for _, service := range c.pools.refresh(c.set, c.gateway.client.Forget) {
+	changed := c.pools.refresh(c.set, c.gateway.client.Forget)
+	for _, service := range changed {
 		c.republish(service)
 	}
 	if configured {
 		c.enforce()
 	}
+	if configured || len(changed) > 0 {
+		c.shareConnections()
+	}
 	if !c.ready && c.config != nil && c.listed {
 		c.ready = true
 		close(c.served)
@@ -179,3 +183,21 @@
 	}
 	c.gateway.emit(event.Event{Code: event.ConfigurationInForce, Value: int64(c.config.Version)})
 }
+
+// shareConnections gives this host its part of each upstream's published bound
+// on connections.
+func (c *controller) shareConnections() {
+	if c.config == nil {
+		return
+	}
+	limits := make(map[string]int)
+	for _, s := range c.config.Services {
+		for i := range s.Groups {
+			g := &s.Groups[i]
+			for _, u := range c.pools.pool(g.Registered).records {
+				limits[u.Address] = min(max(g.MaxConnections/connectionHosts, minConnections), connectionsPerUpstream)
+			}
+		}
+	}
+	c.gateway.client.SetLimits(limits)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,9 +112,14 @@
 	maxAnswerBytes = 16 << 20
 	// maxRequestBytes bounds a request's body unless the configuration says less.
 	maxRequestBytes = 64 << 20
-	// connectionsPerUpstream bounds this host's connections to one upstream. It
-	// serves few requests at once, and many hosts share its bound.
+	// connectionsPerUpstream bounds this host's connections to one upstream, which
+	// serves few requests at once.
 	connectionsPerUpstream = 12
+	// minConnections is the least for one upstream: the usual slots and a question.
+	minConnections = 4
+	// connectionHosts is the number of hosts among which an upstream's published
+	// bound is divided; how many there are is not known. Few use their part.
+	connectionHosts = 40
 	// upstreamIdle closes a connection that carried no request for that long.
 	upstreamIdle = 20 * time.Second
 	// bodyTimeout bounds receiving a request body.
@@ -182,9 +187,9 @@
 func (g *Gateway) buildControl(store source.Store) {
 	g.follower = source.NewFollower(source.Config{
 		Store:        store,
-		Read:         func(s *source.State) { g.loop.Post(func() { g.control.read(s) }) },
-		Changed:      func(c *source.Changes) { g.loop.Post(func() { g.control.changed(c) }) },
-		Returned:     func() { g.loop.Post(g.control.returned) },
+		Read:         func(s *source.State) { g.surely(func() { g.control.read(s) }) },
+		Changed:      func(c *source.Changes) { g.surely(func() { g.control.changed(c) }) },
+		Returned:     func() { g.surely(g.control.returned) },
 		Events:       g.sink,
 		WatchWait:    watchWait,
 		ReadTimeout:  readTimeout,
@@ -200,6 +205,17 @@
 	g.loop.Every(tickEvery, g.control.tick)
 }
 
+// surely queues control work that must not be dropped. The follower's goroutine
+// waits while the queue is full.
+func (g *Gateway) surely(f func()) {
+	for !g.loop.Post(f) {
+		time.Sleep(postPause)
+	}
+}
+
+// postPause is the pause before a full queue is tried again.
+const postPause = time.Millisecond
+
 // Run serves until a planned stop is over. A first signal begins the stop, a
 // second one ends it at once.
 func (g *Gateway) Run(ctx context.Context, signals <-chan os.Signal) error {
