--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -111,10 +111,11 @@
 		Address:       address,
 		FailureDomain: e.conf.FailureDomain,
 		Keys:          keys,
-		Hosts:         e.newPlatform(),
-		OnHosts:       func(l *platform.HostList) { e.control.hostsListed(l) },
-		Loop:          e.loop,
-		Events:        e.sink,
+		Hosts: &hostSource{e.newPlatform(), func(l *platform.HostList) {
+			e.loop.Post(func() { e.control.hostsListed(l) })
+		}},
+		Loop:   e.loop,
+		Events: e.sink,
 	})
 	if err != nil {
 		return err
--- a/internal/entry/hosts.go
+++ b/internal/entry/hosts.go
@@ -1,14 +1,50 @@
 package entry
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/members"
 	"github.com/dapplespindle/dapplespindle/internal/platform"
 	"github.com/dapplespindle/dapplespindle/pkg/configsync"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+	"github.com/dapplespindle/dapplespindle/pkg/membership"
 )
 
+// hostSource implements members.HostSource with the platform's list.
+type hostSource struct {
+	client *platform.Client
+	// listed takes in each list that was read.
+	listed func(*platform.HostList)
+}
+
+// Hosts implements members.HostSource.
+func (s *hostSource) Hosts(ctx context.Context) (*members.HostList, error) {
+	list, err := s.client.Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s.listed(list)
+	return &members.HostList{Revision: list.Revision, Hosts: entryHosts(list)}, nil
+}
+
+// entryHosts leaves out hosts whose address cannot be used.
+func entryHosts(list *platform.HostList) []membership.ListedHost {
+	var out []membership.ListedHost
+	for _, h := range list.Hosts {
+		a, err := netip.ParseAddrPort(h.PeerAddress)
+		if err != nil {
+			continue
+		}
+		out = append(out, membership.ListedHost{
+			Address: netip.AddrPortFrom(a.Addr().Unmap(), a.Port()),
+			Leaving: h.State == platform.Leaving,
+		})
+	}
+	return out
+}
+
 // hostsListed takes in the upstreams that run on hosts which the platform's
 // list calls leaving. It runs on the control goroutine. A list that is older
 // than the last one is ignored.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -87,10 +87,10 @@
 	return "ready"
 }
 
-// returned is told that the store answers again.
-func (c *controller) returned() {
-	c.set.Returned(time.Now())
-	time.AfterFunc(returnGrace, func() {
+// returned is told since when the store answers again.
+func (c *controller) returned(at time.Time) {
+	c.set.Returned(at)
+	time.AfterFunc(time.Until(at.Add(returnGrace)), func() {
 		c.gateway.loop.Post(func() { c.tick(time.Now()) })
 	})
 }
--- /dev/null
+++ b/internal/gateway/fleet.go
@@ -0,0 +1,166 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/internal/members"
+	"github.com/dapplespindle/dapplespindle/internal/news"
+	"github.com/dapplespindle/dapplespindle/internal/source"
+	"github.com/dapplespindle/dapplespindle/pkg/follow"
+	"github.com/dapplespindle/dapplespindle/pkg/membership"
+)
+
+const (
+	// memberPeriod is the time between two probes of membership. What it finds
+	// only orders the hosts, so that it may be slow, and cheap: at one second it
+	// took twice the processor time.
+	memberPeriod = 2 * time.Second
+	// leaveTimeout bounds telling the peers that this host leaves.
+	leaveTimeout = 100 * time.Millisecond
+)
+
+// fleet is what this host has to do with the other entry hosts: membership, and
+// the news of the store that they tell one another.
+type fleet struct {
+	gateway *Gateway
+	address netip.AddrPort // of membership
+	port    uint16         // of news, on all hosts
+	members *members.Members
+	news    *news.Transport
+	version uint64 // of the snapshot given to the follower
+}
+
+// newFleet returns nil for a host that has no peers.
+func newFleet(g *Gateway) (*fleet, error) {
+	if g.conf.PeerListen == "" {
+		return nil, nil
+	}
+	address, err := netip.ParseAddrPort(g.conf.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{gateway: g, address: address, port: g.conf.NewsPort}
+	f.members, err = members.New(members.Config{
+		Address:       address,
+		FailureDomain: g.conf.FailureDomain,
+		Period:        memberPeriod,
+		Hosts:         f,
+		Ticked:        f.refresh,
+		Loop:          g.loop,
+		Events:        g.sink,
+	})
+	if err != nil {
+		return nil, err
+	}
+	f.news = news.New(news.Config{
+		Address: f.newsAddress(address),
+		Heard:   func(t *source.Told) { g.follower.Heard(t) },
+		Answer:  func(ctx context.Context, after uint64) (*source.Told, error) { return g.follower.Answer(ctx, after) },
+		Events:  g.sink,
+	})
+	return f, nil
+}
+
+// newsAddress is where a host whose membership address is given is told news.
+func (f *fleet) newsAddress(member netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(member.Addr(), f.port)
+}
+
+// seeds are the membership addresses of the settings that can be used.
+func (f *fleet) seeds() []netip.AddrPort {
+	f.gateway.confMu.Lock()
+	defer f.gateway.confMu.Unlock()
+	return f.gateway.conf.Seeds
+}
+
+// Hosts implements members.HostSource with the settings.
+func (f *fleet) Hosts(context.Context) (*members.HostList, error) {
+	out := new(members.HostList)
+	for _, a := range f.seeds() {
+		out.Hosts = append(out.Hosts, membership.ListedHost{Address: a})
+	}
+	return out, nil
+}
+
+// self is this host as the others reach it for news.
+func (f *fleet) self() follow.Host {
+	return follow.Host{Address: f.newsAddress(f.address), FailureDomain: f.gateway.conf.FailureDomain}
+}
+
+// refresh gives the follower the hosts when they have changed. It runs on the
+// control goroutine.
+func (f *fleet) refresh(s *membership.Snapshot) {
+	if s.Version == f.version || !f.gateway.follower.SetHosts(f.hosts(s), s.Joined) {
+		return
+	}
+	f.version = s.Version
+}
+
+// hosts returns the hosts that are not known to be dead, or the seeds until this
+// host has found others.
+func (f *fleet) hosts(s *membership.Snapshot) []follow.Host {
+	var out []follow.Host
+	for i := range s.Members {
+		m := &s.Members[i]
+		if m.State == membership.Dead {
+			continue
+		}
+		out = append(out, follow.Host{
+			Address:       f.newsAddress(m.Address),
+			FailureDomain: m.FailureDomain,
+			Leaving:       m.Leaving,
+		})
+	}
+	if s.Joined {
+		return out
+	}
+	for _, a := range f.seeds() {
+		out = append(out, follow.Host{Address: f.newsAddress(a)})
+	}
+	return out
+}
+
+// peerWait is how long this host asks its peers before it first reads the store.
+// Where the whole fleet starts for the first time, a few hosts read it.
+func (f *fleet) peerWait() time.Duration {
+	switch {
+	case slices.Contains(f.seeds(), f.address) && f.gateway.conf.FirstStart:
+		return 0
+	case f.gateway.conf.FirstStart:
+		return firstPeerWait
+	}
+	return peerWait
+}
+
+const (
+	// firstPeerWait leaves the first hosts of a fleet time to read the store. The
+	// platforms known send requests eight seconds after the first start.
+	firstPeerWait = 2 * time.Second
+	// peerWait is one question: a host that restarts has callers waiting.
+	peerWait = 6 * time.Millisecond
+)
+
+func (f *fleet) start() error {
+	if err := f.members.Start(); err != nil {
+		return err
+	}
+	return f.news.Start()
+}
+
+// leave tells the peers that this host is about to go.
+func (f *fleet) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	_ = f.members.Leave(ctx) // they find out by themselves
+}
+
+// stop tells the peers that this host is gone.
+func (f *fleet) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	f.members.Stop(ctx)
+	f.news.Stop()
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,6 @@
 // Package gateway assembles an entry host that takes everything it knows from
 // one store: the operators' configuration and the upstreams that register
-// themselves. It has no peers; each host follows the store by itself.
+// themselves. The hosts of a fleet tell one another what the store told them.
 //
 // internal/entry assembles the entry host of the product's own platform, whose
 // hosts tell one another what they know.
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"os"
 	"strconv"
 	"sync"
@@ -27,6 +28,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/source"
 	"github.com/dapplespindle/dapplespindle/internal/upstream"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/follow"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
 )
 
@@ -43,6 +45,7 @@
 	loop     *control.Loop
 	control  *controller
 	follower *source.Follower
+	fleet    *fleet // nil without peers
 	client   *upstream.Client
 	proxy    *proxy.Proxy
 	server   *httpwire.Server
@@ -57,7 +60,9 @@
 		return nil, err
 	}
 	g.buildCallPath(dialect)
-	g.buildControl(store)
+	if err := g.buildControl(store); err != nil {
+		return nil, err
+	}
 	g.ready = admin.New(admin.Config{Address: conf.ReadyListen, ReadyPath: conf.ReadyPath})
 	if conf.MetricsListen != "" {
 		g.figures = admin.New(admin.Config{Address: conf.MetricsListen, Metrics: g.metrics})
@@ -67,6 +72,7 @@
 		Server:   g.server,
 		Ready:    g.control.served,
 		SetReady: g.ready.SetReady,
+		Draining: g.leave,
 		Emit:     g.emit,
 	})
 	return g, nil
@@ -169,40 +175,69 @@
 const (
 	watchWait   = 30 * time.Second // the most that the platforms known allow
 	readTimeout = 2 * time.Second
-	// checkEvery is how long a watch that lost its store unseen can be behind. On
-	// the platforms known, what changed before must be in force three seconds after.
-	checkEvery   = 2600 * time.Millisecond
+	// aloneEvery is how long the watch of a host without peers can be behind when
+	// it lost its store unseen. On the platforms known, what changed before must be
+	// in force three seconds after.
+	aloneEvery   = 2600 * time.Millisecond
 	checkTimeout = 700 * time.Millisecond
-	watchSlack   = 150 * time.Millisecond
-	settleMin    = 150 * time.Millisecond
-	// settleShare is the longest pause between two watches, as a share of the time
-	// in which changes must be in force: the rest is for the call and for slack.
+	// peerTimeout bounds a question to a peer: the store can still be asked in time.
+	peerTimeout = 300 * time.Millisecond
+	watchSlack  = 150 * time.Millisecond
+	settleMin   = 150 * time.Millisecond
+	// settleShare is the longest pause between two watches of a host without peers,
+	// as a share of the time in which changes must be in force: the rest is for the
+	// call and for slack.
 	settleShare = 0.65
 	retryMin    = 150 * time.Millisecond
 	retryMax    = 400 * time.Millisecond
 	// minOutage is shorter than any lease less the time to notice an outage.
 	minOutage = 500 * time.Millisecond
+	// returnedFor is how long peers are told of the end of an outage: each of them
+	// is told something by then.
+	returnedFor = 3 * time.Second
 )
 
-func (g *Gateway) buildControl(store source.Store) {
-	g.follower = source.NewFollower(source.Config{
+func (g *Gateway) buildControl(store source.Store) error {
+	fleet, err := newFleet(g)
+	if err != nil {
+		return err
+	}
+	conf := source.Config{
 		Store:        store,
+		Follow:       g.followConfig(),
 		Read:         func(s *source.State) { g.surely(func() { g.control.read(s) }) },
 		Changed:      func(c *source.Changes) { g.surely(func() { g.control.changed(c) }) },
-		Returned:     func() { g.surely(g.control.returned) },
+		Returned:     func(at time.Time) { g.surely(func() { g.control.returned(at) }) },
 		Events:       g.sink,
 		WatchWait:    watchWait,
 		ReadTimeout:  readTimeout,
-		CheckEvery:   checkEvery,
 		CheckTimeout: checkTimeout,
+		AskTimeout:   peerTimeout,
+	}
+	if fleet != nil {
+		g.fleet = fleet
+		conf.Peers = fleet.news
+		conf.Self = fleet.self()
+		conf.Follow.PeerWait = fleet.peerWait()
+	}
+	g.follower = source.NewFollower(conf)
+	g.loop.Every(tickEvery, g.control.tick)
+	return nil
+}
+
+func (g *Gateway) followConfig() follow.Config {
+	return follow.Config{
+		ChangeWithin: g.conf.ChangeWithin,
+		AloneEvery:   aloneEvery,
 		WatchSlack:   watchSlack,
 		SettleMin:    settleMin,
 		SettleMax:    time.Duration(settleShare * float64(g.conf.ChangeWithin)),
 		MinOutage:    minOutage,
+		ReturnedFor:  returnedFor,
 		RetryMin:     retryMin,
 		RetryMax:     retryMax,
-	})
-	g.loop.Every(tickEvery, g.control.tick)
+		Jitter:       rand.Float64,
+	}
 }
 
 // surely queues control work that must not be dropped. The follower's goroutine
@@ -227,6 +262,9 @@
 	}
 	g.emit(event.Event{Code: event.ProcessStarted})
 	g.stopper.Run(ctx, signals)
+	if g.fleet != nil {
+		g.fleet.stop()
+	}
 	return nil
 }
 
@@ -247,6 +285,9 @@
 func (g *Gateway) start(ctx context.Context) error {
 	go g.loop.Run(ctx)
 	steps := []func() error{g.client.Start, g.ready.Start, g.server.Start}
+	if g.fleet != nil {
+		steps = append(steps, g.fleet.start)
+	}
 	if g.figures != nil {
 		steps = append(steps, g.figures.Start)
 	}
@@ -259,4 +300,11 @@
 	return nil
 }
 
+// leave is called when the planned stop begins.
+func (g *Gateway) leave() {
+	if g.fleet != nil {
+		g.fleet.leave()
+	}
+}
+
 func (g *Gateway) emit(e event.Event) { g.sink.Emit(e) }
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"strconv"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/dapplespindle/dapplespindle/pkg/event"
@@ -43,6 +45,8 @@
 		{"ready-listen", s.ReadyListen, next.ReadyListen},
 		{"ready-path", s.ReadyPath, next.ReadyPath},
 		{"metrics-listen", s.MetricsListen, next.MetricsListen},
+		{"peer-listen", s.PeerListen, next.PeerListen},
+		{"news-port", strconv.Itoa(int(s.NewsPort)), strconv.Itoa(int(next.NewsPort))},
 		{"log-level", s.LogLevel, next.LogLevel},
 		{"change-within", s.ChangeWithin.String(), next.ChangeWithin.String()},
 	} {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -22,6 +22,15 @@
 	ReadyPath string
 	// MetricsListen is the IP:port for metrics; empty serves none.
 	MetricsListen string
+	// PeerListen is the IP:port where peers find this host; empty for a host that
+	// has none. The IP is also where they tell it news.
+	PeerListen string
+	// NewsPort is the port of news among hosts, the same on all of them.
+	NewsPort uint16
+	// Seeds are the PeerListen of some hosts; they may be out of date.
+	Seeds []netip.AddrPort
+	// FirstStart is true when the whole fleet starts for the first time.
+	FirstStart bool
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 	// StopWithin is the time after a signal in which the process must have ended.
@@ -42,6 +51,12 @@
 	if s.MetricsListen != "" {
 		addresses = append(addresses, struct{ name, value string }{"metrics-listen", s.MetricsListen})
 	}
+	if s.PeerListen != "" {
+		addresses = append(addresses, struct{ name, value string }{"peer-listen", s.PeerListen})
+		if s.NewsPort == 0 {
+			return errors.New("news-port: is 0; set it to a port that is free on all hosts")
+		}
+	}
 	for _, a := range addresses {
 		if ap, err := netip.ParseAddrPort(a.value); err != nil || ap.Port() == 0 {
 			return errors.Newf("%s: %q is not IP:port", a.name, a.value)
--- a/internal/members/hostlist.go
+++ b/internal/members/hostlist.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/netip"
 	"time"
 
-	"github.com/dapplespindle/dapplespindle/internal/platform"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
-	"github.com/dapplespindle/dapplespindle/pkg/membership"
 )
 
 const (
@@ -54,32 +51,10 @@
 		}
 		return true
 	}
-	hosts := listed(list)
-	m.conf.Loop.Post(func() {
-		m.apply(m.core.SetHosts(time.Now(), list.Revision, hosts))
-		if m.conf.OnHosts != nil {
-			m.conf.OnHosts(list)
-		}
-	})
+	m.conf.Loop.Post(func() { m.apply(m.core.SetHosts(time.Now(), list.Revision, list.Hosts)) })
 	return false
 }
 
-// listed leaves out hosts whose address cannot be used.
-func listed(list *platform.HostList) []membership.ListedHost {
-	var out []membership.ListedHost
-	for _, h := range list.Hosts {
-		a, err := netip.ParseAddrPort(h.PeerAddress)
-		if err != nil {
-			continue
-		}
-		out = append(out, membership.ListedHost{
-			Address: netip.AddrPortFrom(a.Addr().Unmap(), a.Port()),
-			Leaving: h.State == platform.Leaving,
-		})
-	}
-	return out
-}
-
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 + hostsJitter*(2*rand.Float64()-1)))
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -14,15 +14,22 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/dapplespindle/dapplespindle/internal/control"
-	"github.com/dapplespindle/dapplespindle/internal/platform"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/membership"
 	"github.com/dapplespindle/dapplespindle/pkg/membership/wire"
 )
 
-// HostSource reads the platform's lagging host list; *platform.Client is one.
+// HostList names hosts of the fleet. It may lag and be incomplete.
+type HostList struct {
+	// Revision orders lists.
+	Revision uint64
+	// Hosts are the entries.
+	Hosts []membership.ListedHost
+}
+
+// HostSource reads the list of hosts.
 type HostSource interface {
-	Hosts(ctx context.Context) (*platform.HostList, error)
+	Hosts(ctx context.Context) (*HostList, error)
 }
 
 // Config holds what New needs. Zero durations take their defaults.
@@ -42,11 +49,11 @@
 	PauseBound time.Duration
 	// ForgetAfter is how long dead members are kept. Default: 600 periods.
 	ForgetAfter time.Duration
-	// Hosts reads the platform's list.
+	// Hosts reads the list of hosts.
 	Hosts HostSource
-	// OnHosts, if not nil, is called on the control goroutine with each list that
-	// was read.
-	OnHosts func(*platform.HostList)
+	// Ticked, if not nil, is given the newest view after each tick, on the control
+	// goroutine.
+	Ticked func(*membership.Snapshot)
 	// Loop is the control loop; New must be called before it runs.
 	Loop *control.Loop
 	// Events receives the decisions.
@@ -184,6 +191,9 @@
 	if s := m.core.Snapshot(); s != m.snapshot.Load() {
 		m.snapshot.Store(s)
 	}
+	if m.conf.Ticked != nil {
+		m.conf.Ticked(m.snapshot.Load())
+	}
 }
 
 // checkSuspend finds pauses in which the monotonic clock stood still, such as
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -10,7 +10,6 @@
 	"github.com/matryer/is"
 
 	"github.com/dapplespindle/dapplespindle/internal/control"
-	"github.com/dapplespindle/dapplespindle/internal/platform"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/membership"
 )
@@ -20,9 +19,9 @@
 
 const testPeriod = 80 * time.Millisecond
 
-type list struct{ *platform.HostList }
+type list struct{ *HostList }
 
-func (l list) Hosts(context.Context) (*platform.HostList, error) { return l.HostList, nil }
+func (l list) Hosts(context.Context) (*HostList, error) { return l.HostList, nil }
 
 // freeAddresses returns loopback addresses with free UDP ports.
 func freeAddresses(t *testing.T, n int) []netip.AddrPort {
@@ -80,9 +79,9 @@
 func TestHostsFindEachOtherOverSockets(t *testing.T) {
 	is := is.New(t)
 	addresses := freeAddresses(t, 7)
-	l := list{&platform.HostList{Revision: 1}}
+	l := list{&HostList{Revision: 1}}
 	for _, a := range addresses[:2] {
-		l.HostList.Hosts = append(l.HostList.Hosts, platform.Host{PeerAddress: a.String(), State: platform.Live})
+		l.HostList.Hosts = append(l.HostList.Hosts, membership.ListedHost{Address: a})
 	}
 	var all []*Members
 	for _, a := range addresses[:6] {
@@ -125,10 +124,10 @@
 
 func TestKilledHostIsDetectedOverSockets(t *testing.T) {
 	addresses := freeAddresses(t, 4)
-	l := list{&platform.HostList{Revision: 1}}
+	l := list{&HostList{Revision: 1}}
 	var all []*Members
 	for _, a := range addresses {
-		l.HostList.Hosts = append(l.HostList.Hosts, platform.Host{PeerAddress: a.String(), State: platform.Live})
+		l.HostList.Hosts = append(l.HostList.Hosts, membership.ListedHost{Address: a})
 	}
 	for _, a := range addresses {
 		m := start(t, a, l, key)
--- /dev/null
+++ b/internal/news/answer.go
@@ -0,0 +1,124 @@
+package news
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpjson"
+	"github.com/dapplespindle/dapplespindle/internal/source"
+)
+
+// The ages of an answer, in microseconds, are headers: its body is the same for
+// all who ask for the same, and is encoded once.
+const (
+	headerAge         = "Spindle-Age"
+	headerReturnedAge = "Spindle-Returned-Age"
+)
+
+// packed is the newest body that was encoded: after a change many peers ask for
+// the same at the same time.
+type packed struct {
+	after, revision uint64
+	body            []byte
+}
+
+func (t *Transport) serve(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get(paramAfter), 10, 64)
+	if err != nil {
+		http.Error(w, paramAfter+": is not a revision", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), answerTimeout)
+	defer cancel()
+	told, err := t.conf.Answer(ctx, after)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	answered := time.Now()
+	body, err := t.pack(after, told)
+	if err != nil {
+		t.refused(err)
+		http.Error(w, "can't be encoded", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set(headerAge, formatAge(told.Age+time.Since(answered)))
+	if told.ReturnedAge > 0 {
+		w.Header().Set(headerReturnedAge, formatAge(told.ReturnedAge))
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	_, _ = w.Write(body) // a peer that has left asks again
+}
+
+// pack returns the compressed body of an answer.
+func (t *Transport) pack(after uint64, told *source.Told) ([]byte, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.packed.body != nil && t.packed.after == after && t.packed.revision == told.Revision {
+		return t.packed.body, nil
+	}
+	shared := *told
+	shared.Age, shared.ReturnedAge = 0, 0
+	var out bytes.Buffer
+	zip, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.NewEncoder(zip).Encode(&shared); err != nil {
+		return nil, err
+	}
+	if err := zip.Close(); err != nil {
+		return nil, err
+	}
+	t.packed = packed{after, told.Revision, out.Bytes()}
+	return out.Bytes(), nil
+}
+
+// Ask implements source.Peers.
+func (t *Transport) Ask(ctx context.Context, peer netip.AddrPort, after uint64) (*source.Told, error) {
+	url := "http://" + peer.String() + path + "?" + paramAfter + "=" + strconv.FormatUint(after, 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "question")
+	}
+	resp, err := t.client.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "question")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, &httpjson.StatusError{Code: resp.StatusCode}
+	}
+	told := new(source.Told)
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(told); err != nil {
+		return nil, errors.Wrap(err, "answer")
+	}
+	if told.Age, err = parseAge(resp.Header.Get(headerAge)); err != nil {
+		return nil, err
+	}
+	if text := resp.Header.Get(headerReturnedAge); text != "" {
+		if told.ReturnedAge, err = parseAge(text); err != nil {
+			return nil, err
+		}
+	}
+	return told, validate(told)
+}
+
+func formatAge(d time.Duration) string { return strconv.FormatInt(d.Microseconds(), 10) }
+
+func parseAge(text string) (time.Duration, error) {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, errors.Wrap(err, "age")
+	}
+	return time.Duration(n) * time.Microsecond, nil
+}
--- /dev/null
+++ b/internal/news/news.go
@@ -0,0 +1,195 @@
+// Package news moves what hosts tell one another of the store: short messages in
+// datagrams, and answers to questions, which may be large, over HTTP. Both use
+// one port number, which is the same on all hosts.
+//
+// It decides nothing; pkg/follow does. Messages carry no signature: the network
+// among the hosts is trusted, and a message counts only from the address that it
+// names as its sender.
+package news
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/dapplespindle/dapplespindle/internal/source"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+)
+
+const (
+	// maxDatagramBytes fits an Ethernet frame.
+	maxDatagramBytes = 1200
+	// maxAnswerBytes bounds an answer: everything of a store of some thousand
+	// upstreams and a configuration of a megabyte.
+	maxAnswerBytes = 16 << 20
+	// answerTimeout bounds answering one question.
+	answerTimeout = time.Second
+	// dialTimeout bounds a connection to a peer, a few milliseconds away.
+	dialTimeout = 250 * time.Millisecond
+
+	path       = "/v1/published"
+	paramAfter = "after"
+)
+
+// Config holds what a Transport needs.
+type Config struct {
+	// Address is where peers reach this host, over UDP and TCP.
+	Address netip.AddrPort
+	// Heard takes in a message.
+	Heard func(*source.Told)
+	// Answer answers a question of a peer.
+	Answer func(ctx context.Context, after uint64) (*source.Told, error)
+	// Events receives what was refused.
+	Events event.Sink
+}
+
+// Transport implements source.Peers.
+type Transport struct {
+	conf   Config
+	conn   *net.UDPConn
+	server *http.Server
+	client *http.Client
+
+	mu     sync.Mutex
+	packed packed
+}
+
+// New returns a transport without sockets.
+func New(conf Config) *Transport {
+	t := &Transport{
+		conf: conf,
+		// A kept connection may have gone silent, and questions are rare.
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DisableKeepAlives: true,
+		}},
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, t.serve)
+	t.server = &http.Server{Handler: mux, ReadHeaderTimeout: answerTimeout, WriteTimeout: 2 * answerTimeout}
+	return t
+}
+
+// Start opens the sockets and serves in the background.
+func (t *Transport) Start() error {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(t.conf.Address))
+	if err != nil {
+		return errors.Wrap(err, "news socket")
+	}
+	ln, err := net.Listen("tcp", t.conf.Address.String())
+	if err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "news listener"), conn.Close())
+	}
+	t.conn = conn
+	go t.read()
+	go func() {
+		if err := t.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			t.refused(err)
+		}
+	}()
+	return nil
+}
+
+// Stop closes the sockets.
+func (t *Transport) Stop() {
+	if t.conn == nil {
+		return
+	}
+	_ = t.conn.Close() // it holds nothing that is not sent
+	_ = t.server.Close()
+}
+
+// Tell implements source.Peers. A message that can't be sent is as one that is
+// lost.
+func (t *Transport) Tell(to []netip.AddrPort, told *source.Told) {
+	datagram, err := encodeDatagram(told)
+	if err != nil {
+		t.refused(err)
+		return
+	}
+	for _, a := range to {
+		_, _ = t.conn.WriteToUDPAddrPort(datagram, a)
+	}
+}
+
+// encodeDatagram leaves the changes out if they don't fit.
+func encodeDatagram(told *source.Told) ([]byte, error) {
+	datagram, err := json.Marshal(told)
+	if err != nil || len(datagram) <= maxDatagramBytes {
+		return datagram, err
+	}
+	short := *told
+	short.After, short.Changes = 0, nil
+	return json.Marshal(&short)
+}
+
+// read takes datagrams until the socket is closed.
+func (t *Transport) read() {
+	buffer := make([]byte, maxDatagramBytes+1)
+	for {
+		n, from, err := t.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // such as an answer of a peer's machine that the port is closed
+		}
+		told, err := decodeDatagram(buffer[:n])
+		if err != nil {
+			t.refused(err)
+			continue
+		}
+		if sender := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()); told.From.Address != sender {
+			t.refused(errors.Newf("%s says that it is %s", sender, told.From.Address))
+			continue
+		}
+		t.conf.Heard(told)
+	}
+}
+
+func decodeDatagram(datagram []byte) (*source.Told, error) {
+	told := new(source.Told)
+	if err := json.Unmarshal(datagram, told); err != nil {
+		return nil, errors.Wrap(err, "message")
+	}
+	return told, validate(told)
+}
+
+// validate checks what another version of the product may write otherwise.
+func validate(told *source.Told) error {
+	switch {
+	case told.Revision == 0:
+		return errors.New("revision: is 0")
+	case told.Age < 0:
+		return errors.Newf("age: %s is negative", told.Age)
+	case told.ReturnedAge < 0:
+		return errors.Newf("returned age: %s is negative", told.ReturnedAge)
+	case told.State != nil && told.State.Configuration != nil:
+		return told.State.Configuration.Validate()
+	case told.Changes != nil:
+		return validateChanges(told.Changes)
+	}
+	return nil
+}
+
+func validateChanges(c *source.Changes) error {
+	for _, next := range c.Configurations {
+		if next == nil {
+			return errors.New("configuration: is missing")
+		}
+		if err := next.Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *Transport) refused(err error) {
+	t.conf.Events.Emit(event.Event{Code: event.StorePeerNewsRefused, Detail: err.Error()})
+}
--- /dev/null
+++ b/internal/news/news_test.go
@@ -0,0 +1,177 @@
+package news
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpjson"
+	"github.com/dapplespindle/dapplespindle/internal/source"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/follow"
+	"github.com/dapplespindle/dapplespindle/pkg/registered"
+)
+
+// host is a transport with what it heard and refused.
+type host struct {
+	*Transport
+	address netip.AddrPort
+	heard   chan *source.Told
+	mu      sync.Mutex
+	events  []event.Event
+	told    *source.Told // its answer; nil knows nothing
+}
+
+func (h *host) Emit(e event.Event) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.events = append(h.events, e)
+}
+
+func (h *host) refusals() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.events)
+}
+
+func begin(t *testing.T) *host {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+	h := &host{address: address, heard: make(chan *source.Told, 8)}
+	h.Transport = New(Config{
+		Address: address,
+		Heard:   func(told *source.Told) { h.heard <- told },
+		Answer: func(context.Context, uint64) (*source.Told, error) {
+			if h.told == nil {
+				return nil, source.ErrKnowsNothing
+			}
+			return h.told, nil
+		},
+		Events: h,
+	})
+	if err := h.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(h.Stop)
+	return h
+}
+
+func (h *host) message(upstreams int) *source.Told {
+	out := &source.Told{
+		From:     follow.Host{Address: h.address, FailureDomain: "a"},
+		Revision: 7,
+		Age:      40 * time.Millisecond,
+		After:    5,
+		Changes:  &source.Changes{Revision: 7},
+	}
+	for i := range upstreams {
+		u := &registered.Upstream{ID: fmt.Sprint("i-", i), Service: "ledger", Address: "10.1.2.3:80", Slots: 3}
+		out.Changes.Events = append(out.Changes.Events, source.Event{Upstream: u, Revision: 6})
+	}
+	return out
+}
+
+func (h *host) hears(t *testing.T) *source.Told {
+	t.Helper()
+	select {
+	case told := <-h.heard:
+		return told
+	case <-time.After(10 * time.Second):
+		t.Fatal("heard nothing")
+		return nil
+	}
+}
+
+func TestTellCarriesChangesThatFit(t *testing.T) {
+	is := is.New(t)
+	a, b := begin(t), begin(t)
+	a.Tell([]netip.AddrPort{b.address}, a.message(2))
+	got := b.hears(t)
+	is.Equal(got, a.message(2))
+	a.Tell([]netip.AddrPort{b.address}, a.message(200))
+	got = b.hears(t)
+	is.Equal(got.Changes, nil)
+	is.Equal(got.Revision, uint64(7))
+}
+
+func TestRefusesWhatIsNoMessage(t *testing.T) {
+	is := is.New(t)
+	a, b := begin(t), begin(t)
+	forged := a.message(0)
+	forged.From.Address = netip.MustParseAddrPort("10.9.9.9:7200")
+	empty := a.message(0)
+	empty.Revision = 0
+	for _, told := range []*source.Told{forged, empty} {
+		a.Tell([]netip.AddrPort{b.address}, told)
+	}
+	_, err := a.conn.WriteToUDPAddrPort([]byte("{"), b.address)
+	is.NoErr(err)
+	a.Tell([]netip.AddrPort{b.address}, a.message(1))
+	is.Equal(len(b.hears(t).Changes.Events), 1)
+	is.Equal(b.refusals(), 3)
+}
+
+// TestAsk: the age of an answer is that of the moment, also when its body was
+// encoded for another peer before.
+func TestAsk(t *testing.T) {
+	is := is.New(t)
+	a, b := begin(t), begin(t)
+	_, err := a.Ask(t.Context(), b.address, 0)
+	status := new(httpjson.StatusError)
+	is.True(errors.As(err, &status))
+	is.Equal(status.Code, http.StatusServiceUnavailable)
+	told := b.message(0)
+	told.Changes, told.After = nil, 0
+	told.ReturnedAge = time.Second
+	told.State = &source.State{Revision: 7, Configuration: &config.Configuration{Version: 3,
+		Callers: &config.CallerLimits{HeadBytes: 1, BodyBytes: 2, HeadTimeout: time.Second, IdleTimeout: time.Minute}}}
+	b.told = told
+	for _, age := range []time.Duration{40 * time.Millisecond, 900 * time.Millisecond} {
+		told.Age = age
+		got, err := a.Ask(t.Context(), b.address, 0)
+		is.NoErr(err)
+		is.True(got.Age >= age)
+		is.True(got.ReturnedAge == time.Second)
+		is.Equal(got.State, told.State)
+	}
+}
+
+func TestAnswerThatIsInvalidIsRefused(t *testing.T) {
+	is := is.New(t)
+	a, b := begin(t), begin(t)
+	b.told = b.message(0)
+	b.told.Changes.Configurations = []*config.Configuration{{}} // version 0
+	_, err := a.Ask(t.Context(), b.address, 5)
+	is.True(err != nil)
+}
+
+// FuzzDatagram gives the decoder what a peer of another version, or a stranger,
+// may send.
+func FuzzDatagram(f *testing.F) {
+	f.Add([]byte(`{"From":{"Address":"10.0.0.1:7200"},"Revision":3,"Age":5}`))
+	f.Add([]byte(`{"Changes":{"Events":[{"Upstream":null}],"Configurations":[null]},"Revision":3}`))
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		told, err := decodeDatagram(datagram)
+		if err != nil {
+			return
+		}
+		if told.Revision == 0 || told.Age < 0 {
+			t.Fatal("took a message that says nothing")
+		}
+	})
+}
--- a/internal/source/follower_test.go
+++ b/internal/source/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/follow"
 	"github.com/dapplespindle/dapplespindle/pkg/registered"
 )
 
@@ -111,6 +113,7 @@
 		case lost:
 			return nil, ErrHistoryLost
 		case len(out.Events) > 0:
+			out.Items = len(out.Events)
 			return out, nil
 		}
 		select {
@@ -123,10 +126,11 @@
 	}
 }
 
-// follow runs a follower; what it learned is kept in learned, and the number
+// begin runs a follower; what it learned is kept in learned, and the number
 // of outages it told of in returned.
 type following struct {
 	store    *fakeStore
+	follower *Follower
 	mu       sync.Mutex
 	learned  map[string]time.Time
 	returned int
@@ -139,6 +143,30 @@
 	f.events[e.Code]++
 }
 
+func (f *following) count(c event.Code) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.events[c]
+}
+
+func (f *following) outages() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.returned
+}
+
+func (s *fakeStore) readCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
+func (s *fakeStore) watchCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watches
+}
+
 func (f *following) learn(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -147,10 +175,27 @@
 	}
 }
 
-func follow(t *testing.T, store *fakeStore) *following {
+func begin(t *testing.T, store *fakeStore) *following {
+	return beginAs(t, store, func(*Config) {})
+}
+
+// beginAs changes the follower's settings before it runs.
+func beginAs(t *testing.T, store *fakeStore, change func(*Config)) *following {
 	f := &following{store: store, learned: make(map[string]time.Time), events: make(map[event.Code]int)}
-	follower := NewFollower(Config{
+	conf := Config{
 		Store: store,
+		Follow: follow.Config{
+			ChangeWithin: bound,
+			AloneEvery:   2600 * time.Millisecond,
+			WatchSlack:   150 * time.Millisecond,
+			SettleMin:    150 * time.Millisecond,
+			SettleMax:    1300 * time.Millisecond,
+			MinOutage:    500 * time.Millisecond,
+			ReturnedFor:  3 * time.Second,
+			RetryMin:     150 * time.Millisecond,
+			RetryMax:     400 * time.Millisecond,
+			Jitter:       rand.Float64,
+		},
 		Read: func(s *State) {
 			for _, u := range s.Upstreams {
 				f.learn(u.ID)
@@ -161,7 +206,7 @@
 				f.learn(e.Upstream.ID)
 			}
 		},
-		Returned: func() {
+		Returned: func(time.Time) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.returned++
@@ -169,20 +214,15 @@
 		Events:       f,
 		WatchWait:    30 * time.Second,
 		ReadTimeout:  2 * time.Second,
-		CheckEvery:   2600 * time.Millisecond,
 		CheckTimeout: 700 * time.Millisecond,
-		WatchSlack:   150 * time.Millisecond,
-		SettleMin:    150 * time.Millisecond,
-		SettleMax:    1300 * time.Millisecond,
-		MinOutage:    500 * time.Millisecond,
-		RetryMin:     150 * time.Millisecond,
-		RetryMax:     400 * time.Millisecond,
-	})
+	}
+	change(&conf)
+	f.follower = NewFollower(conf)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		follower.Run(ctx)
+		f.follower.Run(ctx)
 	}()
 	t.Cleanup(func() {
 		cancel()
@@ -217,7 +257,7 @@
 func TestChangesAreLearnedInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newFakeStore()
-		f := follow(t, store)
+		f := begin(t, store)
 		time.Sleep(time.Second)
 		for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
 			f.inTime(t, id)
@@ -230,14 +270,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := newFakeStore()
-		f := follow(t, store)
+		f := begin(t, store)
 		time.Sleep(time.Second)
-		before := store.watches
+		before := store.watchCalls()
 		for i := range 100 {
 			store.put(string(rune('a' + i)))
 			time.Sleep(50 * time.Millisecond)
 		}
-		is.True(store.watches-before <= 10)
+		is.True(store.watchCalls()-before <= 10)
 		f.inTime(t, "last")
 	})
 }
@@ -248,16 +288,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := newFakeStore()
-		store.deaf = true
-		f := follow(t, store)
+		store.change(func() { store.deaf = true })
+		f := begin(t, store)
 		time.Sleep(time.Second)
 		store.change(func() { store.deaf = false })
 		store.put("a")
 		time.Sleep(3 * time.Second) // what a host has after the store's trouble
 		_, ok := f.after("a", time.Now())
 		is.True(ok)
-		is.Equal(f.events[event.StoreWatchBehind], 1)
-		is.Equal(f.returned, 0)
+		is.Equal(f.count(event.StoreWatchBehind), 1)
+		is.Equal(f.outages(), 0)
 	})
 }
 
@@ -265,7 +305,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := newFakeStore()
-		f := follow(t, store)
+		f := begin(t, store)
 		time.Sleep(time.Second)
 		store.change(func() {
 			store.revision += 5
@@ -275,8 +315,8 @@
 		time.Sleep(bound)
 		_, ok := f.after("a", time.Now())
 		is.True(ok)
-		is.Equal(store.reads, 2)
-		is.Equal(f.events[event.StoreHistoryLost], 1)
+		is.Equal(store.readCalls(), 2)
+		is.Equal(f.count(event.StoreHistoryLost), 1)
 	})
 }
 
@@ -285,15 +325,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := newFakeStore()
-		f := follow(t, store)
+		f := begin(t, store)
 		time.Sleep(time.Second)
 		store.change(func() { store.silent = true })
 		time.Sleep(10 * time.Second)
-		is.Equal(f.events[event.StoreLost], 1)
+		is.Equal(f.count(event.StoreLost), 1)
 		store.change(func() { store.silent = false })
 		time.Sleep(3 * time.Second)
-		is.Equal(f.events[event.StoreRegained], 1)
-		is.Equal(f.returned, 1)
+		is.Equal(f.count(event.StoreRegained), 1)
+		is.Equal(f.outages(), 1)
 		f.inTime(t, "a")
 	})
 }
@@ -303,13 +343,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := newFakeStore()
-		f := follow(t, store)
+		f := begin(t, store)
 		time.Sleep(time.Second)
 		store.change(func() { store.down = true })
 		time.Sleep(100 * time.Millisecond)
 		store.change(func() { store.down = false })
 		time.Sleep(time.Second)
-		is.Equal(f.events[event.StoreRegained], 1)
-		is.Equal(f.returned, 0)
+		is.Equal(f.count(event.StoreRegained), 1)
+		is.Equal(f.outages(), 0)
 	})
 }
--- /dev/null
+++ b/internal/source/mirror.go
@@ -0,0 +1,99 @@
+package source
+
+import (
+	"slices"
+
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/registered"
+)
+
+// historyEvents is how many changes of upstreams are kept for peers: on the
+// platforms known a fleet sees a few a second, and a peer lacks those of a second
+// or two. A peer that lacks more is handed everything.
+const historyEvents = 512
+
+// mirror is what is published, as of one revision, for handing it to peers. It
+// belongs to the follower's goroutine.
+type mirror struct {
+	revision  uint64
+	config    *config.Configuration
+	configAt  uint64 // a revision at or after the configuration's
+	upstreams map[string]registered.Upstream
+	history   []Event // oldest first
+	since     uint64  // history holds what came after
+}
+
+func newMirror() *mirror { return &mirror{upstreams: make(map[string]registered.Upstream)} }
+
+// replace takes in everything, unless something newer is known.
+func (m *mirror) replace(s *State) {
+	if s.Revision < m.revision {
+		return
+	}
+	m.revision, m.since = s.Revision, s.Revision
+	m.history = nil
+	m.setConfig(s.Configuration, s.Revision)
+	clear(m.upstreams)
+	for _, u := range s.Upstreams {
+		m.upstreams[u.ID] = u
+	}
+}
+
+// apply takes in the changes up to a revision.
+func (m *mirror) apply(c *Changes) {
+	for _, e := range c.Events {
+		if e.Revision > m.revision {
+			m.record(e)
+		}
+	}
+	for _, newer := range c.Configurations {
+		m.setConfig(newer, c.Revision)
+	}
+	m.revision = max(m.revision, c.Revision)
+}
+
+func (m *mirror) setConfig(c *config.Configuration, revision uint64) {
+	if c != nil && (m.config == nil || c.Version > m.config.Version) {
+		m.config, m.configAt = c, revision
+	}
+}
+
+func (m *mirror) record(e Event) {
+	if e.Upstream != nil {
+		m.upstreams[e.Upstream.ID] = *e.Upstream
+	} else {
+		delete(m.upstreams, e.Removed)
+	}
+	m.history = append(m.history, e)
+	if extra := len(m.history) - historyEvents; extra > 0 {
+		m.since = m.history[extra-1].Revision
+		m.history = slices.Delete(m.history, 0, extra)
+	}
+}
+
+// changes returns what came after a revision, and false if not all of that is
+// kept.
+func (m *mirror) changes(after uint64) (*Changes, bool) {
+	if after < m.since {
+		return nil, false
+	}
+	out := &Changes{Revision: m.revision}
+	for _, e := range m.history {
+		if e.Revision > after {
+			out.Events = append(out.Events, e)
+		}
+	}
+	if m.config != nil && m.configAt > after {
+		out.Configurations = []*config.Configuration{m.config}
+	}
+	return out, true
+}
+
+// state returns everything.
+func (m *mirror) state() *State {
+	out := &State{Revision: m.revision, Configuration: m.config}
+	for _, u := range m.upstreams {
+		out.Upstreams = append(out.Upstreams, u)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/source/mirror_test.go
@@ -0,0 +1,55 @@
+package source
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/registered"
+)
+
+func entry(id string, revision uint64) Event {
+	return Event{Upstream: &registered.Upstream{ID: id, Revision: revision}, Revision: revision}
+}
+
+func TestMirrorHandsOutWhatCameAfter(t *testing.T) {
+	is := is.New(t)
+	m := newMirror()
+	m.replace(&State{Revision: 10, Upstreams: []registered.Upstream{{ID: "a", Revision: 4}},
+		Configuration: &config.Configuration{Version: 1}})
+	_, whole := m.changes(9)
+	is.True(!whole) // what came between 9 and 10 is not known
+	m.apply(&Changes{Revision: 12, Events: []Event{entry("b", 11), {Removed: "a", Revision: 12}}})
+	m.apply(&Changes{Revision: 15, Configurations: []*config.Configuration{{Version: 3}, {Version: 2}}})
+	m.apply(&Changes{Revision: 12, Events: []Event{entry("b", 11)}}) // comes twice
+	c, whole := m.changes(11)
+	is.True(whole)
+	is.Equal(c.Revision, uint64(15))
+	is.Equal(c.Events, []Event{{Removed: "a", Revision: 12}})
+	is.Equal(len(c.Configurations), 1)
+	is.Equal(c.Configurations[0].Version, uint64(3))
+	c, whole = m.changes(15)
+	is.True(whole)
+	is.Equal(len(c.Events)+len(c.Configurations), 0)
+	s := m.state()
+	is.Equal(len(s.Upstreams), 1)
+	is.Equal(s.Upstreams[0].ID, "b")
+	m.replace(&State{Revision: 14}) // an older read
+	is.Equal(m.state().Revision, uint64(15))
+}
+
+func TestMirrorForgetsOldChanges(t *testing.T) {
+	is := is.New(t)
+	m := newMirror()
+	m.replace(&State{Revision: 1})
+	for i := uint64(2); i < 2+2*historyEvents; i++ {
+		m.apply(&Changes{Revision: i, Events: []Event{entry(fmt.Sprint(i), i)}})
+	}
+	_, whole := m.changes(historyEvents)
+	is.True(!whole)
+	c, whole := m.changes(m.since)
+	is.True(whole)
+	is.Equal(len(c.Events), historyEvents)
+}
--- /dev/null
+++ b/internal/source/peers.go
@@ -0,0 +1,194 @@
+package source
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/follow"
+)
+
+// Told is what one host tells another of what is published.
+type Told struct {
+	// From is who tells it.
+	From follow.Host
+	// Revision is the newest revision that it knows.
+	Revision uint64
+	// Age is how old its knowledge is: it knows every change from before then.
+	Age time.Duration
+	// ReturnedAge is how long ago the store came back from its last outage; 0 if
+	// that is long ago.
+	ReturnedAge time.Duration
+	// After and Changes are what came after one revision up to Revision; Changes
+	// is nil if the message does not carry that.
+	After   uint64
+	Changes *Changes
+	// State is everything, as of Revision; nil if the message does not carry it.
+	State *State
+}
+
+// Peers moves messages between the hosts of a fleet. A message may be lost; a
+// question ends with its context.
+type Peers interface {
+	// Tell sends a message to each of the hosts. Its changes are left out if they
+	// are too large.
+	Tell(to []netip.AddrPort, t *Told)
+	// Ask asks a host for what came after a revision, or for everything.
+	Ask(ctx context.Context, peer netip.AddrPort, after uint64) (*Told, error)
+}
+
+// ErrKnowsNothing is the answer of a host that has not learned anything yet.
+var ErrKnowsNothing = errors.New("the host knows nothing yet")
+
+// Answer returns what this host tells a peer that asks for what came after a
+// revision. It may be called on any goroutine.
+func (f *Follower) Answer(ctx context.Context, after uint64) (*Told, error) {
+	var out *Told
+	done := make(chan struct{})
+	f.post(ctx, func() {
+		defer close(done)
+		out = f.answer(time.Now(), after)
+	})
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-done:
+	}
+	if out == nil {
+		return nil, ErrKnowsNothing
+	}
+	return out, nil
+}
+
+// Heard takes in what a peer tells. It may be called on any goroutine; a message
+// that finds the queue full is lost.
+func (f *Follower) Heard(t *Told) {
+	arrived := time.Now()
+	select {
+	case f.inputs <- func() { f.heard(arrived, t) }:
+	default:
+	}
+}
+
+// SetHosts takes in which hosts are believed alive; settled is false until that
+// was learned from one of them. It reports false if the queue is full.
+func (f *Follower) SetHosts(hosts []follow.Host, settled bool) bool {
+	select {
+	case f.inputs <- func() { f.do(f.core.Hosts(time.Now(), f.conf.Self, hosts, settled)) }:
+		return true
+	default:
+		return false
+	}
+}
+
+// told returns what this host knows, without the changes; nil while it knows
+// nothing.
+func (f *Follower) told(now time.Time) *Told {
+	n, ok := f.core.News(now)
+	if !ok {
+		return nil
+	}
+	out := &Told{From: f.conf.Self, Revision: n.Revision, Age: now.Sub(n.Fresh)}
+	if !n.Returned.IsZero() {
+		out.ReturnedAge = now.Sub(n.Returned)
+	}
+	return out
+}
+
+// answer returns what this host tells a peer that knows a revision: what came
+// after, or everything if the peer knows nothing or lacks too much.
+func (f *Follower) answer(now time.Time, after uint64) *Told {
+	out := f.told(now)
+	if out == nil {
+		return nil
+	}
+	changes, whole := f.mirror.changes(after)
+	if after == 0 || !whole {
+		out.State = f.mirror.state()
+		return out
+	}
+	out.After, out.Changes = after, changes
+	return out
+}
+
+// tell tells peers what this host knows, with the changes since the message
+// before the last: one of them may have been lost.
+func (f *Follower) tell(now time.Time, to []netip.AddrPort) {
+	if f.conf.Peers == nil {
+		return
+	}
+	t := f.told(now)
+	if t == nil {
+		return
+	}
+	if changes, whole := f.mirror.changes(f.toldBefore); whole && f.toldBefore < t.Revision {
+		t.After, t.Changes = f.toldBefore, changes
+	}
+	f.conf.Peers.Tell(to, t)
+	f.toldBefore, f.toldLast = f.toldLast, t.Revision
+}
+
+func (f *Follower) heard(arrived time.Time, t *Told) {
+	f.heardReturn(arrived, t)
+	var known uint64
+	if f.mirror.revision > 0 && t.Changes != nil && t.After <= f.mirror.revision && t.Revision > f.mirror.revision {
+		f.takeTold(t)
+		known = t.Revision
+	}
+	f.do(f.core.Heard(time.Now(), t.From, newsOf(arrived, t), known))
+}
+
+func (f *Follower) heardReturn(at time.Time, t *Told) {
+	if t.ReturnedAge > 0 {
+		f.do(f.core.HeardReturn(time.Now(), at.Add(-t.ReturnedAge)))
+	}
+}
+
+func newsOf(at time.Time, t *Told) follow.News {
+	return follow.News{Revision: t.Revision, Fresh: at.Add(-t.Age)}
+}
+
+// ask asks a peer. Its answer is as old as it says when the question was sent.
+func (f *Follower) ask(ctx context.Context, q follow.Ask) {
+	peer := follow.Host{Address: q.Peer}
+	began := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, f.conf.AskTimeout)
+	defer cancel()
+	t, err := f.conf.Peers.Ask(callCtx, q.Peer, q.After)
+	f.post(ctx, func() {
+		if err == nil {
+			err = f.takeAnswer(began, t)
+		}
+		if err != nil {
+			f.do(f.core.AskDone(time.Now(), peer, follow.News{}, err))
+			return
+		}
+		f.do(f.core.AskDone(time.Now(), t.From, newsOf(began, t), nil))
+	})
+}
+
+// errGap says that an answer does not go on where this host's knowledge ends.
+var errGap = errors.New("the answer leaves out changes")
+
+func (f *Follower) takeAnswer(began time.Time, t *Told) error {
+	f.heardReturn(began, t)
+	whole := t.State != nil
+	if !whole && (t.Changes == nil || f.mirror.revision == 0 || t.After > f.mirror.revision) {
+		return errGap
+	}
+	f.takeTold(t)
+	return nil
+}
+
+// takeTold puts in force what a peer told.
+func (f *Follower) takeTold(t *Told) {
+	f.emit(event.Event{Code: event.StorePeerTold, Reason: t.From.Address.String(), Value: int64(t.Revision)})
+	if t.State != nil {
+		f.takeAll(t.State)
+		return
+	}
+	f.take(t.Changes)
+}
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -10,9 +10,8 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/follow"
 	"github.com/dapplespindle/dapplespindle/pkg/registered"
 )
 
@@ -30,7 +29,7 @@
 }
 
 // ErrHistoryLost says that changes were missed; everything must be read anew.
-var ErrHistoryLost = errors.New("the store no longer has the history")
+var ErrHistoryLost = follow.ErrHistoryLost
 
 // State is everything that is published.
 type State struct {
@@ -40,8 +39,8 @@
 	Configuration *config.Configuration
 	// Upstreams are the registered upstreams.
 	Upstreams []registered.Upstream
-	// Rejected are the items that could not be decoded.
-	Rejected []Rejected
+	// Rejected are the items that could not be decoded. Peers are not told of them.
+	Rejected []Rejected `json:"-"`
 }
 
 // Changes are what happened after a revision, oldest first.
@@ -52,8 +51,11 @@
 	Configurations []*config.Configuration
 	// Events are the changes of upstreams.
 	Events []Event
-	// Rejected are the items that could not be decoded.
-	Rejected []Rejected
+	// Items counts what the store told of, also of what is of no interest here. A
+	// watch that ends without any says nothing of Revision.
+	Items int `json:"-"`
+	// Rejected are the items that could not be decoded. Peers are not told of them.
+	Rejected []Rejected `json:"-"`
 }
 
 // Event is one change of a registered upstream: an entry, or the end of one.
--- a/pkg/config/configuration.go
+++ b/pkg/config/configuration.go
@@ -31,6 +31,9 @@
 		return &FieldError{"version", "is 0", "versions start at 1"}
 	}
 	for _, s := range c.Services {
+		if s == nil {
+			return &FieldError{"services", "has an empty entry", "leave it out"}
+		}
 		if err := s.Validate(); err != nil {
 			return err
 		}
--- a/pkg/event/config_events.go
+++ b/pkg/event/config_events.go
@@ -24,6 +24,9 @@
 	UpstreamsRead        Code = 2026
 	UpstreamRegistered   Code = 2027
 	StoreWatchBehind     Code = 2028
+	StorePeerSilent      Code = 2029
+	StorePeerNewsRefused Code = 2030
+	StorePeerTold        Code = 2031
 )
 
 // configEvents describes the codes 2xxx: configuration.
@@ -47,6 +50,9 @@
 	ConfigurationOld:     {"configuration-old", Info, "A configuration that is not newer than the one in force is ignored.", "version"},
 	UpstreamsRead:        {"upstreams-read", Info, "All registered upstreams were read.", "upstreams"},
 	StoreWatchBehind:     {"store-watch-behind", Info, "A waiting watch did not tell of a change that a check saw; it is begun anew.", "revision known"},
+	StorePeerSilent:      {"store-peer-silent", Info, "A peer that told of a newer revision did not hand over the changes; the store is asked.", "revision of the peer"},
+	StorePeerTold:        {"store-peer-told", Info, "A peer told of changes of the store, which are in force; the reason is its address.", "revision"},
+	StorePeerNewsRefused: {"store-peer-news-refused", Warn, "A message of a peer about the store can't be decoded and is ignored; the detail names the reason.", ""},
 	UpstreamRegistered:   {"upstream-registered", Info, "The entry of a registered upstream is new or has changed; the reason is its state.", "revision"},
 
 	ConfigSendDropped: {"config-send-dropped", Warn, "Messages to peers were dropped because too many were waiting; comparison repairs it.", "messages"},
--- /dev/null
+++ b/pkg/follow/peers.go
@@ -0,0 +1,123 @@
+package follow
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+)
+
+// askPause is the pause before the next peer is asked.
+const askPause = 50 * time.Millisecond
+
+// HeardReturn takes in that a peer saw the end of an outage of the store. It goes
+// before what the same message says of changes.
+func (c *Core) HeardReturn(now, returned time.Time) Effects {
+	c.hasReturned(returned)
+	return c.step(now)
+}
+
+// Heard takes in what a peer tells. If the message brought the changes that this
+// host lacks, known is their revision, and they are in force already; else 0.
+func (c *Core) Heard(now time.Time, from Host, n News, known uint64) Effects {
+	if !c.complete {
+		return c.step(now)
+	}
+	revision, fresh := c.revision, c.fresh
+	c.learn(known)
+	c.await(now, n.Revision, n.Fresh, from.Address)
+	c.spread(now, from, revision, fresh)
+	return c.step(now)
+}
+
+// wantsPeer reports whether a peer is to be asked: for everything at the start,
+// or for what it told of.
+func (c *Core) wantsPeer() bool {
+	if c.complete {
+		return c.awaits() && c.awaited.peer.IsValid()
+	}
+	return c.revision == 0 && len(c.ranks.others) > 0
+}
+
+// stepAsk asks a peer.
+func (c *Core) stepAsk(now time.Time) {
+	if c.asking || now.Before(c.nextAsk) || !c.wantsPeer() {
+		return
+	}
+	if c.complete {
+		c.ask(c.awaited.peer)
+		return
+	}
+	c.contact++
+	c.ask(c.ranks.others[c.contact%len(c.ranks.others)])
+}
+
+func (c *Core) ask(peer netip.AddrPort) {
+	c.asking = true
+	c.out.Ask = &Ask{Peer: peer, After: c.revision}
+}
+
+// AskDone gives the result of Effects.Ask. What the peer told is in force
+// already. Fresh and Returned of n are by this host's clock.
+func (c *Core) AskDone(now time.Time, from Host, n News, err error) Effects {
+	c.asking = false
+	if err != nil {
+		c.peerFailed(now, from, err)
+		return c.step(now)
+	}
+	revision, fresh := c.revision, c.fresh
+	c.complete = true
+	c.learn(n.Revision)
+	c.confirm(n.Fresh)
+	c.spread(now, from, revision, fresh)
+	return c.step(now)
+}
+
+// peerFailed goes on without a peer: the store has what it would have told. One
+// that starts, and whose peers know nothing either, need not wait for them.
+func (c *Core) peerFailed(now time.Time, from Host, err error) {
+	c.nextAsk = now.Add(askPause)
+	if !c.complete {
+		return
+	}
+	c.emit(event.StorePeerSilent, event.Event{Detail: err.Error(), Reason: from.Address.String(), Value: int64(c.awaited.revision)})
+	c.awaited.peer = netip.AddrPort{}
+}
+
+// spread passes on, within this host's failure domain, what another domain told
+// its first host.
+func (c *Core) spread(now time.Time, from Host, revision uint64, fresh time.Time) {
+	if c.fresh.After(fresh) {
+		c.answersOthers(now, fresh)
+	}
+	if from.FailureDomain == c.ranks.self.FailureDomain || c.ranks.place != 0 {
+		return
+	}
+	if c.revision > revision || c.fresh.After(fresh) {
+		c.out.Tell = c.ranks.domain
+	}
+}
+
+// answersOthers takes in that the store answers a peer, who may be the first it
+// answers since it went away. A store that turns only this host away answers the
+// peers soon after it was lost, and stays lost here.
+func (c *Core) answersOthers(now, fresh time.Time) {
+	outage := now.Sub(c.away)
+	if c.away.IsZero() || fresh.After(c.away) || outage < c.conf.MinOutage {
+		return
+	}
+	c.away = time.Time{}
+	c.cleared = now
+	c.failures = 0
+	c.nextCall = now
+	c.emit(event.StoreRegained, event.Event{Reason: "peer", Value: outage.Milliseconds()})
+}
+
+// tellAll tells the own failure domain, and the first hosts of the others, what
+// the store told this host.
+func (c *Core) tellAll() {
+	if c.awaits() {
+		return
+	}
+	c.out.Tell = append(append([]netip.AddrPort(nil), c.ranks.domain...), c.ranks.heads...)
+}
--- /dev/null
+++ b/pkg/follow/ranks.go
@@ -0,0 +1,106 @@
+package follow
+
+import (
+	"net/netip"
+	"slices"
+)
+
+// The patience of a host as a share of the time in which changes must be known.
+// The longest one leaves two fifths of that time for the calls and for putting
+// the change in force. The steps between ranks are longer than a way between
+// failure domains and than a timer's delay on a busy host.
+const (
+	firstOfFleet   = 0.35
+	firstOfDomain  = 0.45
+	secondOfDomain = 0.50
+	othersFrom     = 0.55
+	othersSpread   = 0.06
+	// othersSteps spreads the other hosts of a domain, so that not all of them ask
+	// at once when the first two are gone.
+	othersSteps = 12
+)
+
+// relays is how many hosts of each other failure domain are told: the first one
+// tells its domain, the second one knows that it needn't ask.
+const relays = 2
+
+// ranks is the place of this host among those it believes alive.
+type ranks struct {
+	self   Host
+	first  bool             // of the fleet
+	place  int              // in its failure domain
+	domain []netip.AddrPort // the others of its failure domain
+	heads  []netip.AddrPort // the first ones of the other failure domains
+	others []netip.AddrPort // all others, whatever is known of them
+	// settled is false while this host has not heard which others are alive.
+	settled bool
+}
+
+// compare orders hosts as all hosts see them alike: by address, the leaving last.
+func compare(a, b Host) int {
+	switch {
+	case a.Leaving == b.Leaving:
+		return a.Address.Compare(b.Address)
+	case a.Leaving:
+		return 1
+	}
+	return -1
+}
+
+// rank gives self its place among the hosts. A host that has not
+// heard which others are alive is not the first of any.
+func rank(self Host, hosts []Host, settled bool) ranks {
+	r := ranks{self: self, first: settled, settled: settled}
+	if !settled {
+		r.place = othersSteps
+	}
+	sorted := slices.Clone(hosts)
+	slices.SortFunc(sorted, compare)
+	for _, h := range hosts {
+		if h.Address == self.Address {
+			self = h
+		}
+	}
+	seen := make(map[string]int)
+	for _, h := range sorted {
+		if h.Address == self.Address {
+			continue
+		}
+		r.others = append(r.others, h.Address)
+		if h.FailureDomain == "" {
+			continue // an address at which some host may be found
+		}
+		before := compare(h, self) < 0
+		if before {
+			r.first = false
+		}
+		if h.FailureDomain == self.FailureDomain {
+			if before {
+				r.place++
+			}
+			r.domain = append(r.domain, h.Address)
+			continue
+		}
+		if seen[h.FailureDomain] < relays {
+			seen[h.FailureDomain]++
+			r.heads = append(r.heads, h.Address)
+		}
+	}
+	return r
+}
+
+// alone reports whether no other host is believed alive.
+func (r *ranks) alone() bool { return r.settled && len(r.domain) == 0 && len(r.heads) == 0 }
+
+// share is this host's patience as a share of the time for a change.
+func (r *ranks) share() float64 {
+	switch {
+	case r.first:
+		return firstOfFleet
+	case r.place == 0:
+		return firstOfDomain
+	case r.place == 1:
+		return secondOfDomain
+	}
+	return othersFrom + othersSpread*float64(r.place%othersSteps)/othersSteps
+}
--- /dev/null
+++ b/pkg/follow/store.go
@@ -0,0 +1,235 @@
+package follow
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+)
+
+// ErrHistoryLost says that the store no longer has all changes after a revision;
+// everything must be read anew.
+var ErrHistoryLost = errors.New("the store no longer has the history")
+
+// watches reports whether this host keeps a watch at the store.
+func (c *Core) watches() bool { return c.ranks.first && c.away.IsZero() }
+
+// stepRead reads everything, once the peers have had their time to answer.
+func (c *Core) stepRead(now time.Time) {
+	if c.call != idle || now.Before(c.startAt) || now.Before(c.nextCall) {
+		return
+	}
+	if !c.away.IsZero() {
+		c.begin(now, looking)
+		c.out.Look = true
+		return
+	}
+	c.begin(now, reading)
+	c.out.Read = true
+}
+
+// stepWatch keeps a watch on the first host of the fleet, and begins one anew
+// that missed a change. Another host that lacks a change fetches it by a watch
+// that does not wait.
+func (c *Core) stepWatch(now time.Time) {
+	missed := c.awaits() && !now.Before(c.awaited.since.Add(c.conf.WatchSlack))
+	switch {
+	case c.watch != nil && !c.stopping && c.watch.Waits && (missed || !c.watches()):
+		c.stopping = true
+		c.out.StopWatch = true
+		if missed {
+			c.emit(event.StoreWatchBehind, event.Event{Value: int64(c.revision)})
+		}
+	case c.watch != nil || !c.away.IsZero():
+	case c.awaits() && !c.awaited.peer.IsValid():
+		c.startWatch(now, false)
+	case c.watches() && !now.Before(c.nextWatch):
+		c.startWatch(now, true)
+	}
+}
+
+func (c *Core) startWatch(now time.Time, waits bool) {
+	c.watch = &Watch{After: c.revision, Waits: waits}
+	c.watched = now
+	c.out.Watch = c.watch
+}
+
+// checkDue is when this host's knowledge becomes too old. The first host has to
+// begin its watch again, and tries earlier.
+func (c *Core) checkDue() time.Time {
+	if !c.away.IsZero() && c.ranks.first {
+		return c.nextCall
+	}
+	return later(c.fresh.Add(c.patience()), c.nextCall)
+}
+
+// stepCheck asks the store when this host's knowledge has become too old.
+func (c *Core) stepCheck(now time.Time) {
+	if c.call != idle || now.Before(c.checkDue()) {
+		return
+	}
+	if !c.away.IsZero() {
+		c.begin(now, looking)
+		c.out.Look = true
+		return
+	}
+	c.begin(now, checking)
+	c.out.Check = true
+}
+
+func (c *Core) begin(now time.Time, kind call) {
+	c.call = kind
+	c.began = now
+}
+
+// ReadDone gives the result of Effects.Read: the revision from which a watch
+// misses nothing. What was read is in force already.
+func (c *Core) ReadDone(now time.Time, revision uint64, err error) Effects {
+	c.call = idle
+	if err != nil {
+		c.lost(now, c.began, err)
+		return c.step(now)
+	}
+	c.regained(now)
+	c.complete = true
+	c.learn(revision)
+	c.confirm(c.began)
+	c.tellAll()
+	return c.step(now)
+}
+
+// CheckDone gives the result of Effects.Check: the store's newest revision.
+func (c *Core) CheckDone(now time.Time, revision uint64, err error) Effects {
+	c.call = idle
+	if err != nil {
+		c.lost(now, c.began, err)
+		return c.step(now)
+	}
+	c.regained(now)
+	c.await(now, revision, c.began, netip.AddrPort{})
+	if c.awaits() {
+		// The pause before the next check; what is awaited comes by a watch.
+		c.nextCall = now.Add(c.conf.RetryMin)
+	} else {
+		c.tellAll()
+	}
+	return c.step(now)
+}
+
+// LookDone gives the result of Effects.Look.
+func (c *Core) LookDone(now time.Time, err error) Effects {
+	c.call = idle
+	if err != nil {
+		c.lost(now, c.began, err)
+	} else {
+		c.regained(now)
+	}
+	return c.step(now)
+}
+
+// WatchDone gives the result of Effects.Watch: where the next one goes on, and
+// whether anything had changed. The changes are in force already. An error of a
+// watch that was stopped says nothing of the store.
+func (c *Core) WatchDone(now time.Time, revision uint64, changed bool, err error) Effects {
+	waited, stopped := c.watch.Waits, c.stopping
+	began := c.watched
+	c.watch, c.stopping = nil, false
+	switch {
+	case errors.Is(err, ErrHistoryLost):
+		c.complete = false
+		c.emit(event.StoreHistoryLost, event.Event{Value: int64(c.revision)})
+	case err != nil && stopped:
+	case err != nil:
+		c.lost(now, began, err)
+	case changed:
+		c.regained(now)
+		c.learn(revision)
+		c.confirm(began)
+		c.nextWatch = now.Add(c.settleAfter(now.Sub(began)))
+		c.tellAll()
+	case !waited:
+		// The store has reached a revision and does not tell of the changes.
+		c.complete = false
+	default:
+		c.regained(now)
+	}
+	return c.step(now)
+}
+
+// settleAfter returns the pause after changes that took a watch some time.
+func (c *Core) settleAfter(took time.Duration) time.Duration {
+	if took > c.conf.SettleMax {
+		c.settle = 0
+	}
+	c.settle = min(max(2*c.settle, c.conf.SettleMin), c.settleMax())
+	return c.settle
+}
+
+// settleMax is shorter while others wait for what this host learns.
+func (c *Core) settleMax() time.Duration {
+	if c.ranks.alone() {
+		return c.conf.SettleMax
+	}
+	return 2 * c.conf.SettleMin
+}
+
+// lost takes in that a call failed. One that began before the store was answering
+// others again says nothing new.
+func (c *Core) lost(now, began time.Time, err error) {
+	if began.Before(c.cleared) {
+		return
+	}
+	c.failures++
+	c.nextCall = now.Add(c.backoff())
+	if c.away.IsZero() {
+		c.away = now
+		c.emit(event.StoreLost, event.Event{Detail: err.Error(), Value: int64(c.revision)})
+	}
+}
+
+// regained takes in that the store answers this host.
+func (c *Core) regained(now time.Time) {
+	c.failures = 0
+	if c.away.IsZero() {
+		return
+	}
+	outage := now.Sub(c.unanswered())
+	c.emit(event.StoreRegained, event.Event{Value: now.Sub(c.away).Milliseconds()})
+	c.away = time.Time{}
+	c.nextCall = now
+	if outage >= c.conf.MinOutage {
+		c.hasReturned(now)
+	}
+}
+
+// unanswered returns since when the store has answered no host, as far as this
+// one can tell: since it was lost here, or since others who went on being answered
+// should have told of it again.
+func (c *Core) unanswered() time.Time {
+	if !c.fresh.After(c.away) {
+		return c.away
+	}
+	return c.fresh.Add(time.Duration(othersFrom * float64(c.conf.ChangeWithin)))
+}
+
+// hasReturned takes in that an outage ended at t. News of the same outage from
+// another host changes nothing.
+func (c *Core) hasReturned(t time.Time) {
+	if t.Sub(c.returned) < c.conf.ReturnedFor {
+		return
+	}
+	c.returned = t
+	c.out.Returned = t
+}
+
+// backoff spreads the hosts' calls over the pause.
+func (c *Core) backoff() time.Duration {
+	pause := c.conf.RetryMin
+	for range c.failures - 1 {
+		pause = min(2*pause, c.conf.RetryMax)
+	}
+	half := float64(pause) / 2
+	return time.Duration(half + half*c.conf.Jitter())
+}
--- /dev/null
+++ b/pkg/follow/world_test.go
@@ -0,0 +1,405 @@
+package follow
+
+import (
+	"container/heap"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+)
+
+// world is a fleet of cores, a store and the network between them, in virtual
+// time.
+type world struct {
+	random *rand.Rand
+	now    time.Time
+	queue  agenda
+	seq    int
+
+	revision uint64
+	changed  map[uint64]time.Time // when each revision was made
+	oldest   uint64               // watches from before have lost their history
+	down     path                 // of the store, for everyone
+	deaf     bool                 // watches hear nothing
+	calls    int
+	hosts    []*host
+	loss     float64 // of datagrams
+	inline   float64 // share of messages that carry their changes
+	viewLag  time.Duration
+}
+
+// path is what happens to calls on a way.
+type path int
+
+const (
+	open path = iota
+	silent
+	refused
+)
+
+// host is one core and what stands around it.
+type host struct {
+	*Core
+	world    *world
+	self     Host
+	life     int // counts starts; what was begun in another life is lost
+	alive    bool
+	paused   bool
+	held     []func() // inputs that wait for the end of a pause
+	store    path
+	peers    path
+	harmed   time.Time // when a fault of this host last began or ended
+	tick     time.Time // when Tick is scheduled
+	watch    *openWatch
+	returned int
+	events   map[event.Code]int
+}
+
+type openWatch struct {
+	after uint64
+	deaf  bool
+	done  func(revision uint64, changed bool, err error)
+}
+
+type entry struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type agenda []entry
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	if !a[i].at.Equal(a[j].at) {
+		return a[i].at.Before(a[j].at)
+	}
+	return a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(entry)) }
+func (a *agenda) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return last
+}
+
+const (
+	storeWay     = 2 * time.Millisecond
+	peerWay      = 1500 * time.Microsecond
+	callTimeout  = 700 * time.Millisecond
+	askTimeout   = 300 * time.Millisecond
+	changeWithin = 2 * time.Second
+	seeds        = 3 // hosts whose addresses are known at the start
+)
+
+var errCall = errors.New("no answer")
+
+func newWorld(seed uint64, hosts, domains int) *world {
+	w := &world{
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		now:     time.Unix(1000, 0),
+		changed: make(map[uint64]time.Time),
+		inline:  0.7,
+		viewLag: time.Second,
+	}
+	for i := range hosts {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i % domains), byte(i + 1)}), 7200)
+		h := &host{world: w, self: Host{Address: a, FailureDomain: "d" + strconv.Itoa(i%domains)}, events: make(map[event.Code]int)}
+		w.hosts = append(w.hosts, h)
+		if i < seeds {
+			h.start(0)
+		} else {
+			h.start(1500 * time.Millisecond)
+		}
+	}
+	w.publishView()
+	w.viewLag = 4 * time.Second
+	return w
+}
+
+func (w *world) config(peerWait time.Duration) Config {
+	return Config{
+		ChangeWithin: changeWithin,
+		AloneEvery:   1500 * time.Millisecond,
+		WatchSlack:   150 * time.Millisecond,
+		SettleMin:    150 * time.Millisecond,
+		SettleMax:    1300 * time.Millisecond,
+		MinOutage:    500 * time.Millisecond,
+		ReturnedFor:  3 * time.Second,
+		RetryMin:     150 * time.Millisecond,
+		RetryMax:     400 * time.Millisecond,
+		PeerWait:     peerWait,
+		Jitter:       w.random.Float64,
+	}
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.queue, entry{w.now.Add(d), w.seq, run})
+}
+
+// run lets the world go on for d.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for w.queue.Len() > 0 && !w.queue[0].at.After(end) {
+		e := heap.Pop(&w.queue).(entry)
+		w.now = e.at
+		e.run()
+	}
+	w.now = end
+}
+
+// change makes a change in the store.
+func (w *world) change() uint64 {
+	w.revision++
+	w.changed[w.revision] = w.now
+	for _, h := range w.hosts {
+		h.wakeWatch()
+	}
+	return w.revision
+}
+
+// publishView tells each host, after a lag, which hosts are alive now.
+func (w *world) publishView() {
+	var alive []Host
+	for _, h := range w.hosts {
+		if h.alive {
+			alive = append(alive, h.self)
+		}
+	}
+	w.after(w.viewLag/2+time.Duration(w.random.Float64()*float64(w.viewLag)/2), func() {
+		for _, h := range w.hosts {
+			h.input(h.life, func() { h.do(h.Hosts(w.now, h.self, alive, true)) })
+		}
+	})
+}
+
+func (h *host) start(peerWait time.Duration) {
+	h.life++
+	h.alive, h.paused, h.held, h.watch = true, false, nil, nil
+	h.harmed = h.world.now
+	h.tick = time.Time{}
+	h.Core = New(h.world.now, h.world.config(peerWait))
+	var known []Host
+	for _, s := range h.world.hosts[:min(seeds, len(h.world.hosts))] {
+		known = append(known, Host{Address: s.self.Address})
+	}
+	h.input(h.life, func() { h.do(h.Hosts(h.world.now, h.self, known, false)) })
+}
+
+func (h *host) kill() {
+	h.alive = false
+	h.life++
+	h.harmed = h.world.now
+	h.watch = nil
+}
+
+// pause stops the process; what arrives waits for it.
+func (h *host) pause() { h.paused, h.harmed = true, h.world.now }
+
+func (h *host) wake() {
+	h.harmed = h.world.now
+	h.paused = false
+	held := h.held
+	h.held = nil
+	for _, f := range held {
+		f()
+	}
+}
+
+// input gives the core something, unless it is of another life.
+func (h *host) input(life int, f func()) {
+	switch {
+	case life != h.life || !h.alive:
+	case h.paused:
+		h.held = append(h.held, f)
+	default:
+		f()
+	}
+}
+
+// do carries out effects, and schedules the next tick.
+func (h *host) do(e Effects) {
+	w := h.world
+	for _, ev := range e.Events {
+		h.events[ev.Code]++
+	}
+	if !e.Returned.IsZero() {
+		h.returned++
+	}
+	if e.Read {
+		h.call(func(rev uint64, err error) Effects { return h.ReadDone(w.now, rev, err) })
+	}
+	if e.Check {
+		h.call(func(rev uint64, err error) Effects { return h.CheckDone(w.now, rev, err) })
+	}
+	if e.Look {
+		h.call(func(_ uint64, err error) Effects { return h.LookDone(w.now, err) })
+	}
+	if e.Watch != nil {
+		h.beginWatch(*e.Watch)
+	}
+	if e.StopWatch && h.watch != nil {
+		h.endWatch(0, false, errCall)
+	}
+	if e.Ask != nil {
+		h.ask(*e.Ask)
+	}
+	if len(e.Tell) > 0 {
+		h.tell(e.Tell)
+	}
+	h.schedule()
+}
+
+func (h *host) schedule() {
+	due, ok := h.Due()
+	if !ok || due.Equal(h.tick) {
+		return
+	}
+	h.tick = due
+	life := h.life
+	h.world.after(max(0, due.Sub(h.world.now)), func() {
+		h.input(life, func() {
+			if h.tick.Equal(due) {
+				h.tick = time.Time{}
+				h.do(h.Tick(h.world.now))
+			}
+		})
+	})
+}
+
+func (h *host) storePath() path { return max(h.world.down, h.store) }
+
+// call makes a store call that answers with the revision.
+func (h *host) call(done func(uint64, error) Effects) {
+	w, life := h.world, h.life
+	w.calls++
+	finish := func(d time.Duration, rev uint64, err error) {
+		w.after(d, func() { h.input(life, func() { h.do(done(rev, err)) }) })
+	}
+	w.after(storeWay, func() {
+		switch h.storePath() {
+		case silent:
+			finish(callTimeout, 0, errCall)
+		case refused:
+			finish(storeWay, 0, errCall)
+		default:
+			finish(storeWay, w.revision, nil)
+		}
+	})
+}
+
+func (h *host) beginWatch(call Watch) {
+	w, life := h.world, h.life
+	w.calls++
+	h.watch = &openWatch{after: call.After, deaf: w.deaf && call.Waits}
+	h.watch.done = func(rev uint64, changed bool, err error) {
+		h.input(life, func() { h.do(h.WatchDone(w.now, rev, changed, err)) })
+	}
+	own := h.watch
+	w.after(storeWay, func() {
+		if h.watch != own {
+			return
+		}
+		if h.storePath() == refused {
+			h.endWatch(0, false, errCall)
+			return
+		}
+		h.wakeWatch()
+		if h.watch == own && !call.Waits && h.storePath() == open {
+			h.endWatch(w.revision, false, nil)
+		}
+	})
+}
+
+func (h *host) wakeWatch() {
+	w := h.world
+	if h.watch == nil || h.watch.deaf || h.storePath() != open {
+		return
+	}
+	switch {
+	case h.watch.after < w.oldest:
+		h.endWatch(0, false, ErrHistoryLost)
+	case w.revision > h.watch.after:
+		h.endWatch(w.revision, true, nil)
+	}
+}
+
+func (h *host) endWatch(rev uint64, changed bool, err error) {
+	done := h.watch.done
+	h.watch = nil
+	h.world.after(storeWay, func() { done(rev, changed, err) })
+}
+
+func (w *world) find(a netip.AddrPort) *host {
+	for _, h := range w.hosts {
+		if h.self.Address == a {
+			return h
+		}
+	}
+	return nil
+}
+
+func (h *host) ask(q Ask) {
+	w, life, began := h.world, h.life, h.world.now
+	peer := w.find(q.Peer)
+	fail := func(d time.Duration) {
+		w.after(d, func() { h.input(life, func() { h.do(h.AskDone(w.now, Host{Address: q.Peer}, News{}, errCall)) }) })
+	}
+	if h.peers != open || peer.peers != open || peer.paused {
+		fail(askTimeout)
+		return
+	}
+	w.after(peerWay, func() {
+		n, ok := peer.News(w.now)
+		if !peer.alive || !ok {
+			fail(peerWay)
+			return
+		}
+		n.Fresh = began.Add(n.Fresh.Sub(w.now))
+		w.after(peerWay, func() {
+			h.input(life, func() {
+				h.heardReturn(n, 0)
+				h.do(h.AskDone(w.now, peer.self, n, nil))
+			})
+		})
+	})
+}
+
+func (h *host) tell(to []netip.AddrPort) {
+	w := h.world
+	n, ok := h.News(w.now)
+	if !ok {
+		return
+	}
+	sent := w.now
+	for _, a := range to {
+		peer := w.find(a)
+		if w.random.Float64() < w.loss || h.peers != open || peer.peers != open {
+			continue
+		}
+		w.after(peerWay, func() {
+			peer.input(peer.life, func() {
+				own := n
+				own.Fresh = w.now.Add(n.Fresh.Sub(sent))
+				var known uint64
+				if w.random.Float64() < w.inline {
+					known = n.Revision
+				}
+				peer.heardReturn(n, w.now.Sub(sent))
+				peer.do(peer.Heard(w.now, h.self, own, known))
+			})
+		})
+	}
+}
+
+func (h *host) heardReturn(n News, way time.Duration) {
+	if !n.Returned.IsZero() {
+		h.do(h.HeardReturn(h.world.now, n.Returned.Add(way)))
+	}
+}
--- a/pkg/membership/core.go
+++ b/pkg/membership/core.go
@@ -163,6 +163,7 @@
 		c.nextPeriod = c.clock + c.conf.Period
 		c.startPeriod()
 	}
+	c.stepJoin()
 	c.stepProbe()
 	return c.effects()
 }
@@ -177,7 +178,6 @@
 		c.minorDirty = false
 	}
 	c.publishMetadata()
-	c.stepJoin()
 	c.stepWake()
 	c.stepSync()
 	c.stepReconnect()
--- a/pkg/membership/hosts.go
+++ b/pkg/membership/hosts.go
@@ -11,6 +11,7 @@
 const (
 	joinContacts   = 3  // hosts asked in a period while joining or waking
 	joinPeriods    = 10 // periods after which a host that nobody answers starts alone
+	joinPerPeriod  = 4  // tries in a period while joining: a fleet that starts has some hosts late
 	reconnectEvery = 3  // periods between two tries to reach a host held for dead
 	settlePeriods  = 30 // periods after the start in which such a try is made each time
 )
@@ -32,6 +33,7 @@
 	selfLive bool                    // a list has shown this host as live
 	joined   bool
 	tries    int
+	nextTry  time.Duration // on Core.clock
 }
 
 // SetHosts takes in the platform's host list. An older list than the last one
@@ -87,8 +89,12 @@
 	if c.hosts.joined || !c.hosts.read {
 		return
 	}
+	if c.clock < c.hosts.nextTry {
+		return
+	}
+	c.hosts.nextTry = c.clock + c.conf.Period/joinPerPeriod
 	c.hosts.tries++
-	if c.hosts.tries > joinPeriods {
+	if c.hosts.tries > joinPeriods*joinPerPeriod {
 		c.joined()
 		return
 	}
