Ask a peer before the store, and read anew when the store keeps a short watch

Ruled out: the answers of peers (fresh enough once the lowest host checks). Tests: TestDeafWatch with both kinds of watch, and a bound on calls.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -31,6 +31,8 @@
 	members *members.Members
 	news    *news.Transport
 	version uint64 // of the snapshot given to the follower
+	joined  time.Time
+	settled bool // as given to the follower
 }
 
 // newFleet returns nil for a host that has no peers.
@@ -93,12 +95,21 @@
 // refresh gives the follower the hosts when they have changed. It runs on the
 // control goroutine.
 func (f *fleet) refresh(s *membership.Snapshot) {
-	if s.Version == f.version || !f.gateway.follower.SetHosts(f.hosts(s), s.Joined) {
+	now := time.Now()
+	if s.Joined && f.joined.IsZero() {
+		f.joined = now
+	}
+	settled := s.Joined && now.Sub(f.joined) >= settleAfter
+	if s.Version == f.version && settled == f.settled || !f.gateway.follower.SetHosts(f.hosts(s), settled) {
 		return
 	}
-	f.version = s.Version
+	f.version, f.settled = s.Version, settled
 }
 
+// settleAfter is how long after it found a first peer a host knows most others: of
+// 142 hosts that started together it took two to three seconds.
+const settleAfter = 3 * time.Second
+
 // hosts returns the hosts that are not known to be dead, or the seeds until this
 // host has found others.
 func (f *fleet) hosts(s *membership.Snapshot) []follow.Host {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -181,7 +181,7 @@
 	aloneEvery   = 2600 * time.Millisecond
 	checkTimeout = 700 * time.Millisecond
 	// peerTimeout bounds a question to a peer: the store can still be asked in time.
-	peerTimeout = 300 * time.Millisecond
+	peerTimeout = 200 * time.Millisecond
 	watchSlack  = 150 * time.Millisecond
 	settleMin   = 150 * time.Millisecond
 	// settleShare is the longest pause between two watches of a host without peers,
--- a/pkg/follow/fleet_test.go
+++ b/pkg/follow/fleet_test.go
@@ -127,8 +127,14 @@
 // TestDeafWatch: the watch hears nothing, the history is dropped, and the watch
 // goes on hearing nothing.
 func TestDeafWatch(t *testing.T) {
+	for name, keeps := range map[string]bool{"waiting": false, "all": true} {
+		t.Run(name, func(t *testing.T) { testDeafWatch(t, keeps) })
+	}
+}
+
+func testDeafWatch(t *testing.T, keeps bool) {
 	w := newWorld(5, 18, 4)
-	w.deaf = true
+	w.deaf, w.keeps = true, keeps
 	w.run(10 * time.Second)
 	for range 4 {
 		w.change()
@@ -139,6 +145,9 @@
 		w.run(1300 * time.Millisecond)
 	}
 	w.run(3 * time.Second)
+	if limit := 80; w.calls > limit {
+		t.Errorf("%d calls are over %d: not only the first host dealt with it", w.calls, limit)
+	}
 }
 
 // faults draws one fault, and its end after a while.
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -151,7 +151,8 @@
 
 	asking  bool
 	nextAsk time.Time
-	contact int // counts the peers asked at the start
+	contact int       // counts the peers asked at the start
+	doubted time.Time // the value of fresh at which a peer was asked whether all is told
 
 	out Effects
 }
@@ -170,8 +171,8 @@
 }
 
 // Hosts takes in which hosts are believed alive, self among them or not, and the
-// addresses at which some host may be found. Until it is settled which are alive,
-// this host neither watches nor takes itself for alone.
+// addresses at which some host may be found. Until most of them are known, this
+// host neither watches nor takes itself for alone.
 func (c *Core) Hosts(now time.Time, self Host, hosts []Host, settled bool) Effects {
 	c.ranks = rank(self, hosts, settled)
 	return c.step(now)
@@ -213,26 +214,36 @@
 // or news can give this host something to do.
 func (c *Core) Due() (time.Time, bool) {
 	var due earliest
-	if !c.asking && c.wantsPeer() {
-		due.add(c.nextAsk)
+	if t, wanted := c.askDue(); wanted {
+		due.add(t)
 	}
 	switch {
 	case c.call != idle:
-	case c.complete:
-		due.add(c.checkDue())
-	default:
+	case !c.complete:
 		due.add(later(c.startAt, c.nextCall))
+	case !c.fetches():
+		due.add(c.checkDue())
 	}
-	switch {
-	case !c.complete:
-	case c.watch == nil && c.watches():
-		due.add(c.nextWatch)
-	case c.watch != nil && c.watch.Waits && !c.stopping && c.awaits():
-		due.add(c.awaited.since.Add(c.conf.WatchSlack))
+	if t, wanted := c.watchDue(); wanted && c.complete {
+		due.add(t)
 	}
 	return due.at, due.found
 }
 
+// watchDue returns when a watch is to be begun or ended, and false if that does not
+// depend on time.
+func (c *Core) watchDue() (time.Time, bool) {
+	switch {
+	case c.watch == nil:
+		return c.nextWatch, c.watches()
+	case c.stopping:
+		return time.Time{}, false
+	case !c.watch.Waits:
+		return c.watched.Add(c.conf.WatchSlack), true
+	}
+	return c.awaited.since.Add(c.conf.WatchSlack), c.awaits()
+}
+
 // earliest is the first of the times added.
 type earliest struct {
 	at    time.Time
--- a/pkg/follow/peers.go
+++ b/pkg/follow/peers.go
@@ -30,26 +30,41 @@
 	return c.step(now)
 }
 
-// wantsPeer reports whether a peer is to be asked: for everything at the start,
-// or for what it told of.
-func (c *Core) wantsPeer() bool {
-	if c.complete {
-		return c.awaits() && c.awaited.peer.IsValid()
+// askDue returns when a peer is to be asked, and false if none has to be: for
+// everything at the start, for what it told of, or because no one has told this
+// host for long that nothing has changed.
+func (c *Core) askDue() (time.Time, bool) {
+	switch {
+	case c.asking:
+		return time.Time{}, false
+	case !c.complete:
+		return c.nextAsk, c.revision == 0 && len(c.ranks.others) > 0
+	case c.awaits():
+		return c.nextAsk, c.awaited.peer.IsValid()
 	}
-	return c.revision == 0 && len(c.ranks.others) > 0
+	_, known := c.ranks.superior()
+	early := time.Duration(askBefore * float64(c.conf.ChangeWithin))
+	due := c.fresh.Add(c.patience() - early)
+	return later(due, c.nextAsk), known && !c.doubted.Equal(c.fresh)
 }
 
 // stepAsk asks a peer.
 func (c *Core) stepAsk(now time.Time) {
-	if c.asking || now.Before(c.nextAsk) || !c.wantsPeer() {
+	due, wanted := c.askDue()
+	if !wanted || now.Before(due) {
 		return
 	}
-	if c.complete {
+	switch {
+	case !c.complete:
+		c.contact++
+		c.ask(c.ranks.others[c.contact%len(c.ranks.others)])
+	case c.awaits():
 		c.ask(c.awaited.peer)
-		return
+	default:
+		c.doubted = c.fresh
+		peer, _ := c.ranks.superior()
+		c.ask(peer)
 	}
-	c.contact++
-	c.ask(c.ranks.others[c.contact%len(c.ranks.others)])
 }
 
 func (c *Core) ask(peer netip.AddrPort) {
@@ -77,7 +92,7 @@
 // that starts, and whose peers know nothing either, need not wait for them.
 func (c *Core) peerFailed(now time.Time, from Host, err error) {
 	c.nextAsk = now.Add(askPause)
-	if !c.complete {
+	if !c.complete || !c.awaits() {
 		return
 	}
 	c.emit(event.StorePeerSilent, event.Event{Detail: err.Error(), Reason: from.Address.String(), Value: int64(c.awaited.revision)})
--- a/pkg/follow/ranks.go
+++ b/pkg/follow/ranks.go
@@ -6,18 +6,20 @@
 )
 
 // The patience of a host as a share of the time in which changes must be known.
-// The longest one leaves two fifths of that time for the calls and for putting
-// the change in force. The steps between ranks are longer than a way between
-// failure domains and than a timer's delay on a busy host.
+// The longest one leaves a third of that time for the calls and for putting the
+// change in force. The steps between ranks are longer than a way between failure
+// domains and than a timer's delay on a busy host.
 const (
 	firstOfFleet   = 0.35
-	firstOfDomain  = 0.45
-	secondOfDomain = 0.50
-	othersFrom     = 0.55
+	firstOfDomain  = 0.50
+	secondOfDomain = 0.54
+	othersFrom     = 0.58
 	othersSpread   = 0.06
 	// othersSteps spreads the other hosts of a domain, so that not all of them ask
 	// at once when the first two are gone.
 	othersSteps = 12
+	// askBefore is how much earlier a host that was not told asks a peer.
+	askBefore = 0.10
 )
 
 // relays is how many hosts of each other failure domain are told: the first one
@@ -27,12 +29,12 @@
 // ranks is the place of this host among those it believes alive.
 type ranks struct {
 	self   Host
-	first  bool             // of the fleet
+	first  bool             // of all that it knows of
 	place  int              // in its failure domain
 	domain []netip.AddrPort // the others of its failure domain
 	heads  []netip.AddrPort // the first ones of the other failure domains
 	others []netip.AddrPort // all others, whatever is known of them
-	// settled is false while this host has not heard which others are alive.
+	// settled is false while this host has not heard of most others.
 	settled bool
 }
 
@@ -47,13 +49,9 @@
 	return -1
 }
 
-// rank gives self its place among the hosts. A host that has not
-// heard which others are alive is not the first of any.
+// rank gives self its place among the hosts.
 func rank(self Host, hosts []Host, settled bool) ranks {
-	r := ranks{self: self, first: settled, settled: settled}
-	if !settled {
-		r.place = othersSteps
-	}
+	r := ranks{first: true, settled: settled}
 	sorted := slices.Clone(hosts)
 	slices.SortFunc(sorted, compare)
 	for _, h := range hosts {
@@ -61,19 +59,20 @@
 			self = h
 		}
 	}
+	r.self = self
 	seen := make(map[string]int)
 	for _, h := range sorted {
 		if h.Address == self.Address {
 			continue
 		}
 		r.others = append(r.others, h.Address)
-		if h.FailureDomain == "" {
-			continue // an address at which some host may be found
-		}
 		before := compare(h, self) < 0
 		if before {
 			r.first = false
 		}
+		if h.FailureDomain == "" {
+			continue // an address at which some host may be found
+		}
 		if h.FailureDomain == self.FailureDomain {
 			if before {
 				r.place++
@@ -104,3 +103,15 @@
 	}
 	return othersFrom + othersSpread*float64(r.place%othersSteps)/othersSteps
 }
+
+// superior returns the host that is told before this one, and false if none is
+// known: the first of its failure domain, or of the fleet.
+func (r *ranks) superior() (netip.AddrPort, bool) {
+	switch {
+	case r.first || len(r.others) == 0:
+		return netip.AddrPort{}, false
+	case r.settled && r.place > 0:
+		return r.domain[0], true
+	}
+	return r.others[0], true
+}
--- a/pkg/follow/store.go
+++ b/pkg/follow/store.go
@@ -14,7 +14,7 @@
 var ErrHistoryLost = errors.New("the store no longer has the history")
 
 // watches reports whether this host keeps a watch at the store.
-func (c *Core) watches() bool { return c.ranks.first && c.away.IsZero() }
+func (c *Core) watches() bool { return c.ranks.first && c.ranks.settled && c.away.IsZero() }
 
 // stepRead reads everything, once the peers have had their time to answer.
 func (c *Core) stepRead(now time.Time) {
@@ -32,17 +32,25 @@
 
 // stepWatch keeps a watch on the first host of the fleet, and begins one anew
 // that missed a change. Another host that lacks a change fetches it by a watch
-// that does not wait.
+// that does not wait; the store may keep that one waiting all the same.
 func (c *Core) stepWatch(now time.Time) {
-	missed := c.awaits() && !now.Before(c.awaited.since.Add(c.conf.WatchSlack))
 	switch {
-	case c.watch != nil && !c.stopping && c.watch.Waits && (missed || !c.watches()):
-		c.stopping = true
-		c.out.StopWatch = true
-		if missed {
-			c.emit(event.StoreWatchBehind, event.Event{Value: int64(c.revision)})
-		}
-	case c.watch != nil || !c.away.IsZero():
+	case c.watch == nil:
+		c.stepNewWatch(now)
+	case c.stopping:
+	case !c.watch.Waits && !now.Before(c.watched.Add(c.conf.WatchSlack)):
+		c.endWatch()
+	case c.watch.Waits && c.awaits() && !now.Before(c.awaited.since.Add(c.conf.WatchSlack)):
+		c.endWatch()
+		c.emit(event.StoreWatchBehind, event.Event{Value: int64(c.revision)})
+	case c.watch.Waits && !c.watches():
+		c.endWatch()
+	}
+}
+
+func (c *Core) stepNewWatch(now time.Time) {
+	switch {
+	case !c.away.IsZero():
 	case c.awaits() && !c.awaited.peer.IsValid():
 		c.startWatch(now, false)
 	case c.watches() && !now.Before(c.nextWatch):
@@ -50,6 +58,11 @@
 	}
 }
 
+func (c *Core) endWatch() {
+	c.stopping = true
+	c.out.StopWatch = true
+}
+
 func (c *Core) startWatch(now time.Time, waits bool) {
 	c.watch = &Watch{After: c.revision, Waits: waits}
 	c.watched = now
@@ -65,9 +78,15 @@
 	return later(c.fresh.Add(c.patience()), c.nextCall)
 }
 
+// fetches reports whether this host is about to get what the store was seen to
+// have: by the watch in flight, or by one that does not wait.
+func (c *Core) fetches() bool {
+	return c.awaits() && !c.awaited.peer.IsValid() && c.away.IsZero()
+}
+
 // stepCheck asks the store when this host's knowledge has become too old.
 func (c *Core) stepCheck(now time.Time) {
-	if c.call != idle || now.Before(c.checkDue()) {
+	if c.call != idle || c.fetches() || now.Before(c.checkDue()) {
 		return
 	}
 	if !c.away.IsZero() {
@@ -109,12 +128,7 @@
 	}
 	c.regained(now)
 	c.await(now, revision, c.began, netip.AddrPort{})
-	if c.awaits() {
-		// The pause before the next check; what is awaited comes by a watch.
-		c.nextCall = now.Add(c.conf.RetryMin)
-	} else {
-		c.tellAll()
-	}
+	c.tellAll()
 	return c.step(now)
 }
 
@@ -140,6 +154,9 @@
 	case errors.Is(err, ErrHistoryLost):
 		c.complete = false
 		c.emit(event.StoreHistoryLost, event.Event{Value: int64(c.revision)})
+	case stopped && !waited:
+		// The store has reached a revision, and keeps a watch for it waiting.
+		c.complete = false
 	case err != nil && stopped:
 	case err != nil:
 		c.lost(now, began, err)
--- a/pkg/follow/world_test.go
+++ b/pkg/follow/world_test.go
@@ -24,6 +24,7 @@
 	oldest   uint64               // watches from before have lost their history
 	down     path                 // of the store, for everyone
 	deaf     bool                 // watches hear nothing
+	keeps    bool                 // watches that should not wait do, too
 	calls    int
 	hosts    []*host
 	loss     float64 // of datagrams
@@ -92,7 +93,7 @@
 	storeWay     = 2 * time.Millisecond
 	peerWay      = 1500 * time.Microsecond
 	callTimeout  = 700 * time.Millisecond
-	askTimeout   = 300 * time.Millisecond
+	askTimeout   = 200 * time.Millisecond
 	changeWithin = 2 * time.Second
 	seeds        = 3 // hosts whose addresses are known at the start
 )
@@ -297,7 +298,7 @@
 func (h *host) beginWatch(call Watch) {
 	w, life := h.world, h.life
 	w.calls++
-	h.watch = &openWatch{after: call.After, deaf: w.deaf && call.Waits}
+	h.watch = &openWatch{after: call.After, deaf: w.deaf && (call.Waits || w.keeps)}
 	h.watch.done = func(rev uint64, changed bool, err error) {
 		h.input(life, func() { h.do(h.WatchDone(w.now, rev, changed, err)) })
 	}
--- a/pkg/membership/hosts.go
+++ b/pkg/membership/hosts.go
@@ -84,7 +84,9 @@
 	}
 }
 
-// stepJoin asks a few listed hosts for their members until one answers.
+// stepJoin asks a few listed hosts for their members until one answers. A fleet
+// that starts together may have few listed hosts, which answer a few in a period;
+// so a host that it has heard of is asked too.
 func (c *Core) stepJoin() {
 	if c.hosts.joined || !c.hosts.read {
 		return
@@ -99,6 +101,9 @@
 		return
 	}
 	c.askListed(joinContacts)
+	for _, r := range c.sample(1, func(r *record) bool { return r.entry.State == Alive }) {
+		c.requestSync(r.entry.Address)
+	}
 }
 
 // askListed compares with up to n listed hosts, drawn at random.
