Give each host its part of the fixed retry budget by the number of hosts

Ruled out: counting the living only (after a split each side would take all of it; hosts held for dead count too).

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -104,6 +104,19 @@
 		return
 	}
 	f.version, f.settled = s.Version, settled
+	if settled {
+		f.count(s)
+	}
+}
+
+// count takes in how many hosts the fleet may have. Those held for dead count too:
+// they may be on the other side of a split, and serve there.
+func (f *fleet) count(s *membership.Snapshot) {
+	f.gateway.hosts = len(s.Members)
+	if f.gateway.hosts == 1 {
+		f.gateway.hosts = 0 // it has found none, which says nothing
+	}
+	f.gateway.shareRetries()
 }
 
 // settleAfter is how long after it found a first peer a host knows most others: of
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,7 @@
 	control  *controller
 	follower *source.Follower
 	fleet    *fleet // nil without peers
+	hosts    int    // known to be in the fleet, 0 while unknown; of the control goroutine
 	client   *upstream.Client
 	proxy    *proxy.Proxy
 	server   *httpwire.Server
@@ -146,7 +147,7 @@
 		proxy.WithAsker(&asker{client: g.client, dialect: dialect, events: g.sink}),
 		proxy.WithUpstreams(g.control),
 		proxy.WithTrails(g.trails),
-		proxy.WithSharedBudget(retryPercent(g.conf), retryReserve),
+		proxy.WithSharedBudget(retryShare(g.conf, 0)),
 	)
 	g.server = httpwire.NewServer(httpwire.ServerConfig{
 		Address:      g.conf.Listen,
@@ -157,20 +158,6 @@
 	})
 }
 
-const (
-	// retryUse is the part of the fleet's retry budget that is used: requests are
-	// counted here when they are first sent, there when callers send them.
-	retryUse = 0.85
-	// retryReserve is each host's part of the fixed part of the budget, in sends.
-	// How many hosts there are is not known; on the platforms known the fixed part
-	// is 1.5 to 4.3 sends a host.
-	retryReserve = 1
-	// percent is the whole of a percentage.
-	percent = 100
-)
-
-func retryPercent(s Settings) float64 { return s.RetryBudgetRatio * retryUse * percent }
-
 // Times of following the store.
 const (
 	watchWait   = 30 * time.Second // the most that the platforms known allow
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -31,7 +31,7 @@
 		return errors.Newf("%s: can't change while the process runs", name)
 	}
 	g.conf = next
-	g.loop.Post(func() { g.proxy.SetSharedBudget(retryPercent(next), retryReserve) })
+	g.loop.Post(g.shareRetries)
 	g.stopper.SetTimes(stopTimes(next))
 	return nil
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -40,6 +40,8 @@
 	// RetryBudgetRatio bounds the sends beyond the first to a service, over all
 	// entry hosts, as a share of its requests.
 	RetryBudgetRatio float64
+	// RetryReserve is the fixed part of that bound, in sends.
+	RetryReserve float64
 }
 
 // Validate reports the first setting that is wrong.
@@ -77,6 +79,9 @@
 	if s.RetryBudgetRatio < 0 || s.RetryBudgetRatio > 1 {
 		return errors.Newf("retry-budget-ratio: %v is outside 0 to 1", s.RetryBudgetRatio)
 	}
+	if s.RetryReserve < 0 {
+		return errors.Newf("retry-reserve: %v is negative", s.RetryReserve)
+	}
 	return nil
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -120,8 +120,8 @@
 	}
 }
 
-// SetSharedBudget changes what WithSharedBudget set. The reserve holds for
-// services that appear from then on. The control goroutine calls it.
+// SetSharedBudget changes what WithSharedBudget set. The control goroutine calls
+// it.
 func (p *Proxy) SetSharedBudget(percent, reserve float64) {
 	p.setSharedBudget(percent, reserve)
 	s := p.state.Load()
@@ -130,6 +130,7 @@
 	}
 	for _, g := range s.groups {
 		g.budget.SetPercent(percent)
+		g.budget.SetReserve(reserve)
 	}
 }
 
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -24,7 +24,7 @@
 type Budget struct {
 	tokens atomic.Int64
 	share  atomic.Int64
-	cap    int64 // the most that it can save up, in stored units
+	cap    atomic.Int64 // the most that it can save up, in stored units
 }
 
 // NewBudget returns a full budget that allows percent extra sends per hundred
@@ -34,12 +34,22 @@
 // NewBudgetWithReserve is NewBudget with another reserve, in extra sends. Where
 // a bound holds for many entry hosts together, each has its part of the reserve.
 func NewBudgetWithReserve(percent, reserve float64) *Budget {
-	b := &Budget{cap: int64(reserve * milli)}
+	b := new(Budget)
+	b.SetReserve(reserve)
 	b.SetPercent(percent)
-	b.tokens.Store(b.cap)
+	b.tokens.Store(b.cap.Load())
 	return b
 }
 
+// SetReserve changes the reserve, in extra sends. A larger one has to be saved up
+// first.
+func (b *Budget) SetReserve(reserve float64) {
+	if b == nil {
+		return
+	}
+	b.cap.Store(int64(reserve * milli))
+}
+
 // SetPercent changes the share of extra sends, in percent of first sends. What
 // is saved up stays.
 func (b *Budget) SetPercent(percent float64) {
@@ -95,7 +105,7 @@
 func (b *Budget) add(units int64) {
 	for {
 		held := b.tokens.Load()
-		sum := min(held+units, b.cap)
+		sum := min(held+units, b.cap.Load())
 		if sum == held || b.tokens.CompareAndSwap(held, sum) {
 			return
 		}
