--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -45,7 +45,7 @@
 		gateway:  g,
 		set:      registered.NewSet(registered.Config{ReturnGrace: returnGrace, Forget: forgetAfter}),
 		registry: lifecycle.NewRegistry(lifecycle.DefaultConfig(), g.sink),
-		pools:    newPools(g.conf.FailureDomain),
+		pools:    newPools(g.conf.Host, g.conf.FailureDomain),
 		served:   make(chan struct{}),
 	}
 	c.snapshot.Store(new(lifecycle.Snapshot))
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -30,9 +30,9 @@
 	services  map[string]*pool
 }
 
-func newPools(failureDomain string) *pools {
+func newPools(host, failureDomain string) *pools {
 	return &pools{
-		options:   balancer.Options{FailureDomain: failureDomain},
+		options:   balancer.Options{Host: host, FailureDomain: failureDomain},
 		lifecycle: new(lifecycle.Snapshot),
 		services:  make(map[string]*pool),
 	}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -122,6 +122,9 @@
 	Self int
 	// EntryHosts is the number of live entry hosts; 0 counts as 1.
 	EntryHosts int
+	// Host names the entry host among all others, for preferences that must not
+	// move when its number does; empty if it has no name.
+	Host string
 	// FailureDomain is where the entry host runs.
 	FailureDomain string
 	// SlowStart is the time over which a new upstream's share grows to full; 0 is off.
--- a/pkg/balancer/probefirst/probefirst.go
+++ b/pkg/balancer/probefirst/probefirst.go
@@ -50,10 +50,11 @@
 
 // Build implements balancer.Builder.
 func (Builder) Build(o balancer.Options) balancer.Policy {
-	return &policy{failureDomain: o.FailureDomain, crowding: new(crowding)}
+	return &policy{host: o.Host, failureDomain: o.FailureDomain, crowding: new(crowding)}
 }
 
 type policy struct {
+	host          string
 	failureDomain string
 	crowding      *crowding
 }
@@ -68,13 +69,15 @@
 			next.far = append(next.far, u)
 		}
 	}
+	next.home, next.rest = splitHome(p.host, next.near)
 	return next
 }
 
 // picker is an immutable membership.
 type picker struct {
-	near, far []*balancer.Upstream
-	crowding  *crowding
+	near, far  []*balancer.Upstream
+	home, rest []*balancer.Upstream // near, those asked first and the others
+	crowding   *crowding
 }
 
 // Observe implements balancer.Observer.
@@ -88,9 +91,11 @@
 	if best, cost := p.best(info, p.crowding.slowdown()); best != nil && cost <= GoodCost {
 		return nil
 	}
-	asked := appendStale(nil, p.near, info)
-	if len(asked) < AskAtOnce {
-		asked = appendStale(asked, p.far, info)
+	var asked []*balancer.Upstream
+	for _, members := range [][]*balancer.Upstream{p.home, p.rest, p.far} {
+		if asked = appendStale(asked, members, info); len(asked) == AskAtOnce {
+			break
+		}
 	}
 	return asked
 }
