--- a/Makefile
+++ b/Makefile
@@ -17,11 +17,18 @@
 setup:
 	@scripts/setup.sh
 
-# test/e2e starts programs that the test cache does not know of, so that its
-# results are never taken from there.
+# Two packages start programs that the test cache does not know of, so that their
+# results are never taken from there. They check times, and run after the others.
+PROCESSES := ./test/e2e ./platform/soak
 unit:
-	go test $$(go list ./... | grep -v /test/e2e)
-	go test -count=1 ./test/e2e
+	go test $$(go list ./... | grep -v -e /test/e2e -e /platform/soak)
+	go test -count=1 -p 1 $(PROCESSES)
+
+# Fifty runs of the soak with fresh seeds, from SOAK_FIRST; 25 minutes.
+.PHONY: soak
+SOAK_FIRST ?= $(shell date +%s)
+soak:
+	SOAK_SEEDS=$(SOAK_FIRST):50 go test -count=1 -v -timeout 60m -run TestSoak ./platform/soak
 
 lint:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
