--- a/internal/ctl/logs.go
+++ b/internal/ctl/logs.go
@@ -48,7 +48,7 @@
 		Short: "Read log files of entry hosts; no entry host is asked",
 	}
 	needSubcommand(cmd)
-	cmd.AddCommand(a.logsRequestCommand(), a.logsSummaryCommand())
+	cmd.AddCommand(a.logsRequestCommand(), a.logsSummaryCommand(), a.logsPlotCommand())
 	return cmd
 }
 
--- a/internal/ctl/logs_test.go
+++ b/internal/ctl/logs_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"image/color"
+	"image/png"
 	"os"
 	"path/filepath"
 	"strings"
@@ -59,3 +61,36 @@
 		{Decision: "request-refused", Reason: "overloaded", Version: 7, Count: 1, First: "r1"},
 	})
 }
+
+// TestLogsPlot draws refusals, an answer and upstreams of two hosts.
+func TestLogsPlot(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	log, out := filepath.Join(dir, "1.log"), filepath.Join(dir, "out.png")
+	is.NoErr(os.WriteFile(log, []byte(`{"time":"2026-12-02T10:00:00.100Z","event":2027,"host":"10.0.0.1","upstream":"i-1","reason":"ready"}
+{"time":"2026-12-02T10:00:00.900Z","event":3003,"host":"10.0.0.1","request":"r1","elapsed_us":90000}
+{"time":"2026-12-02T10:00:02.500Z","event":3004,"host":"10.0.0.1","request":"r2"}
+{"time":"2026-12-02T10:00:03.000Z","event":2027,"host":"10.0.0.1","upstream":"i-1","reason":"draining"}
+`), 0o600))
+	var text bytes.Buffer
+	run := func(args ...string) Code {
+		return Run(t.Context(), Environment{Args: args, Stdout: &text, Stderr: &text, Stdin: strings.NewReader("")})
+	}
+	is.Equal(run("logs", "plot", "--out", out, log), OK)
+	f, err := os.Open(out)
+	is.NoErr(err)
+	defer func() { is.NoErr(f.Close()) }()
+	picture, err := png.Decode(f)
+	is.NoErr(err)
+	colours := make(map[color.Color]bool)
+	for y := range picture.Bounds().Dy() {
+		for x := range picture.Bounds().Dx() {
+			colours[picture.At(x, y)] = true
+		}
+	}
+	for _, want := range []color.Color{plotGood, plotSlow} {
+		is.True(colours[color.NRGBAModel.Convert(want)] || colours[want]) // nothing was drawn in it
+	}
+	is.Equal(run("logs", "plot", "--out", out, "-"), NotFound) // no lines
+	is.True(run("logs", "plot", log) != OK)                    // no --out
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -16,6 +16,10 @@
 	event.Error: zerolog.ErrorLevel,
 }
 
+// timeFormat is RFC 3339 with milliseconds, so that lines of several hosts can be
+// put in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Sink writes events to a zerolog logger.
 type Sink struct {
 	log zerolog.Logger
@@ -38,7 +42,7 @@
 func (s *Sink) Write(e event.Event) {
 	entry := event.Catalogue[e.Code]
 	line := s.log.Log().Str(zerolog.LevelFieldName, levels[entry.Level].String())
-	line.Time("time", e.At).
+	line.Str("time", e.At.Format(timeFormat)).
 		Uint16("event", uint16(e.Code)).
 		Str("name", entry.Name).
 		Str("host", e.EntryHost)
