--- /dev/null
+++ b/pkg/follow/network_test.go
@@ -0,0 +1,140 @@
+package follow
+
+import (
+	"net/netip"
+	"time"
+)
+
+// What stands between the cores, the store and one another.
+
+func (h *host) storePath() path { return max(h.world.down, h.store) }
+
+// call makes a store call that answers with the revision.
+func (h *host) call(done func(uint64, error) Effects) {
+	w, life := h.world, h.life
+	w.calls++
+	finish := func(d time.Duration, rev uint64, err error) {
+		w.after(d, func() { h.input(life, func() { h.do(done(rev, err)) }) })
+	}
+	w.after(storeWay, func() {
+		switch h.storePath() {
+		case silent:
+			finish(callTimeout, 0, errCall)
+		case refused:
+			finish(storeWay, 0, errCall)
+		default:
+			finish(storeWay, w.revision, nil)
+		}
+	})
+}
+
+func (h *host) beginWatch(call Watch) {
+	w, life := h.world, h.life
+	w.calls++
+	h.watch = &openWatch{after: call.After, deaf: w.deaf && (call.Waits || w.keeps)}
+	h.watch.done = func(rev uint64, changed bool, err error) {
+		h.input(life, func() { h.do(h.WatchDone(w.now, rev, changed, err)) })
+	}
+	own := h.watch
+	w.after(storeWay, func() {
+		if h.watch != own {
+			return
+		}
+		if h.storePath() == refused {
+			h.endWatch(0, false, errCall)
+			return
+		}
+		h.wakeWatch()
+		if h.watch == own && !call.Waits && h.storePath() == open {
+			h.endWatch(w.revision, false, nil)
+		}
+	})
+}
+
+func (h *host) wakeWatch() {
+	w := h.world
+	if h.watch == nil || h.watch.deaf || h.storePath() != open {
+		return
+	}
+	switch {
+	case h.watch.after < w.oldest:
+		h.endWatch(0, false, ErrHistoryLost)
+	case w.revision > h.watch.after:
+		h.endWatch(w.revision, true, nil)
+	}
+}
+
+func (h *host) endWatch(rev uint64, changed bool, err error) {
+	done := h.watch.done
+	h.watch = nil
+	h.world.after(storeWay, func() { done(rev, changed, err) })
+}
+
+func (w *world) find(a netip.AddrPort) *host {
+	for _, h := range w.hosts {
+		if h.self.Address == a {
+			return h
+		}
+	}
+	return nil
+}
+
+func (h *host) ask(q Ask) {
+	w, life, began := h.world, h.life, h.world.now
+	peer := w.find(q.Peer)
+	fail := func(d time.Duration) {
+		w.after(d, func() { h.input(life, func() { h.do(h.AskDone(w.now, Host{Address: q.Peer}, News{}, errCall)) }) })
+	}
+	if h.peers != open || peer.peers != open || peer.paused {
+		fail(askTimeout)
+		return
+	}
+	w.after(peerWay, func() {
+		n, ok := peer.News(w.now)
+		if !peer.alive || !ok {
+			fail(peerWay)
+			return
+		}
+		n.Fresh = began.Add(n.Fresh.Sub(w.now))
+		w.after(peerWay, func() {
+			h.input(life, func() {
+				h.heardReturn(n, 0)
+				h.do(h.AskDone(w.now, peer.self, n, nil))
+			})
+		})
+	})
+}
+
+func (h *host) tell(to []netip.AddrPort) {
+	w := h.world
+	n, ok := h.News(w.now)
+	if !ok {
+		return
+	}
+	sent, life := w.now, uint64(h.life)
+	for _, a := range to {
+		peer := w.find(a)
+		if w.random.Float64() < w.loss || h.peers != open || peer.peers != open {
+			continue
+		}
+		w.after(peerWay, func() {
+			peer.input(peer.life, func() {
+				own := n
+				late := peer.delays.Of(h.self.Address, life, sent.Sub(epoch), w.now)
+				own.Fresh = w.now.Add(n.Fresh.Sub(sent) - late)
+				var known uint64
+				if w.random.Float64() < w.inline {
+					known = n.Revision
+				}
+				peer.heardReturn(n, w.now.Sub(sent))
+				peer.do(peer.Heard(w.now, h.self, own, known))
+			})
+		})
+	}
+}
+
+func (h *host) heardReturn(n News, way time.Duration) {
+	if !n.Returned.IsZero() {
+		h.do(h.HeardReturn(h.world.now, n.Returned.Add(way)))
+	}
+}
--- a/pkg/follow/peers.go
+++ b/pkg/follow/peers.go
@@ -108,8 +108,7 @@
 	return c.step(now)
 }
 
-// peerFailed goes on without a peer: the store has what it would have told. One
-// that starts, and whose peers know nothing either, need not wait for them.
+// peerFailed goes on without a peer: the store has what it would have told.
 func (c *Core) peerFailed(now time.Time, from Host, err error) {
 	c.nextAsk = now.Add(askPause)
 	if !c.complete || !c.awaits() {
--- a/pkg/follow/store.go
+++ b/pkg/follow/store.go
@@ -21,13 +21,7 @@
 	if c.call != idle || now.Before(c.startAt) || now.Before(c.nextCall) {
 		return
 	}
-	if !c.away.IsZero() {
-		c.begin(now, looking)
-		c.out.Look = true
-		return
-	}
 	c.begin(now, reading)
-	c.out.Read = true
 }
 
 // stepWatch keeps a watch on the first host of the fleet, and begins one anew
@@ -89,18 +83,24 @@
 	if c.call != idle || c.fetches() || now.Before(c.checkDue()) {
 		return
 	}
-	if !c.away.IsZero() {
-		c.begin(now, looking)
-		c.out.Look = true
-		return
-	}
 	c.begin(now, checking)
-	c.out.Check = true
 }
 
+// begin makes a call. While the store is away the cheapest one looks whether it is
+// back.
 func (c *Core) begin(now time.Time, kind call) {
-	c.call = kind
-	c.began = now
+	if !c.away.IsZero() {
+		kind = looking
+	}
+	c.call, c.began = kind, now
+	switch kind {
+	case reading:
+		c.out.Read = true
+	case checking:
+		c.out.Check = true
+	case looking:
+		c.out.Look = true
+	}
 }
 
 // ReadDone gives the result of Effects.Read: the revision from which a watch
