Move the policy's name, direct execution and the shorter of two bounds out of the adapter

Cause: the adapter chose for the product, although it is to hold names, formats and calls only. Ruled out: ranks, shares of weight 0 and slots (they stay, and are listed).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -214,11 +214,11 @@
 
 func (g *Gateway) followConfig() follow.Config {
 	return follow.Config{
-		ChangeWithin: g.conf.ChangeWithin,
+		ChangeWithin: g.conf.knownWithin(),
 		AloneEvery:   aloneEvery,
 		WatchSlack:   watchSlack,
 		SettleMin:    settleMin,
-		SettleMax:    time.Duration(settleShare * float64(g.conf.ChangeWithin)),
+		SettleMax:    time.Duration(settleShare * float64(g.conf.knownWithin())),
 		MinOutage:    minOutage,
 		ReturnedFor:  returnedFor,
 		RetryMin:     retryMin,
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -49,6 +49,7 @@
 		{"news-port", strconv.Itoa(int(s.NewsPort)), strconv.Itoa(int(next.NewsPort))},
 		{"log-level", s.LogLevel, next.LogLevel},
 		{"change-within", s.ChangeWithin.String(), next.ChangeWithin.String()},
+		{"leave-within", s.LeaveWithin.String(), next.LeaveWithin.String()},
 	} {
 		if f.old != f.new {
 			return f.name
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -37,6 +37,9 @@
 	StopWithin time.Duration
 	// ChangeWithin is the time in which a published change must be in force.
 	ChangeWithin time.Duration
+	// LeaveWithin is the time after which an upstream that leaves must get no new
+	// requests.
+	LeaveWithin time.Duration
 	// RetryBudgetRatio bounds the sends beyond the first to a service, over all
 	// entry hosts, as a share of its requests.
 	RetryBudgetRatio float64
@@ -76,6 +79,9 @@
 	if s.ChangeWithin < minChange {
 		return errors.Newf("change-within: %s is below %s", s.ChangeWithin, minChange)
 	}
+	if s.LeaveWithin < minChange {
+		return errors.Newf("leave-within: %s is below %s", s.LeaveWithin, minChange)
+	}
 	if s.RetryBudgetRatio < 0 || s.RetryBudgetRatio > 1 {
 		return errors.Newf("retry-budget-ratio: %v is outside 0 to 1", s.RetryBudgetRatio)
 	}
@@ -85,6 +91,9 @@
 	return nil
 }
 
+// knownWithin is the time in which any change of the store must be known.
+func (s *Settings) knownWithin() time.Duration { return min(s.ChangeWithin, s.LeaveWithin) }
+
 // minChange is the shortest time in which a change can be learned: the calls of a
 // watch and the pause before it fit in.
 const minChange = time.Second
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -116,7 +116,8 @@
 type Group struct {
 	// Name identifies the group within its service.
 	Name string `json:"name"`
-	// Policy names the balancer policy. Default: "spindle".
+	// Policy names the balancer policy. Default: "spindle"; "probe-first" where the
+	// members register themselves.
 	Policy string `json:"policy,omitempty"`
 	// Upstreams are the members.
 	Upstreams []Upstream `json:"upstreams"`
@@ -198,7 +199,8 @@
 	Split []Share `json:"split,omitempty"`
 	// Repeat states whether the request may be sent twice. Required.
 	Repeat Repeat `json:"repeat"`
-	// Execution applies to non-repeatable requests. Default: ticket.
+	// Execution applies to non-repeatable requests. Default: ticket; direct in a
+	// service whose upstreams register themselves.
 	Execution Execution `json:"execution,omitempty"`
 	// Deadline bounds the whole request when the caller sends none. Default: 1s.
 	Deadline Duration `json:"deadline,omitempty"`
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/netip"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -16,14 +17,16 @@
 
 // Defaults for optional fields.
 const (
-	DefaultPolicy         = "spindle"
-	DefaultSlots          = 3
-	DefaultMaxConnections = 200
-	DefaultDeadline       = time.Second
-	DefaultProbeCost      = 6 * time.Millisecond
-	DefaultMaxWaiting     = 64
-	DefaultMaxAttempts    = 2
-	DefaultBudgetPercent  = 10
+	DefaultPolicy = "spindle"
+	// DefaultRegisteredPolicy is that of groups whose members register themselves.
+	DefaultRegisteredPolicy = "probe-first"
+	DefaultSlots            = 3
+	DefaultMaxConnections   = 200
+	DefaultDeadline         = time.Second
+	DefaultProbeCost        = 6 * time.Millisecond
+	DefaultMaxWaiting       = 64
+	DefaultMaxAttempts      = 2
+	DefaultBudgetPercent    = 10
 
 	maxDeadline  = 5 * time.Minute
 	maxWaiting   = 100_000
@@ -84,13 +87,18 @@
 	for i := range s.Groups {
 		s.Groups[i].setDefaults()
 	}
+	registered := slices.ContainsFunc(s.Groups, func(g Group) bool { return g.Registered != "" })
 	for i := range s.Rules {
-		s.Rules[i].setDefaults()
+		s.Rules[i].setDefaults(registered)
 	}
 }
 
 func (g *Group) setDefaults() {
-	g.Policy = cmp.Or(g.Policy, DefaultPolicy)
+	policy := DefaultPolicy
+	if g.Registered != "" {
+		policy = DefaultRegisteredPolicy
+	}
+	g.Policy = cmp.Or(g.Policy, policy)
 	g.Queue.MaxWaiting = cmp.Or(g.Queue.MaxWaiting, DefaultMaxWaiting)
 	if g.Registered != "" {
 		g.MaxConnections = cmp.Or(g.MaxConnections, DefaultMaxConnections)
@@ -104,11 +112,17 @@
 	}
 }
 
-func (r *Rule) setDefaults() {
+// setDefaults is told whether upstreams of the service register themselves. Entry
+// hosts that take them from a store issue no tickets.
+func (r *Rule) setDefaults(registered bool) {
 	r.Deadline = cmp.Or(r.Deadline, Duration(DefaultDeadline))
 	r.Priority = cmp.Or(r.Priority, PriorityNormal)
 	if r.Repeat != Repeatable {
-		r.Execution = cmp.Or(r.Execution, ExecutionTicket)
+		execution := ExecutionTicket
+		if registered {
+			execution = ExecutionDirect
+		}
+		r.Execution = cmp.Or(r.Execution, execution)
 		return
 	}
 	r.Retry.MaxAttempts = cmp.Or(r.Retry.MaxAttempts, DefaultMaxAttempts)
