Encode everything once for all who ask; keep more changes; ask peers late at a restart

Ruled out: the store (its answers were on time until hosts fell back on it, 7 pages each). Hosts that restart asked peers after 50 ms, in which a busy host has not read those pages, and what they fetched crossed failure domains.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -165,8 +165,10 @@
 	// firstPeerWait leaves the first hosts of a fleet time to read the store. The
 	// platforms known send requests eight seconds after the first start.
 	firstPeerWait = 2 * time.Second
-	// storeTime is what a store that works takes for everything.
-	storeTime = 50 * time.Millisecond
+	// storeTime is what a store that works takes for everything, some pages long, on a
+	// busy host. Peers are asked later than that: what they hand over is large and
+	// mostly crosses failure domains.
+	storeTime = 300 * time.Millisecond
 )
 
 func (f *fleet) start() error {
--- a/internal/news/answer.go
+++ b/internal/news/answer.go
@@ -24,13 +24,19 @@
 	headerReturnedAge = "Spindle-Returned-Age"
 )
 
-// packed is the newest body that was encoded: after a change many peers ask for
-// the same at the same time.
+// packed is the newest body of its kind that was encoded: after a change many
+// peers ask for the same at the same time. After is 0 for everything.
 type packed struct {
 	after, revision uint64
 	body            []byte
 }
 
+// packedKinds tells what came after a revision from everything: the one is often
+// asked for while the other is still the newest of its kind.
+type packedKinds struct {
+	changes, all packed
+}
+
 func (t *Transport) serve(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get(paramAfter), 10, 64)
 	if err != nil {
@@ -63,8 +69,12 @@
 func (t *Transport) pack(after uint64, told *source.Told) ([]byte, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.packed.body != nil && t.packed.after == after && t.packed.revision == told.Revision {
-		return t.packed.body, nil
+	kept := &t.packed.changes
+	if told.State != nil {
+		kept, after = &t.packed.all, 0 // the same whatever a peer knows
+	}
+	if kept.body != nil && kept.after == after && kept.revision == told.Revision {
+		return kept.body, nil
 	}
 	shared := *told
 	shared.Age, shared.ReturnedAge = 0, 0
@@ -79,7 +89,7 @@
 	if err := zip.Close(); err != nil {
 		return nil, err
 	}
-	t.packed = packed{after, told.Revision, out.Bytes()}
+	*kept = packed{after, told.Revision, out.Bytes()}
 	return out.Bytes(), nil
 }
 
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -57,7 +57,7 @@
 	client *http.Client
 
 	mu     sync.Mutex
-	packed packed
+	packed packedKinds
 }
 
 // New returns a transport without sockets.
--- a/internal/news/news_test.go
+++ b/internal/news/news_test.go
@@ -163,6 +163,27 @@
 	}
 }
 
+// TestEverythingIsEncodedOnce, whatever the peers that ask know already.
+func TestEverythingIsEncodedOnce(t *testing.T) {
+	is := is.New(t)
+	h := begin(t)
+	told := h.message(0)
+	told.Changes, told.State = nil, &source.State{Revision: 7}
+	first, err := h.pack(3, told)
+	is.NoErr(err)
+	changes, err := h.pack(5, h.message(1))
+	is.NoErr(err)
+	is.True(string(changes) != string(first))
+	again, err := h.pack(4, told)
+	is.NoErr(err)
+	is.True(&again[0] == &first[0])
+	newer := *told
+	newer.Revision = 8
+	other, err := h.pack(4, &newer)
+	is.NoErr(err)
+	is.True(string(other) != string(first))
+}
+
 func TestAnswerThatIsInvalidIsRefused(t *testing.T) {
 	is := is.New(t)
 	a, b := begin(t), begin(t)
--- a/internal/source/mirror.go
+++ b/internal/source/mirror.go
@@ -1,16 +1,17 @@
 package source
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/registered"
 )
 
-// historyEvents is how many changes of upstreams are kept for peers: on the
-// platforms known a fleet sees a few a second, and a peer lacks those of a second
-// or two. A peer that lacks more is handed everything.
-const historyEvents = 512
+// historyEvents is how many changes of upstreams are kept for peers at the least,
+// and half of what is kept at the most. Most come when all upstreams start, within
+// seconds; a peer that lacks more is handed everything, which costs far more.
+const historyEvents = 8192
 
 // mirror is what is published, as of one revision, for handing it to peers. It
 // belongs to the follower's goroutine.
@@ -65,9 +66,9 @@
 		delete(m.upstreams, e.Removed)
 	}
 	m.history = append(m.history, e)
-	if extra := len(m.history) - historyEvents; extra > 0 {
-		m.since = m.history[extra-1].Revision
-		m.history = slices.Delete(m.history, 0, extra)
+	if len(m.history) > 2*historyEvents {
+		m.since = m.history[historyEvents-1].Revision
+		m.history = slices.Clone(m.history[historyEvents:])
 	}
 }
 
@@ -77,12 +78,10 @@
 	if after < m.since {
 		return nil, false
 	}
-	out := &Changes{Revision: m.revision}
-	for _, e := range m.history {
-		if e.Revision > after {
-			out.Events = append(out.Events, e)
-		}
-	}
+	first, _ := slices.BinarySearchFunc(m.history, after+1, func(e Event, revision uint64) int {
+		return cmp.Compare(e.Revision, revision)
+	})
+	out := &Changes{Revision: m.revision, Events: slices.Clone(m.history[first:])}
 	if m.config != nil && m.configAt > after {
 		out.Configurations = []*config.Configuration{m.config}
 	}
--- a/internal/source/peers.go
+++ b/internal/source/peers.go
@@ -167,7 +167,11 @@
 func (f *Follower) ask(ctx context.Context, q follow.Ask) {
 	peer := follow.Host{Address: q.Peer}
 	began := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, f.conf.AskTimeout)
+	timeout := f.conf.AskTimeout
+	if q.After == 0 {
+		timeout = f.conf.ReadTimeout // everything is large, and the store is read beside
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	t, err := f.conf.Peers.Ask(callCtx, q.Peer, q.After)
 	f.post(ctx, func() {
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -47,7 +47,7 @@
 	// it doubles from one to the other.
 	RetryMin, RetryMax time.Duration
 	// ReadAfter is how long a host that starts leaves the store alone, and AskAfter
-	// how long it leaves its peers alone unless the store fails it.
+	// how long it leaves its peers alone.
 	ReadAfter, AskAfter time.Duration
 	// Jitter returns a random number from 0 up to 1. It spreads retries.
 	Jitter func() float64
--- a/pkg/follow/store.go
+++ b/pkg/follow/store.go
@@ -109,9 +109,6 @@
 	c.call = idle
 	if err != nil {
 		c.lost(now, c.began, err)
-		if c.revision == 0 {
-			c.nextAsk = now
-		}
 		return c.step(now)
 	}
 	c.regained(now)
