--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -15,8 +15,7 @@
 
 const (
 	// memberPeriod is the time between two probes of membership. What it finds
-	// only orders the hosts, so that it may be slow, and cheap: at one second it
-	// took twice the processor time.
+	// only orders the hosts, so that it may be slow, and cheap.
 	memberPeriod = 2 * time.Second
 	// leaveTimeout bounds telling the peers that this host leaves.
 	leaveTimeout = 100 * time.Millisecond
