Let only the first host look often while the store is away

One host that looks and tells is enough; the others only have to notice when that one is gone or cut off. Ruled out: one host alone (a first host that the store turns away would keep the return from all), news of each look (more messages, and the same danger).

Hosts that start and know nothing look as often as before.

Tests: TestFewHostsLookWhileTheStoreIsAway fails without the change; TestReturnIsSeenWithoutTheFirstHost takes the first host away in five ways.

--- a/pkg/follow/fleet_test.go
+++ b/pkg/follow/fleet_test.go
@@ -124,6 +124,54 @@
 	}
 }
 
+// TestFewHostsLookWhileTheStoreIsAway, however the store fails to answer.
+func TestFewHostsLookWhileTheStoreIsAway(t *testing.T) {
+	for name, down := range map[string]path{"refused": refused, "silent": silent} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(6, 99, 3)
+			w.run(10 * time.Second)
+			before := w.calls
+			w.down = down
+			w.run(8 * time.Second)
+			w.down = open
+			w.run(time.Second)
+			calls := w.calls - before
+			t.Logf("%d calls of 99 hosts in an outage of 8 s", calls)
+			is.New(t).True(calls <= 700) // each looking every 400 ms, they make over 2000
+		})
+	}
+}
+
+// TestReturnIsSeenWithoutTheFirstHost: the host that looks for all is taken away
+// while the store is; what changes when it is back is known in time.
+func TestReturnIsSeenWithoutTheFirstHost(t *testing.T) {
+	for name, fault := range map[string]func(h *host){
+		"killed":             (*host).kill,
+		"paused":             (*host).pause,
+		"cut from the store": func(h *host) { h.store, h.harmed = silent, h.world.now },
+		"refused":            func(h *host) { h.store, h.harmed = refused, h.world.now },
+		"cut from its peers": func(h *host) { h.peers = silent },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for offset := range 20 {
+				w := newWorld(uint64(offset), 18, 4)
+				w.run(10 * time.Second)
+				w.down = []path{refused, silent}[offset%2]
+				w.run(4*time.Second + time.Duration(offset)*70*time.Millisecond)
+				fault(w.hosts[0])
+				w.down = open
+				w.change()
+				w.run(changeWithin)
+				for i, h := range w.hosts[1:] {
+					if h.Revision() < w.revision {
+						t.Errorf("offset %d: host %d knows %d, not %d", offset, i+1, h.Revision(), w.revision)
+					}
+				}
+			}
+		})
+	}
+}
+
 // TestDeafWatch: the watch hears nothing, the history is dropped, and the watch
 // goes on hearing nothing.
 func TestDeafWatch(t *testing.T) {
--- a/pkg/follow/store.go
+++ b/pkg/follow/store.go
@@ -199,7 +199,7 @@
 		return
 	}
 	c.failures++
-	c.nextCall = now.Add(c.backoff())
+	c.nextCall = c.nextLook(now, began)
 	if c.away.IsZero() {
 		c.away = now
 		c.emit(event.StoreLost, event.Event{Detail: err.Error(), Value: int64(c.revision)})
@@ -241,6 +241,19 @@
 	c.out.Returned = t
 }
 
+// nextLook returns when to look again whether the store answers, after a call that
+// began at a time and failed. The first host of the fleet looks often, and tells the
+// others. They rely on that for no longer than they do for any other change, since it
+// may be gone, or the one that the store turns away. A day of 99 hosts with an outage
+// of eight seconds took 741 calls, and 2,448 when all looked often.
+func (c *Core) nextLook(now, began time.Time) time.Time {
+	next := now.Add(c.backoff())
+	if c.ranks.first || !c.complete {
+		return next
+	}
+	return later(next, began.Add(c.patience()))
+}
+
 // backoff spreads the hosts' calls over the pause.
 func (c *Core) backoff() time.Duration {
 	pause := c.conf.RetryMin
