--- /dev/null
+++ b/internal/proxy/ask_test.go
@@ -0,0 +1,92 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/routing"
+)
+
+// askPicker asks for its members until they were asked.
+type askPicker struct {
+	members []*balancer.Upstream
+	asked   map[*balancer.Upstream]bool
+}
+
+func (p *askPicker) Ask(_ balancer.PickInfo, _ int) []*balancer.Upstream {
+	var out []*balancer.Upstream
+	for _, u := range p.members {
+		if !p.asked[u] {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+func (p *askPicker) Pick(balancer.PickInfo) (balancer.Result, error) {
+	return balancer.Result{Upstream: p.members[len(p.members)-1]}, nil
+}
+
+type askerFunc func([]*balancer.Upstream)
+
+func (f askerFunc) Ask(_ context.Context, _ *routing.Group, list []*balancer.Upstream) { f(list) }
+
+// TestQuestionsAreBounded asks for ever, and is cut at what requests allow.
+func TestQuestionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := registeredService(lookup(), map[string]int{"a": 1})
+	s.Groups[0].HealthPath = "/health"
+	picker := &askPicker{members: []*balancer.Upstream{{ID: "a-1"}, {ID: "a-2"}}}
+	asked := 0
+	sender := senderFunc(func(context.Context, string, *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+		return &httpwire.Response{Status: 200, Header: http.Header{testSignature: {"s"}}}, nil
+	})
+	p := New("127.0.0.1", "test", sender, event.Discard{}, WithRandom(seeded(1)), WithDialect(testDialect()),
+		WithAsker(askerFunc(func(list []*balancer.Upstream) { asked += len(list) })))
+	p.SetTable(routing.Compile(1, []*config.Service{s}, groupsFunc(func(_ *config.Service, g *config.Group) *routing.Group {
+		return &routing.Group{Config: g, Picker: picker}
+	})))
+	for range 50 {
+		is.Equal(p.Serve(t.Context(), dialectRequest("GET")).Status, 200)
+	}
+	is.True(asked <= 50*maxPerRequest)
+	for range 200 {
+		p.Serve(t.Context(), dialectRequest("GET"))
+	}
+	asked = 0
+	for range 50 {
+		p.Serve(t.Context(), dialectRequest("GET"))
+	}
+	is.True(asked <= 50*4) // one question in three finds what is chosen
+	is.True(asked >= 50*minPerRequest)
+}
+
+func TestQuestionsByHits(t *testing.T) {
+	is := is.New(t)
+	var q questions
+	for range 500 {
+		q.learn(1, true)
+	}
+	is.Equal(q.take(1), 0)
+	q.arrived()
+	is.Equal(q.take(2*maxPerRequest), maxPerRequest) // each finds what it looks for
+	for range 500 {
+		q.learn(maxPerRequest, false)
+	}
+	q.arrived()
+	is.Equal(q.take(maxPerRequest), minPerRequest)
+	q.looked()
+	is.Equal(q.take(maxPerRequest), perLook)
+	for range 500 {
+		q.looked()
+	}
+	is.Equal(q.take(2*maxQuestions), maxQuestions)
+}
