Take the late part of the queue and the slot that the late left out again

What stays in the queue: the target beside the deadline, and the usual time of a request's own rule. A request that can't meet its target at the observed pace is refused at once; one that waited half of its time to the deadline too.

--- a/internal/lab/parts.go
+++ b/internal/lab/parts.go
@@ -137,7 +137,7 @@
 	}
 	var taken []*queue.Entry[*Request]
 	for range n {
-		e := h.queue.Take(h.now(), h.pace())
+		e := h.queue.Take()
 		if e == nil {
 			break
 		}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -98,7 +98,6 @@
 		TargetLeft: time.Until(x.usefulUntil()),
 		Left:       x.left(),
 	}
-	info.Spare = info.Usual > info.TargetLeft
 	asked := x.ask(ctx, group, &info)
 	now := info.Now
 	choice, err := group.Picker.Pick(info)
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -134,7 +134,7 @@
 		given.Entry.Value.signal <- given.Reason
 	}
 	for range n {
-		e := g.queue.Take(now, g.pace())
+		e := g.queue.Take()
 		if e == nil {
 			break
 		}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -48,9 +48,6 @@
 	Extra bool
 	// Unasked states that the policy wanted to ask more upstreams than it may.
 	Unasked bool
-	// Spare states that the request gets only what others can do without: it can't
-	// be answered within its target any more.
-	Spare bool
 	// Usual is how long upstreams usually take for such a request; 0 if unknown.
 	Usual time.Duration
 	// TargetLeft is the time in which an answer has its full worth; negative when
--- a/pkg/balancer/probefirst/crowding.go
+++ b/pkg/balancer/probefirst/crowding.go
@@ -48,10 +48,6 @@
 	// MaxWaiting is the number of requests that may wait at an upstream that does
 	// not slow down when it is full; beyond it the request waits on the entry host.
 	MaxWaiting = 3
-	// spareSlots is what a request that is late already leaves free at each
-	// upstream, for those of all hosts that can still be in time: on a day with a
-	// burst of 2.2 times the usual traffic it raised worth from 0.73 to 0.75.
-	spareSlots = 1
 )
 
 // window holds the newest samples. Their median counts: a few requests of quite
@@ -126,12 +122,9 @@
 }
 
 // full reports whether an upstream with load l has no room for a request.
-func (s slowdown) full(l *balancer.Load, info balancer.PickInfo) bool {
+func (s slowdown) full(l *balancer.Load) bool {
 	room := s.room(l.Slots)
-	switch {
-	case info.Spare:
-		room = max(room-spareSlots, 1)
-	case s.try:
+	if s.try {
 		room = max(room, l.Slots)
 	}
 	return l.InFlight >= room
--- a/pkg/balancer/probefirst/probefirst.go
+++ b/pkg/balancer/probefirst/probefirst.go
@@ -197,7 +197,7 @@
 		if l == nil || info.Now.Sub(l.At) > FreshFor || info.Excludes(u) {
 			continue
 		}
-		c := candidate{upstream: u, cost: cost(u, l, s, info.Now) + extra, full: s.full(l, info)}
+		c := candidate{upstream: u, cost: cost(u, l, s, info.Now) + extra, full: s.full(l)}
 		if c.better(best) {
 			best = c
 		}
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -1,19 +1,11 @@
 // Package queue holds the requests that wait on one entry host for a free slot
 // of an upstream group.
 //
-// The queue is bounded and has two parts. Requests that can still be answered
-// within their target come first, by priority and target. Those that can't are
-// late: they get what capacity is left, by priority and deadline. A request that
-// can't be answered before its deadline at the observed pace is given up at once,
-// and none waits longer than half of the time that it had. When the queue is full,
-// the late and then the lowest priority make room. Of FairEvery takes, one goes to
-// the lowest priority and one to the late, so that none starves for ever.
-//
-// The order is for a load that upstreams can't do in time: by target alone, each
-// request is served when its target is about to pass, and most are late. In a burst
-// of 2.2 times the usual traffic, 605 of 814 requests were answered in time in the
-// first two seconds and 359 of 561 in the next two, against 481 and 243 when what
-// could not meet its target was refused.
+// The queue is bounded and ordered by priority, then by target. A request that
+// can't be answered within its target at the observed pace is given up at once, and
+// none waits longer than half of the time that it had. When the queue is full,
+// the highest priority pushes out the lowest. One in FairEvery takes goes to
+// the lowest priority that waits, so that none starves for ever.
 //
 // Nothing here reads a clock, starts a goroutine or blocks. A Queue is not
 // safe for concurrent use; a ServiceTime is.
@@ -25,222 +17,197 @@
 	"time"
 )
 
+// Priority orders entries; a lower number goes first.
+type Priority uint8
+
+// The priorities, first to last.
+const (
+	High Priority = iota
+	Normal
+	Low
+)
+
 const (
-	// FairEvery is the number of takes of which one goes to the lowest priority
-	// and one to the late entries.
+	// FairEvery is the number of takes of which one goes to the lowest priority.
 	FairEvery = 16
 	// waitShare divides the time that an entry had at arrival; it waits no longer.
 	waitShare = 2
-	// shareWeight is the weight of one take in the moving share of takes that went
-	// to late entries, as a divisor: about as many takes as an overloaded host
-	// makes in a second or two.
-	shareWeight = 32
 )
 
+// Reason says why an entry was not kept. It is a constant text for events.
+type Reason string
+
+// The reasons for giving an entry up.
+const (
+	// Kept means that the entry waits.
+	Kept Reason = ""
+	// Full is a queue full of entries of the same or a higher priority.
+	Full Reason = "queue-full"
+	// PushedOut is an entry that made room for a higher priority.
+	PushedOut Reason = "pushed-out"
+	// TooLate is an entry that can't be answered within its target.
+	TooLate Reason = "cannot-make-deadline"
+	// WaitedEnough is an entry that waited half of the time that it had.
+	WaitedEnough Reason = "waited-half-its-time"
+)
+
+// Entry is one waiting request. The same Entry is handed back when it leaves.
+type Entry[T any] struct {
+	// Value is the caller's.
+	Value T
+	// Priority comes first in the order.
+	Priority Priority
+	// Target is until when an answer has its whole worth; it comes second in the
+	// order. Zero means Deadline.
+	Target time.Time
+	// Deadline is until when an answer has any worth.
+	Deadline time.Time
+	// Service is how long the request takes at an upstream; 0 means the pace's.
+	Service time.Duration
+
+	seq    uint64
+	giveUp time.Time
+}
+
+// GivenUp is an entry that was given up, and why.
+type GivenUp[T any] struct {
+	// Entry is the entry; it is no longer in the queue.
+	Entry *Entry[T]
+	// Reason says which bound gave it up.
+	Reason Reason
+}
+
 // Queue is a bounded queue of entries.
 type Queue[T any] struct {
-	timely []*Entry[T]
-	late   []*Entry[T]
-	max    int
-	seq    uint64
-	takes  uint64
-	// lateShare is the moving share of takes that went to late entries.
-	lateShare float64
+	entries []*Entry[T]
+	max     int
+	seq     uint64
+	takes   uint64
 }
 
 // New returns an empty queue that holds at most max entries.
-func New[T any](max int) *Queue[T] { return &Queue[T]{max: max, lateShare: 1} }
+func New[T any](max int) *Queue[T] { return &Queue[T]{max: max} }
 
 // SetMax changes the bound. Entries over it stay until they leave.
 func (q *Queue[T]) SetMax(max int) { q.max = max }
 
 // Len returns the number of entries that wait.
-func (q *Queue[T]) Len() int { return len(q.timely) + len(q.late) }
+func (q *Queue[T]) Len() int { return len(q.entries) }
 
 // Push adds e at now. It returns Kept, or the reason why e was refused. In a
 // full queue, the entry that e pushed out is returned too; otherwise nil.
 func (q *Queue[T]) Push(now time.Time, e *Entry[T], p Pace) (Reason, *Entry[T]) {
-	q.demote(now, p)
 	q.seq++
 	e.seq = q.seq
 	e.giveUp = now.Add(e.Deadline.Sub(now) / waitShare)
 	if e.Target.IsZero() {
 		e.Target = e.Deadline
 	}
-	at, _ := slices.BinarySearchFunc(q.timely, e, byTarget[T])
-	e.late = now.Add(p.wait(at) + e.service(p)).After(e.Target)
-	if reason := q.reject(now, e, q.place(e), p); reason != Kept {
+	at := q.place(e)
+	if reason := e.reject(now, at, p); reason != Kept {
 		return reason, nil
 	}
 	var out *Entry[T]
-	if q.Len() >= q.max {
-		if out = q.last(); out == nil || !before(e, out) {
+	if len(q.entries) >= q.max {
+		last := len(q.entries) - 1
+		if last < 0 || q.entries[last].Priority <= e.Priority {
 			return Full, nil
 		}
-		q.Remove(out)
+		out = q.entries[last]
+		q.entries = slices.Delete(q.entries, last, last+1)
 	}
-	q.insert(e)
+	q.entries = slices.Insert(q.entries, at, e)
 	return Kept, out
 }
 
-// last returns the entry that makes room for others, or nil.
-func (q *Queue[T]) last() *Entry[T] {
-	if n := len(q.late); n > 0 {
-		return q.late[n-1]
-	}
-	if n := len(q.timely); n > 0 {
-		return q.timely[n-1]
-	}
-	return nil
-}
-
-// Return puts back an entry that was taken but found no slot. It may exceed the
-// queue's bound. The take does not count.
+// Return puts back an entry that was taken but found no slot. It keeps its
+// place and its bound on waiting, and may exceed the queue's bound. The take
+// does not count.
 func (q *Queue[T]) Return(e *Entry[T]) {
 	q.takes--
-	q.lateShare = min(max(q.lateShare-e.share, 0), 1)
-	q.insert(e)
+	q.entries = slices.Insert(q.entries, q.place(e), e)
 }
 
 // Take removes and returns the entry whose turn it is, or nil.
-func (q *Queue[T]) Take(now time.Time, p Pace) *Entry[T] {
-	q.demote(now, p)
-	if q.Len() == 0 {
+func (q *Queue[T]) Take() *Entry[T] {
+	if len(q.entries) == 0 {
 		return nil
 	}
 	q.takes++
-	e := q.next()
-	q.Remove(e)
-	target := 0.0
-	if e.late {
-		target = 1
+	at := 0
+	if q.takes%FairEvery == 0 {
+		at = q.firstOfLowest()
 	}
-	e.share = (target - q.lateShare) / shareWeight
-	q.lateShare += e.share
+	e := q.entries[at]
+	q.entries = slices.Delete(q.entries, at, at+1)
 	return e
 }
 
-// next returns the entry whose turn it is.
-func (q *Queue[T]) next() *Entry[T] {
-	turn := q.takes % FairEvery
-	switch {
-	case len(q.timely) == 0, turn == FairEvery/2 && len(q.late) > 0:
-		return q.late[0]
-	case turn == 0:
-		return q.timely[q.firstOfLowest()]
-	default:
-		return q.timely[0]
-	}
-}
-
 // Remove takes e out of the queue. It reports false if e is not in it.
 func (q *Queue[T]) Remove(e *Entry[T]) bool {
-	part := q.part(e)
-	at := slices.Index(*part, e)
+	at := slices.Index(q.entries, e)
 	if at < 0 {
 		return false
 	}
-	*part = slices.Delete(*part, at, at+1)
-	q.forgetShare()
+	q.entries = slices.Delete(q.entries, at, at+1)
 	return true
 }
 
-// forgetShare lets the late count on the whole pace again once nobody waits: what
-// was left of an overload says nothing on the next one.
-func (q *Queue[T]) forgetShare() {
-	if q.Len() == 0 {
-		q.lateShare = 1
-	}
-}
-
 // GiveUp removes and returns the entries that can't be served in time any
 // more, in queue order.
 func (q *Queue[T]) GiveUp(now time.Time, p Pace) []GivenUp[T] {
-	q.demote(now, p)
 	var out []GivenUp[T]
-	for _, part := range []*[]*Entry[T]{&q.timely, &q.late} {
-		kept := (*part)[:0]
-		for _, e := range *part {
-			if reason := q.reject(now, e, len(kept), p); reason != Kept {
-				out = append(out, GivenUp[T]{e, reason})
-				continue
-			}
-			kept = append(kept, e)
-		}
-		clear((*part)[len(kept):])
-		*part = kept
-	}
-	q.forgetShare()
-	return out
-}
-
-// demote makes those late that can't be answered within their target any more.
-func (q *Queue[T]) demote(now time.Time, p Pace) {
-	kept := q.timely[:0]
-	for _, e := range q.timely {
-		e.late = now.Add(e.service(p)).After(e.Target)
-		if e.late {
-			q.insert(e)
+	kept := q.entries[:0]
+	for _, e := range q.entries {
+		if reason := e.reject(now, len(kept), p); reason != Kept {
+			out = append(out, GivenUp[T]{e, reason})
 			continue
 		}
 		kept = append(kept, e)
 	}
-	clear(q.timely[len(kept):])
-	q.timely = kept
+	clear(q.entries[len(kept):])
+	q.entries = kept
+	return out
 }
 
-// reject says why e, with ahead others before it in its part, should not wait.
-func (q *Queue[T]) reject(now time.Time, e *Entry[T], ahead int, p Pace) Reason {
-	wait := p.wait(ahead)
-	if e.late {
-		wait = q.lateWait(ahead, p)
-	}
-	switch {
-	case now.Add(wait + e.service(p)).After(e.Deadline):
-		return TooLate
-	case now.Add(wait).After(e.giveUp):
-		return WaitedEnough
-	}
-	return Kept
+// place returns the index at which e belongs.
+func (q *Queue[T]) place(e *Entry[T]) int {
+	at, _ := slices.BinarySearchFunc(q.entries, e, order[T])
+	return at
 }
 
-// lateWait is how long a late entry waits with ahead others before it: late entries
-// get the part of the pace that they got lately.
-func (q *Queue[T]) lateWait(ahead int, p Pace) time.Duration {
-	wait := p.wait(ahead)
-	if len(q.timely) == 0 && ahead == 0 {
-		return wait
-	}
-	return time.Duration(float64(wait) / max(q.lateShare, 1.0/FairEvery))
+func (q *Queue[T]) firstOfLowest() int {
+	lowest := q.entries[len(q.entries)-1].Priority
+	at, _ := slices.BinarySearchFunc(q.entries, lowest, func(e *Entry[T], p Priority) int {
+		return cmp.Compare(e.Priority, p)
+	})
+	return at
 }
 
-// part is the part of the queue that e belongs to.
-func (q *Queue[T]) part(e *Entry[T]) *[]*Entry[T] {
-	if e.late {
-		return &q.late
-	}
-	return &q.timely
+func order[T any](a, b *Entry[T]) int {
+	return cmp.Or(
+		cmp.Compare(a.Priority, b.Priority),
+		a.Target.Compare(b.Target),
+		cmp.Compare(a.seq, b.seq),
+	)
 }
 
-// place returns the index at which e belongs in its part.
-func (q *Queue[T]) place(e *Entry[T]) int {
-	order := byTarget[T]
-	if e.late {
-		order = byDeadline[T]
+// service is how long e takes at an upstream.
+func (e *Entry[T]) service(p Pace) time.Duration {
+	if e.Service > 0 {
+		return e.Service
 	}
-	at, _ := slices.BinarySearchFunc(*q.part(e), e, order)
-	return at
-}
-
-func (q *Queue[T]) insert(e *Entry[T]) {
-	part := q.part(e)
-	*part = slices.Insert(*part, q.place(e), e)
+	return p.Service
 }
 
-func (q *Queue[T]) firstOfLowest() int {
-	lowest := q.timely[len(q.timely)-1].Priority
-	at, _ := slices.BinarySearchFunc(q.timely, lowest, func(e *Entry[T], p Priority) int {
-		return cmp.Compare(e.Priority, p)
-	})
-	return at
+// reject says why e, with ahead entries before it, should not wait.
+func (e *Entry[T]) reject(now time.Time, ahead int, p Pace) Reason {
+	wait := p.wait(ahead)
+	if now.Add(wait + e.service(p)).After(e.Target) {
+		return TooLate
+	}
+	if now.Add(wait).After(e.giveUp) {
+		return WaitedEnough
+	}
+	return Kept
 }
