Let each request ask six questions again, whatever they find

What stays: one question for each look of a request that waits, and no choice without a report only for want of questions.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -98,10 +98,9 @@
 		TargetLeft: time.Until(x.usefulUntil()),
 		Left:       x.left(),
 	}
-	asked := x.ask(ctx, group, &info)
+	x.ask(ctx, group, &info)
 	now := info.Now
 	choice, err := group.Picker.Pick(info)
-	x.state.group.questions.learn(asked, err == nil)
 	if err != nil {
 		return binding{}, err
 	}
