Ask all peers for notices at a start; a host that has just started has no answer

Cause: a host that starts asks one peer at random for the notices of leaving upstreams, and serves once it has an answer. Where eight of thirteen hosts were killed and restarted together, 127.136.15.5 asked one that had started as well, took its empty answer for all there is, was ready at 37.609 and sent one request to an upstream that left at 33.3; the other seven had the notice before they were ready. Ruled out: the policy (the daemon of that test uses another, and the notice was missing), configuration (version 2 was in force).

Change: a host that has not fetched notices refuses to answer for others, though it takes in what they send; until it has fetched, a host asks all its peers each second. Where nobody who answers has fetched, as at the first start of a fleet, it goes on when all have answered or timed out.

Test: TestHostThatHasNotFetchedDoesNotAnswer fails without the change.

--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -1,7 +1,7 @@
 // Package notices spreads notices about leaving upstreams between entry hosts:
 // news is pushed at once to a few peers for a few rounds, and everything known
 // is exchanged with one random peer each second. A starting host fetches the
-// notices of a peer before it serves.
+// notices of a peer that has fetched them itself before it serves.
 package notices
 
 import (
@@ -109,36 +109,61 @@
 	s.rounds--
 	text := lifecycle.EncodeNotices(slices.Collect(maps.Values(s.news)))
 	for _, p := range choose(s.conf.Peers(), pushFanOut) {
-		go s.call(p, &noticesv1.ExchangeRequest{Notices: text}, s.awake.Load())
+		go func() { _ = s.call(p, &noticesv1.ExchangeRequest{Notices: text}, 0) }() // others tell it too
 	}
 }
 
-func (s *Spreader) exchange(now time.Time) { s.ask(now, 1) }
+// exchange asks one peer, or all of them until their notices were fetched: a peer
+// that has just started too knows nothing. Where eight of thirteen hosts restarted
+// together, each asked one at random, and one served without a notice that the five
+// others had.
+func (s *Spreader) exchange(now time.Time) {
+	if s.Fetched() {
+		s.ask(now, 1)
+		return
+	}
+	s.ask(now, len(s.conf.Peers()))
+}
 
 // ask exchanges everything known with n peers.
 func (s *Spreader) ask(now time.Time, n int) {
-	text := lifecycle.EncodeNotices(s.conf.Known(now))
-	for _, p := range choose(s.conf.Peers(), n) {
-		go s.call(p, &noticesv1.ExchangeRequest{Notices: text, Want: true}, s.awake.Load())
+	req := &noticesv1.ExchangeRequest{Notices: lifecycle.EncodeNotices(s.conf.Known(now)), Want: true}
+	known := s.conf.Peers()
+	all := n >= len(known)
+	peers := choose(known, n)
+	awake := s.awake.Load()
+	var left, young atomic.Int64
+	left.Store(int64(len(peers)))
+	for _, p := range peers {
+		go func() {
+			if status.Code(s.call(p, req, awake)) == codes.FailedPrecondition {
+				young.Add(1)
+			}
+			if left.Add(-1) == 0 && all && young.Load() > 0 {
+				s.raiseFetched(awake) // nobody who answers has been here for longer
+			}
+		}()
 	}
 }
 
 // call sends one message. A peer that does not answer hears it from another.
 // Awake is when it was asked for.
-func (s *Spreader) call(address string, req *noticesv1.ExchangeRequest, awake uint64) {
+func (s *Spreader) call(address string, req *noticesv1.ExchangeRequest, awake uint64) error {
 	conn, err := s.conf.Pool.Conn(address)
 	if err != nil {
-		return
+		return err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	resp, err := noticesv1.NewNoticesClient(conn).Exchange(ctx, req)
 	if err != nil || !req.GetWant() {
-		return
+		return err
 	}
-	if s.take(ctx, resp.GetNotices()) == nil {
-		s.raiseFetched(awake)
+	if err := s.take(ctx, resp.GetNotices()); err != nil {
+		return err
 	}
+	s.raiseFetched(awake)
+	return nil
 }
 
 // raiseFetched records that notices asked for at awake were taken in. An older
@@ -164,6 +189,9 @@
 	if s.conf.Waking() {
 		return nil, status.Error(codes.Unavailable, "waking from a pause")
 	}
+	if !s.Fetched() {
+		return nil, status.Error(codes.FailedPrecondition, "has not heard of its peers")
+	}
 	err := s.conf.Loop.Call(ctx, func() {
 		resp.Notices = lifecycle.EncodeNotices(s.conf.Known(time.Now()))
 	})
--- a/internal/notices/notices_test.go
+++ b/internal/notices/notices_test.go
@@ -54,6 +54,7 @@
 func TestExchange(t *testing.T) {
 	is := is.New(t)
 	s, merged := newSpreader(t)
+	s.raiseFetched(1)
 	text := lifecycle.EncodeNotices([]lifecycle.Notice{arriving})
 	for _, want := range []bool{false, true} {
 		*merged = nil
@@ -78,6 +79,20 @@
 	is.Equal(*merged, []lifecycle.Notice{arriving})
 }
 
+// TestHostThatHasNotFetchedDoesNotAnswer: it may lack what older peers know, and
+// must not be taken for a host that knows all.
+func TestHostThatHasNotFetchedDoesNotAnswer(t *testing.T) {
+	is := is.New(t)
+	s, merged := newSpreader(t)
+	text := lifecycle.EncodeNotices([]lifecycle.Notice{arriving})
+	_, err := s.Exchange(t.Context(), &noticesv1.ExchangeRequest{Notices: text, Want: true})
+	is.Equal(status.Code(err), codes.FailedPrecondition)
+	is.Equal(*merged, []lifecycle.Notice{arriving})
+	s.raiseFetched(1)
+	_, err = s.Exchange(t.Context(), &noticesv1.ExchangeRequest{Notices: text, Want: true})
+	is.NoErr(err)
+}
+
 func TestMalformedNoticesAreRefused(t *testing.T) {
 	is := is.New(t)
 	s, merged := newSpreader(t)
