--- a/pkg/balancer/probefirst/crowding.go
+++ b/pkg/balancer/probefirst/crowding.go
@@ -28,7 +28,7 @@
 	windowSize = 64
 	// minSamples is the number of samples of each kind from which on the slowdown
 	// counts as known. Work differs by a factor of two from request to request: six
-	// samples alone told hosts of one fleet less than 1.3 where it was 1.65, and these
+	// samples alone gave some hosts of a fleet less than 1.3 where it was 1.65, and these
 	// let requests wait at upstreams whose last slots the others left free.
 	minSamples = 16
 	// tryEvery is the number of choices of which one may use a slot that is otherwise
@@ -38,8 +38,9 @@
 	quietUpTo = 0.67
 	// fullFrom is the share of busy slots above which work may slow down.
 	fullFrom = 0.8
-	// unknownFactor is the slowdown that is assumed until it is known: such an
-	// upstream is then chosen after all others of usual speed.
+	// unknownFactor is the slowdown that is assumed until it is known, between the two
+	// that were measured, 1 and 1.65: such an upstream is chosen after all others of
+	// usual speed.
 	unknownFactor = 1.4
 	// usualUpTo is the reported slowdown up to which a sample is of usual speed.
 	usualUpTo = 1.1
@@ -52,7 +53,7 @@
 
 // window holds the newest samples. Their median counts: a few requests of quite
 // another kind than the others must not move it. A mean over tests of 1 ms among
-// reads of 200 ms told a slowdown of 1.0 where it was 1.6.
+// reads of 200 ms gave a slowdown of 1.0 where it was 1.6.
 type window struct {
 	samples []float64
 	next    int
@@ -133,9 +134,9 @@
 // room is how many requests an upstream with that many slots gets at a time.
 //
 // Where it does more with its last slots left free, they stay free: at a slowdown
-// of 1.65, six slots do the work of 3.6, and four of them that of four. On six days of
-// high load with such services it was worth 0.03 where hosts knew the slowdown from
-// the start, and nothing where each had to learn it first.
+// of 1.65, six slots do the work of 3.6, and four of them that of four. Of 60,542
+// requests on six days of high load with such services 53,470 were answered in time
+// with it, and 52,919 without.
 func (s slowdown) room(slots int) int {
 	if !s.known {
 		return slots
--- a/pkg/balancer/probefirst/probefirst.go
+++ b/pkg/balancer/probefirst/probefirst.go
@@ -148,8 +148,8 @@
 // are fast again sooner than it ends: what is sent there in a rush holds a slot for
 // five times as long as later work would. Without the wait, 60% of the slots in use
 // were held by work that was sent to slow upstreams, in a burst of 2.2 times the usual
-// traffic. Mean worth of nine days, six of them of high load: 0.750 with it, 0.690
-// without.
+// traffic. Of 60,542 requests on six days of high load 53,470 were answered in time with
+// it, and 49,324 without.
 func worthWaiting(info balancer.PickInfo, cost float64) bool {
 	takes := time.Duration(cost * float64(info.Usual))
 	switch {
