Bound what a starting host asks, and test how a fetch of notices ends

Cause: the mend of the start of spindled asked all peers, however many, so that a large fleet that starts would send messages by the square of its size; and the rule by which a fetch ends had no test. Ruled out: asking one peer again and again; among mostly new peers that takes a second for each wrong guess. Change: at most 17 peers at a time, which is all of today's fleets; fetching is a type of its own. TestFetching fails when a fetch may end without any answer. Besides: the ways to lose a host stand once in the tests of pkg/follow, and TestReturnIsSeenWithoutTheFirstHost has all six; with hosts that leave looking to the first one it fails in each.

--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -9,6 +9,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,9 @@
 	exchangeEvery = time.Second
 	callTimeout   = 500 * time.Millisecond
 	refetchFanOut = 4
+	// fetchFanOut bounds the peers that a starting host asks at a time: all the others
+	// of the largest fleets today, which have 18 hosts.
+	fetchFanOut = 17
 )
 
 // Config is what New needs. All fields are required.
@@ -80,7 +84,7 @@
 // goroutine.
 func (s *Spreader) Refetch() {
 	s.awake.Add(1)
-	s.ask(time.Now(), refetchFanOut)
+	s.ask(time.Now(), refetchFanOut, func(error) {})
 }
 
 // Tell pushes news to peers in the next rounds. News about an upstream that is
@@ -109,40 +113,61 @@
 	s.rounds--
 	text := lifecycle.EncodeNotices(slices.Collect(maps.Values(s.news)))
 	for _, p := range choose(s.conf.Peers(), pushFanOut) {
-		go func() { _ = s.call(p, &noticesv1.ExchangeRequest{Notices: text}, 0) }() // others tell it too
+		// A peer that is not reached hears it from others.
+		go func() { _ = s.call(p, &noticesv1.ExchangeRequest{Notices: text}, s.awake.Load()) }()
 	}
 }
 
-// exchange asks one peer, or all of them until their notices were fetched: a peer
-// that has just started too knows nothing. Where eight of thirteen hosts restarted
-// together, each asked one at random, and one served without a notice that the five
-// others had.
+// exchange exchanges everything known with one peer, or fetches until that was
+// done.
 func (s *Spreader) exchange(now time.Time) {
 	if s.Fetched() {
-		s.ask(now, 1)
+		s.ask(now, 1, func(error) {})
 		return
 	}
-	s.ask(now, len(s.conf.Peers()))
+	s.fetch(now)
 }
 
-// ask exchanges everything known with n peers.
-func (s *Spreader) ask(now time.Time, n int) {
+// fetch asks many peers: one that has just started too has nothing to tell. When
+// each host asked a single one, and eight of thirteen were restarted together, one
+// of them served without a notice that the five others had.
+func (s *Spreader) fetch(now time.Time) {
+	awake := s.awake.Load()
+	f := fetching{left: min(fetchFanOut, len(s.conf.Peers()))}
+	s.ask(now, f.left, func(err error) {
+		if f.answered(err) {
+			s.raiseFetched(awake)
+		}
+	})
+}
+
+// fetching is one question to many peers. It is safe for concurrent use.
+type fetching struct {
+	mu       sync.Mutex
+	left     int // peers that have not answered yet
+	starting int // of those that have, the ones without knowledge of their own
+}
+
+// answered takes in how one call ended. It reports true when it was the last one,
+// and some peers answered that they have fetched nothing either: with none that
+// has been there for longer, a fleet that starts must not wait for one. Without any
+// answer nothing is known of the fleet.
+func (f *fetching) answered(err error) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.left--
+	if status.Code(err) == codes.FailedPrecondition {
+		f.starting++
+	}
+	return f.left == 0 && f.starting > 0
+}
+
+// ask exchanges everything known with n peers, and tells how each call ended.
+func (s *Spreader) ask(now time.Time, n int, ended func(error)) {
 	req := &noticesv1.ExchangeRequest{Notices: lifecycle.EncodeNotices(s.conf.Known(now)), Want: true}
-	known := s.conf.Peers()
-	all := n >= len(known)
-	peers := choose(known, n)
 	awake := s.awake.Load()
-	var left, young atomic.Int64
-	left.Store(int64(len(peers)))
-	for _, p := range peers {
-		go func() {
-			if status.Code(s.call(p, req, awake)) == codes.FailedPrecondition {
-				young.Add(1)
-			}
-			if left.Add(-1) == 0 && all && young.Load() > 0 {
-				s.raiseFetched(awake) // nobody who answers has been here for longer
-			}
-		}()
+	for _, p := range choose(s.conf.Peers(), n) {
+		go func() { ended(s.call(p, req, awake)) }()
 	}
 }
 
@@ -190,7 +215,7 @@
 		return nil, status.Error(codes.Unavailable, "waking from a pause")
 	}
 	if !s.Fetched() {
-		return nil, status.Error(codes.FailedPrecondition, "has not heard of its peers")
+		return nil, status.Error(codes.FailedPrecondition, "has not fetched notices itself")
 	}
 	err := s.conf.Loop.Call(ctx, func() {
 		resp.Notices = lifecycle.EncodeNotices(s.conf.Known(time.Now()))
--- a/internal/notices/notices_test.go
+++ b/internal/notices/notices_test.go
@@ -137,3 +137,27 @@
 	s.raiseFetched(1)
 	is.True(s.Fetched())
 }
+
+// TestFetching: a start goes on without any older peer only when all peers that
+// were asked have answered or failed, and at least one answered.
+func TestFetching(t *testing.T) {
+	starting := status.Error(codes.FailedPrecondition, "")
+	failed := status.Error(codes.Unavailable, "")
+	for name, test := range map[string]struct {
+		ends []error
+		done bool
+	}{
+		"all start":           {[]error{starting, starting, starting}, true},
+		"some are down":       {[]error{starting, failed, failed}, true},
+		"all are down":        {[]error{failed, failed, failed}, false},
+		"one answers at last": {[]error{failed, failed, starting}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := fetching{left: len(test.ends)}
+			for i, err := range test.ends {
+				is.Equal(f.answered(err), test.done && i == len(test.ends)-1)
+			}
+		})
+	}
+}
--- a/pkg/follow/fleet_test.go
+++ b/pkg/follow/fleet_test.go
@@ -57,17 +57,20 @@
 	is.True(w.calls <= 20)
 }
 
+// losses are the ways in which a host stops doing its part.
+var losses = map[string]func(h *host){
+	"killed":              (*host).kill,
+	"paused":              (*host).pause,
+	"cut from the store":  func(h *host) { h.store, h.harmed = silent, h.world.now },
+	"refused":             func(h *host) { h.store, h.harmed = refused, h.world.now },
+	"cut from its peers":  func(h *host) { h.peers = silent },
+	"cut from everything": func(h *host) { h.peers, h.store, h.harmed = silent, silent, h.world.now },
+}
+
 // TestFirstHostIsGone takes the first host away in each way, right before a
 // change, while all believe that it is there.
 func TestFirstHostIsGone(t *testing.T) {
-	for name, fault := range map[string]func(h *host){
-		"killed":              (*host).kill,
-		"paused":              (*host).pause,
-		"cut from the store":  func(h *host) { h.store, h.harmed = silent, h.world.now },
-		"refused":             func(h *host) { h.store, h.harmed = refused, h.world.now },
-		"cut from its peers":  func(h *host) { h.peers = silent },
-		"cut from everything": func(h *host) { h.peers, h.store, h.harmed = silent, silent, h.world.now },
-	} {
+	for name, fault := range losses {
 		t.Run(name, func(t *testing.T) {
 			for offset := range 20 {
 				w := newWorld(uint64(offset), 18, 4)
@@ -145,13 +148,7 @@
 // TestReturnIsSeenWithoutTheFirstHost: the host that looks for all is taken away
 // while the store is; what changes when it is back is known in time.
 func TestReturnIsSeenWithoutTheFirstHost(t *testing.T) {
-	for name, fault := range map[string]func(h *host){
-		"killed":             (*host).kill,
-		"paused":             (*host).pause,
-		"cut from the store": func(h *host) { h.store, h.harmed = silent, h.world.now },
-		"refused":            func(h *host) { h.store, h.harmed = refused, h.world.now },
-		"cut from its peers": func(h *host) { h.peers = silent },
-	} {
+	for name, fault := range losses {
 		t.Run(name, func(t *testing.T) {
 			for offset := range 20 {
 				w := newWorld(uint64(offset), 18, 4)
