--- a/internal/proxy/ask.go
+++ b/internal/proxy/ask.go
@@ -27,10 +27,8 @@
 	}
 	for round := 0; ctx.Err() == nil; round++ {
 		list := policy.Ask(*info, round)
-		wanted := len(list)
-		list = list[:x.state.group.questions.take(wanted)]
+		list = list[:x.state.group.questions.take(len(list))]
 		if len(list) == 0 {
-			info.Unasked = wanted > 0
 			return
 		}
 		x.proxy.asker.Ask(ctx, group, list)
--- /dev/null
+++ b/internal/proxy/group_test.go
@@ -0,0 +1,39 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/event"
+)
+
+// TestPaceOfARegisteredService: its group has no limit that counts the requests at
+// the upstreams, and its queue is served as fast all the same.
+func TestPaceOfARegisteredService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		answer := make(chan struct{})
+		sender := senderFunc(func(context.Context, string, *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+			<-answer
+			return ok(), nil
+		})
+		p := dialectProxy(registeredService(lookup(), map[string]int{"a": 1}), sender, event.Discard{})
+		g := p.state.Load().groups[groupName{group: "a"}]
+		var served sync.WaitGroup
+		for range 3 {
+			served.Go(func() { p.Serve(t.Context(), dialectRequest("GET")) })
+		}
+		synctest.Wait()
+		busy := g.pace().Parallel
+		close(answer)
+		served.Wait()
+		is.Equal(busy, 3)
+		is.Equal(g.pace().Parallel, 0)
+	})
+}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -46,8 +46,6 @@
 	// Extra is true for a second attempt beside one that is still running: it is
 	// only worth its price at an upstream that is fast now.
 	Extra bool
-	// Unasked states that the policy wanted to ask more upstreams than it may.
-	Unasked bool
 	// Usual is how long upstreams usually take for such a request; 0 if unknown.
 	Usual time.Duration
 	// TargetLeft is the time in which an answer has its full worth; negative when
--- a/pkg/balancer/probefirst/probefirst.go
+++ b/pkg/balancer/probefirst/probefirst.go
@@ -131,8 +131,8 @@
 		p.crowding.chosen(c.upstream.Load())
 		return balancer.Result{Upstream: c.upstream, Reason: reason}, nil
 	}
-	if info.Extra || info.Unasked {
-		return balancer.Result{RetryAfter: FreshFor}, balancer.ErrNoSlot
+	if info.Extra {
+		return balancer.Result{}, balancer.ErrNoSlot
 	}
 	if u := p.blind(info); u != nil {
 		return balancer.Result{Upstream: u, Reason: "no-report"}, nil
