Tell callers of a rule without a target to stay away as before

Cause: the time to come back after upstreams refused is spread over an eighth of the rule's target. A rule may have none; it then said 0, and all callers that were refused would come back at once. Found by reading the change again; rules of the users' platform always have a target. Ruled out: an eighth of the deadline, which says nothing of how soon is of use. After: as for any other refusal, up to 2 s and more by the excess. TestShedByUpstreamsComesBackSoon fails without the change in its last line.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -103,7 +103,7 @@
 	}
 	g := x.state.group
 	target := x.rule.Config.TargetLatency.Std()
-	if kind == errkind.UpstreamRefused && g.waiting.Load() == 0 {
+	if kind == errkind.UpstreamRefused && target > 0 && g.waiting.Load() == 0 {
 		return limit.RetryAfterShed(target, x.proxy.random())
 	}
 	return max(limit.RetryAfter(g.excess.Ratio(), x.proxy.random()), target/comeBackDivisor)
--- a/internal/proxy/dialect_test.go
+++ b/internal/proxy/dialect_test.go
@@ -16,6 +16,7 @@
 	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/limit"
 	"github.com/dapplespindle/dapplespindle/pkg/routing"
 )
 
@@ -224,6 +225,9 @@
 	is.True(x.comeBack(errkind.UpstreamRefused) >= target/comeBackDivisor)
 	g.waiting.Store(0)
 	is.True(x.comeBack(errkind.Overloaded) >= target/comeBackDivisor)
+	rule.TargetLatency = 0 // nothing says what soon is
+	x.proxy.random = func() uint64 { return 1 << 63 }
+	is.Equal(x.comeBack(errkind.UpstreamRefused), limit.RetryAfterBase/2)
 }
 
 // trailRecorder keeps what Ended was told.
