Say what the new fields and waits are in the field's usual terms

Cause: comments of the new code spoke of what an answer is worth and until when, which are words of the users' pages; a newcomer looks for target latency and deadline. Ruled out: renaming Target and Deadline, which say it already.

--- a/internal/httpwire/serverconn.go
+++ b/internal/httpwire/serverconn.go
@@ -165,10 +165,10 @@
 	c.overflow = len(c.held) > c.maxHeld()
 }
 
-// maxHeld is how much hold keeps, in bytes. A caller that has read its answer,
-// as far as the kernel took it, may send the next request before finished is
-// called. The answer said that the connection stays open, so a whole request
-// must fit: without that, of 384 runs of three 8 MB bodies one after the other
+// maxHeld is how much hold keeps, in bytes. The caller may have read the whole
+// answer, and have sent its next request, before finished is called. The answer
+// said that the connection stays open, so a whole request must fit: without that,
+// of 384 runs of three 8 MB bodies one after the other
 // beside load, 11 were cut off without an answer.
 func (c *serverConn) maxHeld() int {
 	if !c.answering {
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -48,10 +48,9 @@
 	Extra bool
 	// Usual is how long upstreams usually take for such a request; 0 if unknown.
 	Usual time.Duration
-	// TargetLeft is the time in which an answer has its full worth; negative when
-	// that is over.
+	// TargetLeft is what is left of the target latency; negative once it has passed.
 	TargetLeft time.Duration
-	// Left is the time in which an answer has any worth.
+	// Left is what is left of the deadline.
 	Left time.Duration
 }
 
--- a/pkg/balancer/probefirst/probefirst.go
+++ b/pkg/balancer/probefirst/probefirst.go
@@ -141,12 +141,12 @@
 }
 
 // worthWaiting reports whether a request should rather wait for a faster upstream
-// than go to one of the given cost. It waits as long as it would lose there, and
-// so loses at most twice what a choice that knows the future does.
+// than go to one of the given cost. It waits for as long as the slow one would take
+// longer than usual, so that the delay is at most twice that of the best choice.
 //
-// Work is as slow as its upstream is when it starts, and upstreams that are slow
-// are fast again sooner than it ends: what is sent there in a rush holds a slot for
-// five times as long as later work would. Without the wait, 60% of the slots in use
+// Work is as slow as its upstream is when it starts, and upstreams that are slow are
+// fast again sooner than it ends: a request that is sent there at once holds a slot
+// five times as long as one that is sent later. Without the wait, 60% of the slots in use
 // were held by work that was sent to slow upstreams, in a burst of 2.2 times the usual
 // traffic. Of 60,542 requests on six days of high load 53,470 were answered in time with
 // it, and 49,324 without.
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -57,10 +57,10 @@
 	Value T
 	// Priority comes first in the order.
 	Priority Priority
-	// Target is until when an answer has its whole worth; it comes second in the
-	// order. Zero means Deadline.
+	// Target is when the target latency passes; it comes second in the order. Zero
+	// means Deadline.
 	Target time.Time
-	// Deadline is until when an answer has any worth.
+	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 	// Service is how long the request takes at an upstream; 0 means the pace's.
 	Service time.Duration
