--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -61,6 +61,20 @@
 	c.publish(fresh)
 }
 
+// readPart takes in the first part of everything that is published. Upstreams are
+// listed in no order that means anything, so that a part of them is as good a choice
+// as all, and a host that has just started serves by as much earlier as the rest takes.
+func (c *controller) readPart(s *source.State) {
+	if c.listed {
+		return
+	}
+	for _, u := range s.Upstreams {
+		c.set.Put(u)
+	}
+	c.listed = true
+	c.publish(c.configure(s.Configuration))
+}
+
 // changed takes in what has changed, and puts it in force at once.
 func (c *controller) changed(changes *source.Changes) {
 	now := time.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,6 +195,7 @@
 		Store:        store,
 		Follow:       g.followConfig(),
 		Read:         func(s *source.State) { g.surely(func() { g.control.read(s) }) },
+		Part:         func(s *source.State) { g.surely(func() { g.control.readPart(s) }) },
 		Changed:      func(c *source.Changes) { g.surely(func() { g.control.changed(c) }) },
 		Returned:     func(at time.Time) { g.surely(func() { g.control.returned(at) }) },
 		Events:       g.sink,
--- a/internal/news/answer.go
+++ b/internal/news/answer.go
@@ -13,7 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/dapplespindle/dapplespindle/internal/httpjson"
+	"github.com/dapplespindle/dapplespindle/internal/httpget"
 	"github.com/dapplespindle/dapplespindle/internal/source"
 )
 
@@ -106,7 +106,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return nil, &httpjson.StatusError{Code: resp.StatusCode}
+		return nil, &httpget.StatusError{Code: resp.StatusCode}
 	}
 	told := new(source.Told)
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(told); err != nil {
--- a/internal/news/news_test.go
+++ b/internal/news/news_test.go
@@ -14,7 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
-	"github.com/dapplespindle/dapplespindle/internal/httpjson"
+	"github.com/dapplespindle/dapplespindle/internal/httpget"
 	"github.com/dapplespindle/dapplespindle/internal/source"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
@@ -158,7 +158,7 @@
 	is := is.New(t)
 	a, b := begin(t), begin(t)
 	_, err := a.Ask(t.Context(), b.address, 0)
-	status := new(httpjson.StatusError)
+	status := new(httpget.StatusError)
 	is.True(errors.As(err, &status))
 	is.Equal(status.Code, http.StatusServiceUnavailable)
 	told := b.message(0)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -13,7 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/dapplespindle/dapplespindle/internal/httpjson"
+	"github.com/dapplespindle/dapplespindle/internal/httpget"
 )
 
 // Change is one published version of one document.
@@ -83,7 +83,7 @@
 }
 
 // Watch returns the changes after revision, waiting up to wait for one. The
-// error is one of internal/httpjson.
+// error is one of internal/httpget.
 func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error) {
 	q := url.Values{
 		"after": {strconv.FormatUint(after, 10)},
@@ -100,5 +100,5 @@
 }
 
 func (c *Client) get(ctx context.Context, path string, out any) error {
-	return errors.Wrap(httpjson.Get(ctx, c.http, c.base+path, maxAnswerBytes, out), "platform")
+	return errors.Wrap(httpget.JSON(ctx, c.http, c.base+path, maxAnswerBytes, out), "platform")
 }
--- a/internal/source/follower.go
+++ b/internal/source/follower.go
@@ -22,6 +22,9 @@
 	// Read takes in everything that is published. Like Changed and Returned it is
 	// called on the follower's goroutine.
 	Read func(*State)
+	// Part takes in the first part of everything, while a host that knows nothing yet
+	// reads the rest.
+	Part func(*State)
 	// Changed takes in changes.
 	Changed func(*Changes)
 	// Returned is told since when the store answers again after an outage in which
@@ -146,7 +149,7 @@
 func (f *Follower) read(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, f.conf.ReadTimeout)
 	defer cancel()
-	state, err := f.conf.Store.Read(callCtx)
+	state, err := f.conf.Store.Read(callCtx, func(s *State) { f.post(ctx, func() { f.takePart(s) }) })
 	f.post(ctx, func() {
 		var revision uint64
 		if err == nil {
@@ -202,6 +205,13 @@
 	f.conf.Read(s)
 }
 
+// takePart lets a host that knows nothing serve with what it has read so far.
+func (f *Follower) takePart(s *State) {
+	if f.mirror.revision == 0 {
+		f.conf.Part(s)
+	}
+}
+
 // take puts changes in force. Those that are known already change nothing.
 func (f *Follower) take(c *Changes) {
 	f.mirror.apply(c)
--- a/internal/source/follower_test.go
+++ b/internal/source/follower_test.go
@@ -65,7 +65,7 @@
 	return nil
 }
 
-func (s *fakeStore) Read(ctx context.Context) (*State, error) {
+func (s *fakeStore) Read(ctx context.Context, _ func(*State)) (*State, error) {
 	if err := s.call(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -17,8 +17,9 @@
 
 // Store reads what is published. Calls end with their context.
 type Store interface {
-	// Read returns everything, and the revision from which a watch misses nothing.
-	Read(ctx context.Context) (*State, error)
+	// Read returns everything, and the revision from which a watch misses nothing. If
+	// that takes several calls, part is given what the first one told.
+	Read(ctx context.Context, part func(*State)) (*State, error)
 	// Watch returns the changes after a revision, waiting up to wait for one. The
 	// error is ErrHistoryLost when the store no longer has all of them.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
-	"github.com/dapplespindle/dapplespindle/internal/httpjson"
+	"github.com/dapplespindle/dapplespindle/internal/httpget"
 	"github.com/dapplespindle/dapplespindle/internal/platform"
 )
 
@@ -72,7 +72,7 @@
 // status returns the status of a refused read, or 0.
 func status(c *platform.Client) int {
 	_, err := c.Watch(context.Background(), 0, 0)
-	var refused *httpjson.StatusError
+	var refused *httpget.StatusError
 	if errors.As(err, &refused) {
 		return refused.Code
 	}
