Let requests wait for a host that has just started

Cause: while all hosts of a fleet start, the platform's balancer sends callers to them all the same. Change: in the first second of a host's life a request waits for the first configuration, for 250 ms at the most; a host that gets none then refuses at once, as before. Who is refused in that second may come back within 250 ms. Ruled out: waiting for longer (the shortest targets are 200 to 400 ms), waiting without a bound on requests (512).

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -99,6 +99,9 @@
 // back, spread by the excess.
 func (x *exchange) comeBack(kind errkind.Kind) time.Duration {
 	if x.state == nil {
+		if kind == errkind.NotReady && x.proxy.starting.recent(time.Now()) {
+			return limit.RetryAfterStart(x.proxy.random())
+		}
 		return limit.RetryAfter(0, x.proxy.random())
 	}
 	g := x.state.group
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -45,6 +45,7 @@
 	random    func() uint64
 	nextID    atomic.Uint64
 	state     atomic.Pointer[snapshot]
+	starting  *starting
 
 	// entryHosts belongs to the control goroutine.
 	entryHosts int
@@ -76,6 +77,10 @@
 	p.sharedBudget = func() *retry.Budget { return retry.NewBudgetWithReserve(percent, reserve) }
 }
 
+// WithStartHold lets requests that come before the first configuration wait for it,
+// for a moment after New.
+func WithStartHold() Option { return func(p *Proxy) { p.starting = newStarting(true) } }
+
 // WithRandom takes random numbers from f, which must be safe for concurrent use.
 func WithRandom(f func() uint64) Option { return func(p *Proxy) { p.random = f } }
 
@@ -91,6 +96,7 @@
 		dialect:    OwnDialect(),
 		random:     rand.Uint64,
 		entryHosts: 1,
+		starting:   newStarting(false),
 		newBudget:  retry.NewBudget,
 		newLimiter: newLimiter,
 		sharedBudget: func() *retry.Budget {
@@ -106,6 +112,7 @@
 // SetTable publishes a routing table. The control goroutine calls it.
 func (p *Proxy) SetTable(t *routing.Table) {
 	p.state.Store(p.nextSnapshot(p.state.Load(), t))
+	p.starting.done()
 }
 
 // SetGroup publishes a newer snapshot of a group that the table has, when
@@ -160,6 +167,9 @@
 }
 
 func (x *exchange) respond(ctx context.Context) *httpwire.Response {
+	if !x.proxy.Ready() {
+		x.proxy.starting.wait(ctx, x.req.Received)
+	}
 	if err := x.admit(); err != nil {
 		return x.refuse(execution.Undecided(x.req.Header, err))
 	}
--- a/pkg/limit/retryafter.go
+++ b/pkg/limit/retryafter.go
@@ -66,6 +66,15 @@
 	return spread(target/shedDivisor, random)
 }
 
+// startSpread is the width of the spread after a refusal of a host that has just
+// started. Other hosts are ready, or will be within a few hundred milliseconds where
+// all have started at once.
+const startSpread = 250 * time.Millisecond
+
+// RetryAfterStart returns when a caller should come back that a host refused which
+// has just started and knows nothing yet. Random is a uniformly distributed number.
+func RetryAfterStart(random uint64) time.Duration { return spread(startSpread, random) }
+
 // spread returns a time below width.
 func spread(width time.Duration, random uint64) time.Duration {
 	fraction := float64(random>>11) / (1 << 53)
