--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -75,6 +75,7 @@
 	if c.listed || !servesWith(s) {
 		return false
 	}
+	c.gateway.emit(event.Event{Code: event.UpstreamsRead, Reason: "part", Value: int64(len(s.Upstreams))})
 	for _, u := range s.Upstreams {
 		c.set.Put(u)
 	}
--- a/pkg/event/config_events.go
+++ b/pkg/event/config_events.go
@@ -48,7 +48,7 @@
 	StoreItemRejected:    {"store-item-rejected", Warn, "A published item can't be decoded and is ignored; the detail names the field.", "revision"},
 	ConfigurationInForce: {"configuration-in-force", Info, "A whole configuration is in force on this entry host.", "version"},
 	ConfigurationOld:     {"configuration-old", Info, "A configuration that is not newer than the one in force is ignored.", "version"},
-	UpstreamsRead:        {"upstreams-read", Info, "All registered upstreams were read.", "upstreams"},
+	UpstreamsRead:        {"upstreams-read", Info, "All registered upstreams were read; with the reason part, enough of them to begin with.", "upstreams"},
 	StoreWatchBehind:     {"store-watch-behind", Info, "A waiting watch did not tell of a change that a check saw; it is begun anew.", "revision known"},
 	StorePeerSilent:      {"store-peer-silent", Info, "A peer that told of a newer revision did not hand over the changes; the store is asked.", "revision of the peer"},
 	StorePeerTold:        {"store-peer-told", Info, "A peer told of changes of the store, which are in force; the reason is its address.", "revision"},
