Run repeatable requests of one connection side by side

Each was taken up when the one before was answered, so that the second of two waited for the sum of both, 600 ms of a target of 800. The hosts' logs did not show it: their clock began when a request was taken up (169 late there, 573 at the callers). Ruled out: processor time (the same without it), slow or full upstreams (266 of 668 late ones by the logs), retries (27 tries of 14,380 ended otherwise than by an answer), rolling stops (one host each two seconds).

--- a/internal/httpwire/guard.go
+++ b/internal/httpwire/guard.go
@@ -76,7 +76,8 @@
 		return
 	}
 	c.scanner.ResetRequest(c.server.limits.Load().framing())
-	c.server.workers.start(job{conn: c, req: req})
+	c.start(req)
+	c.ahead()
 }
 
 var errNotOneMessage = errors.New("not exactly one message")
@@ -139,6 +140,7 @@
 	c.state = connClosing
 	c.buf = nil
 	c.held = nil
+	c.pending = nil
 	if c.tls != nil {
 		c.tls.CloseWrite()
 	}
--- a/internal/httpwire/message.go
+++ b/internal/httpwire/message.go
@@ -3,7 +3,8 @@
 // The event loop and the parser are nbhttp's. In front of the parser stands a
 // guard: it frames each message strictly (package framing), shows the parser
 // one whole message at a time, and holds back pipelined bytes until the answer
-// is written, so that answers keep the order of their requests.
+// is written, or lets requests that may run twice run beside those before them.
+// Answers keep the order of their requests.
 package httpwire
 
 import (
@@ -35,6 +36,10 @@
 
 	minor     int
 	keepAlive bool
+	// turn is closed when the answers before this one are written; nil if there are
+	// none. Answered is closed when this one's is; nil if nothing waits for it.
+	turn     <-chan struct{}
+	answered chan struct{}
 }
 
 // Response is a complete answer.
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -25,6 +25,7 @@
 	stopping atomic.Bool
 	limits   atomic.Pointer[Limits]
 	workers  workers
+	ahead    Ahead // nil serves the requests of a connection one by one
 
 	mu    sync.Mutex
 	conns map[*serverConn]struct{}
@@ -56,6 +57,7 @@
 	conf = conf.withDefaults()
 	s := &Server{conf: conf, conns: make(map[*serverConn]struct{})}
 	s.workers.serve = s.serve
+	s.ahead, _ = conf.Handler.(Ahead)
 	s.SetLimits(Limits{
 		HeadBytes:   conf.MaxHeadBytes,
 		BodyBytes:   conf.MaxBodyBytes,
@@ -178,19 +180,22 @@
 	s.mu.Unlock()
 }
 
-// serve answers one request and then lets the connection take the next one.
+// serve answers one request, after those before it, and then lets the connection take
+// the next one.
 func (s *Server) serve(c *serverConn, req *Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	resp := s.handle(c, req)
-	if c.startAnswer() || s.stopping.Load() {
-		req.keepAlive = false
+	if !c.awaitTurn(req) {
+		return
 	}
+	c.startAnswer(req, s.stopping.Load())
 	if err := c.writeResponse(req, resp); err != nil {
+		c.abandon()
 		socket.End(c.conn)
 		return
 	}
-	c.finished(req.keepAlive)
+	c.finished(req)
 }
 
 // handle calls the handler. A panic ends this request, not the process.
--- a/internal/httpwire/serverconn.go
+++ b/internal/httpwire/serverconn.go
@@ -25,7 +25,7 @@
 	connHead
 	// connBody has received a head and waits for the rest of the body.
 	connBody
-	// connServing has one request in flight.
+	// connServing has requests in flight.
 	connServing
 	// connClosing has sent its last answer and drops what still arrives.
 	connClosing
@@ -68,6 +68,15 @@
 	// answering is true once the answer to the request in flight is being
 	// written: it has said whether the connection stays open.
 	answering bool
+	// inFlight counts the requests that are served, and newest is the last of them.
+	inFlight int
+	newest   *Request
+	// pending was taken up, and waits until nothing is in flight.
+	pending *Request
+	// ending is true once no further request is served.
+	ending bool
+	// unfit is true while what is held can't be taken up ahead.
+	unfit bool
 	// dropped counts the bytes that arrived while closing.
 	dropped int
 	alarm   alarm
@@ -93,7 +102,7 @@
 		c.awaitHandshake()
 		return c
 	}
-	c.alarm.set(time.Now(), s.limits.Load().IdleTimeout, c.onAlarm)
+	c.rest()
 	return c
 }
 
@@ -127,6 +136,7 @@
 	switch c.state {
 	case connServing:
 		c.hold(data)
+		return c.ahead(), nil
 	case connClosing:
 		return false, c.drop(len(data))
 	case connClosed:
@@ -135,7 +145,6 @@
 		c.receive(data, false)
 		return c.state == connServing, nil
 	}
-	return false, nil
 }
 
 // CloseAndClean implements nbhttp.ParserCloser; it is called once, when the
@@ -152,6 +161,7 @@
 	c.alarm.stop()
 	c.buf = nil
 	c.held = nil
+	c.pending = nil
 	c.parser.CloseAndClean(err)
 }
 
@@ -177,35 +187,8 @@
 	return c.server.limits.Load().framing().MessageBytes() + maxPipelinedBytes
 }
 
-// startAnswer reports whether more was sent than is held, so that the answer
-// must say that the connection closes. If it doesn't, a whole request is held
-// from now on, and is taken up or refused when the answer is written.
-func (c *serverConn) startAnswer() (overflow bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.answering = true
-	return c.overflow
-}
-
-// finished is called when the answer is written. It takes up the bytes that
-// were held back, or waits for the next request.
-func (c *serverConn) finished(keepAlive bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.answering = false
-	if c.state != connServing {
-		return
-	}
-	if !keepAlive {
-		c.linger()
-		return
-	}
-	c.state = connIdle
-	if held := c.held; len(held) > 0 {
-		c.held = nil
-		c.receive(held, true)
-		return
-	}
+// rest waits for the next request.
+func (c *serverConn) rest() {
 	c.alarm.set(time.Now(), c.server.limits.Load().IdleTimeout, c.onAlarm)
 }
 
--- a/internal/httpwire/tls.go
+++ b/internal/httpwire/tls.go
@@ -38,7 +38,7 @@
 	}
 	c.state = connIdle
 	c.secured = true
-	c.alarm.set(time.Now(), c.server.limits.Load().IdleTimeout, c.onAlarm)
+	c.rest()
 	return true
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -166,6 +166,17 @@
 	return resp
 }
 
+// MayRunAhead implements httpwire.Ahead: a repeatable request may run while earlier
+// requests of its connection do.
+func (p *Proxy) MayRunAhead(req *httpwire.Request) bool {
+	s := p.state.Load()
+	if s == nil {
+		return false
+	}
+	rule := s.table.Route(req.Method, req.Host, req.Path)
+	return rule != nil && rule.Config.Repeat == config.Repeatable
+}
+
 func (x *exchange) respond(ctx context.Context) *httpwire.Response {
 	if !x.proxy.Ready() {
 		x.proxy.starting.wait(ctx, x.req.Received)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -250,3 +250,15 @@
 }
 
 var _ balancer.Picker = (*slotPicker)(nil)
+
+// TestOnlyRepeatableRequestsRunAhead: what must not run twice waits for the answers
+// before it, and so does everything while there is no configuration.
+func TestOnlyRepeatableRequestsRunAhead(t *testing.T) {
+	is := is.New(t)
+	events := &recorder{}
+	p := newProxy(service(3, lookup(), sale()), leastOutstanding, nil, events)
+	is.True(p.MayRunAhead(request("GET")))
+	is.True(!p.MayRunAhead(request("POST")))
+	is.True(!p.MayRunAhead(request("PUT"))) // no rule
+	is.True(!New("127.0.0.1", "test", nil, events).MayRunAhead(request("GET")))
+}
