Give the ring of a test room for both of its requests

The ring of 1,024 events has 64 shards of 16; the test emits 20 events of two requests, and expects all ten of one. Where both requests' ids fall into one shard, one in 64 by the hash's random seed, 16 are kept, as the ring promises. The check is the same; the ring is as large as it assumed.

--- a/internal/events/ring_test.go
+++ b/internal/events/ring_test.go
@@ -15,8 +15,9 @@
 
 func TestLookupFindsTheEventsOfOneRequest(t *testing.T) {
 	is := is.New(t)
-	r := NewRing(Config{Capacity: 1024})
-	for i := range 20 {
+	const sends = 20 // both requests may stand in one shard
+	r := NewRing(Config{Capacity: numShards * sends})
+	for i := range sends {
 		id := strconv.Itoa(i % 2)
 		r.Emit(event.Event{Code: event.UpstreamChosen, Request: id, At: start, Attempt: i})
 	}
