Ask hosts that only the platform lists for plans, and name those not asked

Cause of the red run of TestSecondOperatorIsTold: a plan asks the members of the answering host's membership that are alive. That host heard of the first entry host 2.1 s after it was ready, as its log says; so it asked sixteen of eighteen, and its silence read as "nobody else planned". Ruled out: the order of recording and asking (each host records first), a lost answer (an error was passed over too, but none of the hosts was away).

A plan says which hosts gave no answer, whatever their state.

TestPlanAsksHostsThatOnlyThePlatformLists and TestPlanNamesHostsThatGaveNoAnswer (5 states) fail without the change by construction: such hosts were not in the view, and errors were dropped.

--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -61,6 +61,9 @@
 		}
 		out = append(out, member)
 	}
+	for _, a := range s.Unheard {
+		out = append(out, operator.Member{Host: a.String(), PeerAddress: a.String(), State: operator.Unheard})
+	}
 	return out
 }
 
--- a/internal/operator/follow.go
+++ b/internal/operator/follow.go
@@ -33,7 +33,7 @@
 		}
 		update := f.step(state, s.conf.Fleet.Members())
 		if update.GetState() == operatorv1.FollowUpdate_STATE_SUPERSEDED {
-			update.PlannedBy = plannedBy(s.issuedPlans(stream.Context(), req.GetKey()), update.GetCurrent().GetDigest())
+			update.PlannedBy = plannedBy(s.issuedPlans(stream.Context(), req.GetKey()).plans, update.GetCurrent().GetDigest())
 		}
 		if !proto.Equal(update, last) {
 			if err := send(stream, update); err != nil {
@@ -182,6 +182,8 @@
 	switch {
 	case m.Self:
 		return ""
+	case m.State == Unheard:
+		return "on the platform's list, never heard of"
 	case m.Revision < f.target && m.State == Suspect:
 		return fmt.Sprintf("not heard of; last at revision %d, before %d", m.Revision, f.target)
 	case m.Revision < f.target:
--- a/internal/operator/issued.go
+++ b/internal/operator/issued.go
@@ -1,7 +1,9 @@
 package operator
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -12,33 +14,64 @@
 	"github.com/dapplespindle/dapplespindle/pkg/plan"
 )
 
-// issuedPlans returns the recent plans of a document on this host and on the
-// peers that are alive. A peer that gives no answer is passed over: the plans
-// only make an answer more telling.
-func (s *Server) issuedPlans(ctx context.Context, key string) []issuedPlan {
-	out := s.history.plans(key)
+// issuedPlans are the recent plans of one document, oldest first.
+type issuedPlans struct {
+	plans []issuedPlan
+	// unasked are the hosts that gave no answer, by name.
+	unasked []unaskedHost
+}
+
+// unaskedHost is a host that could not be asked, and why.
+type unaskedHost struct {
+	host, reason string
+}
+
+// issuedPlans returns the recent plans of a document on this host and on all others,
+// those included that only the platform's list names. Where a host is held for dead,
+// operators may reach it all the same.
+func (s *Server) issuedPlans(ctx context.Context, key string) issuedPlans {
+	out := issuedPlans{plans: s.history.plans(key)}
 	var peers []Member
 	for _, m := range s.conf.Fleet.Members() {
-		if m.State == Alive && !m.Self {
+		if !m.Self {
 			peers = append(peers, m)
 		}
 	}
 	var mu sync.Mutex
 	s.askAll(ctx, peers, func(ctx context.Context, _ int, m Member) {
 		list, err := s.conf.Peers.Plans(ctx, m, key)
+		mu.Lock()
+		defer mu.Unlock()
 		if err != nil {
+			out.unasked = append(out.unasked, unaskedHost{m.Host, reason(err)})
 			return
 		}
-		mu.Lock()
-		defer mu.Unlock()
 		for _, p := range list {
-			out = append(out, issuedFrom(key, p))
+			out.plans = append(out.plans, issuedFrom(key, p))
 		}
 	})
-	slices.SortStableFunc(out, func(a, b issuedPlan) int { return a.at.Compare(b.at) })
+	slices.SortStableFunc(out.plans, func(a, b issuedPlan) int { return a.at.Compare(b.at) })
+	slices.SortFunc(out.unasked, func(a, b unaskedHost) int { return cmp.Compare(a.host, b.host) })
 	return out
 }
 
+// maxUnaskedNamed bounds the hosts that one warning names.
+const maxUnaskedNamed = 4
+
+// unaskedWarning says which hosts may know of plans that nobody told of; it is empty
+// if all were asked.
+func (p *issuedPlans) unaskedWarning() string {
+	if len(p.unasked) == 0 {
+		return ""
+	}
+	var named []string
+	for _, u := range p.unasked[:min(len(p.unasked), maxUnaskedNamed)] {
+		named = append(named, u.host+" ("+u.reason+")")
+	}
+	return fmt.Sprintf("%d entry hosts could not be asked for plans of other operators: %s",
+		len(p.unasked), strings.Join(named, ", "))
+}
+
 func issuedFrom(key string, p *operatorv1.IssuedPlan) issuedPlan {
 	b := p.GetBase()
 	return issuedPlan{
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -329,3 +329,38 @@
 	_, err = h.client.PlanRule(ctx, &operatorv1.PlanRuleRequest{Service: "ledger", Change: &operatorv1.PlanRuleRequest_Put{Put: []byte(`{"nme": 1}`)}})
 	is.Equal(status.Code(err), codes.InvalidArgument)
 }
+
+// TestPlanAsksHostsThatOnlyThePlatformLists: while a fleet starts, a host may be ready
+// seconds before it hears of another one, and an operator may have planned there.
+func TestPlanAsksHostsThatOnlyThePlatformLists(t *testing.T) {
+	is := is.New(t)
+	pool := peer.NewPool(nil)
+	defer pool.Close()
+	a := startHost(t, "10.1.0.1", NoPeers{})
+	b := startHost(t, "10.1.0.2", PeerClient{Connections: pool})
+	b.fleet.members = append(b.fleet.members, Member{Host: "10.1.0.1", State: Unheard, PeerAddress: a.address})
+	a.publish(t, 7, []byte(ledger))
+	b.publish(t, 7, []byte(ledger))
+	_, err := a.drain(nil, "ledger-1", "ana")
+	is.NoErr(err)
+	second, err := b.drain(nil, "ledger-2", "bia")
+	is.NoErr(err)
+	is.Equal(len(second.GetWarnings()), 1)
+	is.True(strings.Contains(second.GetWarnings()[0], "ana planned another change"))
+}
+
+// TestPlanNamesHostsThatGaveNoAnswer, so that silence is not taken for "nobody else".
+func TestPlanNamesHostsThatGaveNoAnswer(t *testing.T) {
+	for _, state := range []MemberState{Alive, Suspect, Leaving, Unheard, Dead} {
+		t.Run(string(state), func(t *testing.T) {
+			is := is.New(t)
+			h := startHost(t, "10.1.0.1", NoPeers{})
+			h.fleet.members = append(h.fleet.members, Member{Host: "10.1.0.2", State: state, PeerAddress: "127.0.0.1:1"})
+			h.publish(t, 7, []byte(ledger))
+			p, err := h.drain(nil, "ledger-1", "ana")
+			is.NoErr(err)
+			is.Equal(len(p.GetWarnings()), 1)
+			is.True(strings.Contains(p.GetWarnings()[0], "1 entry hosts could not be asked for plans of other operators: 10.1.0.2"))
+		})
+	}
+}
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -122,7 +122,7 @@
 	if !errors.As(err, &conflict) {
 		return err
 	}
-	conflict.By = plannedBy(s.issuedPlans(ctx, conflict.Key), conflict.Actual.Digest)
+	conflict.By = plannedBy(s.issuedPlans(ctx, conflict.Key).plans, conflict.Actual.Digest)
 	old := s.history.find(conflict.Key, conflict.Expected)
 	if old == nil && conflict.Expected != (plan.Base{}) {
 		return conflict
@@ -141,11 +141,15 @@
 func (s *Server) warnPending(ctx context.Context, p *plan.Plan, by string) {
 	mine := issuedPlan{key: p.Key, base: p.Base, digest: p.Digest, by: by, at: time.Now()}
 	s.history.record(mine)
-	for _, o := range pending(s.issuedPlans(ctx, p.Key), mine) {
+	issued := s.issuedPlans(ctx, p.Key)
+	for _, o := range pending(issued.plans, mine) {
 		p.Warnings = append(p.Warnings, fmt.Sprintf(
 			"%s planned another change of %s from the same revision %d at %s; whichever is published last replaces the other",
 			cmp.Or(o.by, anonymous), p.Key, p.Base.Revision, o.at.UTC().Format(time.TimeOnly)))
 	}
+	if warning := issued.unaskedWarning(); warning != "" {
+		p.Warnings = append(p.Warnings, warning)
+	}
 }
 
 // operatorName is the name in the client's certificate, or the name given; it
--- a/internal/operator/sources.go
+++ b/internal/operator/sources.go
@@ -30,6 +30,8 @@
 	Suspect MemberState = "suspect"
 	Leaving MemberState = "leaving"
 	Dead    MemberState = "dead"
+	// Unheard is a host that the platform lists and the membership knows nothing of.
+	Unheard MemberState = "unheard"
 )
 
 // Member is one entry host as the membership sees it.
--- a/pkg/membership/hosts.go
+++ b/pkg/membership/hosts.go
@@ -57,6 +57,9 @@
 		}
 	}
 	slices.SortFunc(c.hosts.others, netip.AddrPort.Compare)
+	if unheard := c.unheard(); c.snapshot == nil || !slices.Equal(unheard, c.snapshot.Unheard) {
+		c.dirty = true
+	}
 	c.mergeLeaving()
 	if len(c.hosts.others) == 0 {
 		c.joined()
--- a/pkg/membership/snapshot.go
+++ b/pkg/membership/snapshot.go
@@ -37,6 +37,10 @@
 	Waking bool
 	// Members holds all known members and this host, by address.
 	Members []Member
+	// Unheard holds the hosts that the platform's list calls live and that this host
+	// has never heard of, by address. While a fleet starts, some hosts hear of others
+	// seconds after they are ready themselves.
+	Unheard []netip.AddrPort
 }
 
 // Find returns the member at address, or nil.
@@ -85,6 +89,18 @@
 		Joined:  c.hosts.joined,
 		Waking:  c.awake.waking,
 		Members: members,
+		Unheard: c.unheard(),
 	}
 	return c.snapshot
 }
+
+// unheard returns the listed hosts that no peer has told of.
+func (c *Core) unheard() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, a := range c.hosts.others {
+		if c.records[a] == nil && !c.hosts.listed[a] {
+			out = append(out, a)
+		}
+	}
+	return out
+}
