Send nothing new to failure domains that operators evacuate

An evacuation is published state with a revision of its own (pkg/evacuation). It is read with the configuration, in the same call; the watch, the peers' messages and answers, the first part of a start and the listing after a lost history carry it. Its upstreams leave the pickers, are not asked, and the check right before a send refuses them; what is in flight goes on.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -7,6 +7,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/internal/source"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/evacuation"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
 	"github.com/dapplespindle/dapplespindle/pkg/registered"
@@ -28,16 +29,18 @@
 // controller owns the configuration in force and the registered upstreams. Its
 // methods run on the control goroutine, but for those in upstreams.go.
 type controller struct {
-	gateway  *Gateway
-	config   *config.Configuration // in force; nil before the first
-	set      *registered.Set
-	listed   bool // the upstreams were read once
-	registry *lifecycle.Registry
-	revision uint64 // counts the listings given to registry
-	pools    *pools
-	snapshot atomic.Pointer[lifecycle.Snapshot]
-	served   chan struct{} // closed when the host may serve
-	ready    bool
+	gateway *Gateway
+	config  *config.Configuration // in force; nil before the first
+	set     *registered.Set
+	listed  bool // the upstreams were read once
+	// evacuated holds the failure domains that get nothing new.
+	evacuated evacuation.Set
+	registry  *lifecycle.Registry
+	revision  uint64 // counts the listings given to registry
+	pools     *pools
+	snapshot  atomic.Pointer[lifecycle.Snapshot]
+	served    chan struct{} // closed when the host may serve
+	ready     bool
 }
 
 func newController(g *Gateway) *controller {
@@ -56,6 +59,7 @@
 func (c *controller) read(s *source.State) {
 	c.gateway.emit(event.Event{Code: event.UpstreamsRead, Value: int64(len(s.Upstreams))})
 	c.set.Replace(time.Now(), s.Upstreams, s.Revision)
+	c.evacuate(c.evacuated.Replace(s.Evacuated, s.Revision)...)
 	c.listed = true
 	fresh := c.configure(s.Configuration)
 	c.publish(fresh)
@@ -80,6 +84,7 @@
 	for _, u := range s.Upstreams {
 		c.set.Put(u)
 	}
+	c.evacuate(c.evacuated.Replace(s.Evacuated, s.Revision)...)
 	c.listed = true
 	c.publish(c.configure(s.Configuration))
 	return true
@@ -110,14 +115,8 @@
 // changed takes in what has changed, and puts it in force at once.
 func (c *controller) changed(changes *source.Changes) {
 	now := time.Now()
-	for _, e := range changes.Events {
-		if e.Upstream == nil {
-			c.set.Remove(now, e.Removed, e.Revision)
-			continue
-		}
-		c.gateway.emit(event.Event{Code: event.UpstreamRegistered, Service: e.Upstream.Service,
-			Upstream: e.Upstream.ID, Reason: stateName(e.Upstream), Value: int64(e.Revision)})
-		c.set.Put(*e.Upstream)
+	for i := range changes.Events {
+		c.change(now, &changes.Events[i])
 	}
 	fresh := false
 	for _, newer := range changes.Configurations {
@@ -126,6 +125,35 @@
 	c.publish(fresh)
 }
 
+// change takes in one change.
+func (c *controller) change(now time.Time, e *source.Event) {
+	switch {
+	case e.Evacuation != nil:
+		if c.evacuated.Apply(*e.Evacuation, e.Revision) {
+			c.evacuate(*e.Evacuation)
+		}
+	case e.Upstream == nil:
+		c.set.Remove(now, e.Removed, e.Revision)
+	default:
+		c.gateway.emit(event.Event{Code: event.UpstreamRegistered, Service: e.Upstream.Service,
+			Upstream: e.Upstream.ID, Reason: stateName(e.Upstream), Value: int64(e.Revision)})
+		c.set.Put(*e.Upstream)
+	}
+}
+
+// evacuate lists the upstreams anew of failure domains whose evacuation has begun or
+// ended.
+func (c *controller) evacuate(changes ...evacuation.Change) {
+	for _, change := range changes {
+		code := event.DomainEvacuated
+		if change.Ended {
+			code = event.DomainReturned
+		}
+		known := c.set.Touch(change.FailureDomain)
+		c.gateway.emit(event.Event{Code: code, Reason: change.FailureDomain, Value: int64(known)})
+	}
+}
+
 func stateName(u *registered.Upstream) string {
 	if u.Draining {
 		return "draining"
@@ -195,7 +223,11 @@
 		c.revision++
 		var listings []lifecycle.Listing
 		for _, u := range c.set.Of(service) {
-			listings = append(listings, lifecycle.Listing{Upstream: u.ID, Draining: u.Draining})
+			listings = append(listings, lifecycle.Listing{
+				Upstream: u.ID,
+				Draining: u.Draining,
+				Withheld: c.evacuated.Holds(u.FailureDomain),
+			})
 		}
 		c.registry.Configure(now, service, c.revision, listings)
 	}
--- a/internal/source/mirror.go
+++ b/internal/source/mirror.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/evacuation"
 	"github.com/dapplespindle/dapplespindle/pkg/registered"
 )
 
@@ -20,6 +21,7 @@
 	config    *config.Configuration
 	configAt  uint64 // a revision at or after the configuration's
 	upstreams map[string]registered.Upstream
+	evacuated evacuation.Set
 	history   []Event // oldest first
 	since     uint64  // history holds what came after
 }
@@ -34,6 +36,7 @@
 	m.revision, m.since = s.Revision, s.Revision
 	m.history = nil
 	m.setConfig(s.Configuration, s.Revision)
+	m.evacuated.Replace(s.Evacuated, s.Revision)
 	clear(m.upstreams)
 	for _, u := range s.Upstreams {
 		m.upstreams[u.ID] = u
@@ -60,9 +63,12 @@
 }
 
 func (m *mirror) record(e Event) {
-	if e.Upstream != nil {
+	switch {
+	case e.Evacuation != nil:
+		m.evacuated.Apply(*e.Evacuation, e.Revision)
+	case e.Upstream != nil:
 		m.upstreams[e.Upstream.ID] = *e.Upstream
-	} else {
+	default:
 		delete(m.upstreams, e.Removed)
 	}
 	m.history = append(m.history, e)
@@ -90,7 +96,7 @@
 
 // state returns everything.
 func (m *mirror) state() *State {
-	out := &State{Revision: m.revision, Configuration: m.config}
+	out := &State{Revision: m.revision, Configuration: m.config, Evacuated: m.evacuated.List()}
 	for _, u := range m.upstreams {
 		out.Upstreams = append(out.Upstreams, u)
 	}
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -11,14 +11,16 @@
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/evacuation"
 	"github.com/dapplespindle/dapplespindle/pkg/follow"
 	"github.com/dapplespindle/dapplespindle/pkg/registered"
 )
 
 // Store reads what is published. Calls end with their context.
 type Store interface {
-	// Begin returns the configuration, some of the upstreams, and the revision of the
-	// configuration. It takes far less than everything where there are many upstreams.
+	// Begin returns the configuration, the evacuations, some of the upstreams, and the
+	// revision of the first two. It takes far less than everything where there are many
+	// upstreams.
 	Begin(ctx context.Context) (*State, error)
 	// Rest returns everything. Begun is what Begin returned; the revision stays, and a
 	// watch from there misses nothing.
@@ -41,6 +43,8 @@
 	Revision uint64
 	// Configuration is the newest one, nil if there is none.
 	Configuration *config.Configuration
+	// Evacuated are the failure domains that are to get nothing new.
+	Evacuated []evacuation.Domain `json:",omitempty"`
 	// Upstreams are the registered upstreams.
 	Upstreams []registered.Upstream
 	// Rejected are the items that could not be decoded. Peers are not told of them.
@@ -53,7 +57,7 @@
 	Revision uint64
 	// Configurations are those that were published.
 	Configurations []*config.Configuration
-	// Events are the changes of upstreams.
+	// Events are the changes of upstreams and of evacuations.
 	Events []Event
 	// Items counts what the store told of, also of what is of no interest here. A
 	// watch that ends without any says nothing of Revision.
@@ -62,8 +66,10 @@
 	Rejected []Rejected `json:"-"`
 }
 
-// Event is one change of a registered upstream: an entry, or the end of one.
+// Event is one change: an upstream's entry, the end of one, or an evacuation.
 type Event struct {
+	// Evacuation is the beginning or end of one; nil for a change of an upstream.
+	Evacuation *evacuation.Change `json:",omitempty"`
 	// Upstream is the new entry; nil when it was removed.
 	Upstream *registered.Upstream
 	// Removed is the id of an upstream whose entry is gone.
--- a/pkg/event/config_events.go
+++ b/pkg/event/config_events.go
@@ -27,6 +27,8 @@
 	StorePeerSilent      Code = 2029
 	StorePeerNewsRefused Code = 2030
 	StorePeerTold        Code = 2031
+	DomainEvacuated      Code = 2032
+	DomainReturned       Code = 2033
 )
 
 // configEvents describes the codes 2xxx: configuration.
@@ -52,6 +54,8 @@
 	StoreWatchBehind:     {"store-watch-behind", Info, "A waiting watch did not tell of a change that a check saw; it is begun anew.", "revision known"},
 	StorePeerSilent:      {"store-peer-silent", Info, "A peer that told of a newer revision did not hand over the changes; the store is asked.", "revision of the peer"},
 	StorePeerTold:        {"store-peer-told", Info, "A peer told of changes of the store, which are in force; the reason is its address.", "revision"},
+	DomainEvacuated:      {"failure-domain-evacuated", Info, "A failure domain, which the reason names, gets nothing new from this entry host.", "its upstreams that are known"},
+	DomainReturned:       {"failure-domain-returned", Info, "The evacuation of a failure domain, which the reason names, has ended on this entry host.", "its upstreams that are known"},
 	StorePeerNewsRefused: {"store-peer-news-refused", Warn, "A message of a peer about the store can't be decoded and is ignored; the detail names the reason.", ""},
 	UpstreamRegistered:   {"upstream-registered", Info, "The entry of a registered upstream is new or has changed; the reason is its state.", "revision"},
 
--- a/pkg/lifecycle/registry.go
+++ b/pkg/lifecycle/registry.go
@@ -55,6 +55,9 @@
 	Activation uint64
 	// SlowStart is the time over which its share grows; 0 is off.
 	SlowStart time.Duration
+	// Withheld is true while nothing new may be sent to it although it does not leave:
+	// its failure domain is evacuated.
+	Withheld bool
 }
 
 // member is one configured upstream.
@@ -143,7 +146,7 @@
 	for upstream, m := range members {
 		out.views[upstream] = View{
 			State:       charts.Upstream.StateName(m.state),
-			Takes:       r.takes(m),
+			Takes:       r.takes(m) && !m.listing.Withheld,
 			Unreachable: m.state == stUnreachable,
 			Activation:  m.listing.Activation,
 			WarmSince:   m.warmSince,
--- a/pkg/lifecycle/snapshot.go
+++ b/pkg/lifecycle/snapshot.go
@@ -17,7 +17,7 @@
 	// State is the name of its state in charts/upstream.yaml.
 	State string
 	// Takes is true when it may be sent new requests. It is a promise: an
-	// upstream that is leaving is never sent one.
+	// upstream that is leaving, or whose failure domain is evacuated, is never sent one.
 	Takes bool
 	// Unreachable is true when connections failed. It is advice: a balancer
 	// that has nothing else may still try.
--- a/pkg/registered/registered.go
+++ b/pkg/registered/registered.go
@@ -164,6 +164,19 @@
 	return names
 }
 
+// Touch marks the services with upstreams in a failure domain as changed: something
+// else about the domain has. It returns the number of these upstreams.
+func (s *Set) Touch(failureDomain string) int {
+	known := 0
+	for _, e := range s.entries {
+		if !e.gone && e.upstream.FailureDomain == failureDomain {
+			s.changed[e.upstream.Service] = true
+			known++
+		}
+	}
+	return known
+}
+
 // Of returns the upstreams of a service, by id.
 func (s *Set) Of(service string) []Upstream {
 	var out []Upstream
