--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -24,6 +24,9 @@
 	returnGrace = 1500 * time.Millisecond
 	// forgetAfter is how long the ids of upstreams that are gone are remembered.
 	forgetAfter = 10 * time.Minute
+	// earlierAfter is how long an entry of an earlier start has to stand before it is
+	// believed: three writes of a living upstream, which are 1.5 seconds apart.
+	earlierAfter = 4500 * time.Millisecond
 )
 
 // controller owns the configuration in force and the registered upstreams. Its
@@ -45,8 +48,12 @@
 
 func newController(g *Gateway) *controller {
 	c := &controller{
-		gateway:  g,
-		set:      registered.NewSet(registered.Config{ReturnGrace: returnGrace, Forget: forgetAfter}),
+		gateway: g,
+		set: registered.NewSet(registered.Config{
+			ReturnGrace:  returnGrace,
+			Forget:       forgetAfter,
+			EarlierAfter: earlierAfter,
+		}),
 		registry: lifecycle.NewRegistry(lifecycle.DefaultConfig(), g.sink),
 		pools:    newPools(g.conf.Host, g.conf.FailureDomain),
 		served:   make(chan struct{}),
@@ -81,8 +88,9 @@
 		return false
 	}
 	c.gateway.emit(event.Event{Code: event.UpstreamsRead, Reason: "part", Value: int64(len(s.Upstreams))})
+	now := time.Now()
 	for _, u := range s.Upstreams {
-		c.set.Put(u)
+		c.set.Put(now, u)
 	}
 	c.evacuate(c.evacuated.Replace(s.Evacuated, s.Revision)...)
 	c.listed = true
@@ -137,7 +145,7 @@
 	default:
 		c.gateway.emit(event.Event{Code: event.UpstreamRegistered, Service: e.Upstream.Service,
 			Upstream: e.Upstream.ID, Reason: stateName(e.Upstream), Value: int64(e.Revision)})
-		c.set.Put(*e.Upstream)
+		c.set.Put(now, *e.Upstream)
 	}
 }
 
@@ -224,9 +232,10 @@
 		var listings []lifecycle.Listing
 		for _, u := range c.set.Of(service) {
 			listings = append(listings, lifecycle.Listing{
-				Upstream: u.ID,
-				Draining: u.Draining,
-				Withheld: c.evacuated.Holds(u.FailureDomain),
+				Upstream:   u.ID,
+				Draining:   u.Draining,
+				Activation: u.Start,
+				Withheld:   c.evacuated.Holds(u.FailureDomain),
 			})
 		}
 		c.registry.Configure(now, service, c.revision, listings)
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -91,12 +91,13 @@
 	return changed
 }
 
-// refresh makes records for new upstreams and forgets those that are gone.
+// refresh makes records for new upstreams, and for new starts of known ones, and
+// forgets those that are gone: cost, failures, load and connections are of one start.
 func (pl *pool) refresh(list []registered.Upstream, forget func(string)) {
 	known := make(map[string]*balancer.Upstream, len(list))
 	for _, entry := range list {
 		u := pl.records[entry.ID]
-		if u == nil || u.Address != upstream.InstanceTarget(entry.ID, entry.Address) {
+		if u == nil || u.Activation != entry.Start || u.Address != upstream.InstanceTarget(entry.ID, entry.Address) {
 			u = newRecord(entry)
 		}
 		known[entry.ID] = u
@@ -114,6 +115,7 @@
 func newRecord(entry registered.Upstream) *balancer.Upstream {
 	return &balancer.Upstream{
 		ID:            entry.ID,
+		Activation:    entry.Start,
 		Address:       upstream.InstanceTarget(entry.ID, entry.Address),
 		FailureDomain: entry.FailureDomain,
 		Slots:         entry.Slots,
--- a/pkg/balancer/upstream.go
+++ b/pkg/balancer/upstream.go
@@ -28,6 +28,8 @@
 type Upstream struct {
 	// ID identifies the upstream.
 	ID string
+	// Activation counts the starts under this id that are known; a record is of one.
+	Activation uint64
 	// Address is "IP:port".
 	Address string
 	// FailureDomain is where it runs.
--- a/pkg/lifecycle/news.go
+++ b/pkg/lifecycle/news.go
@@ -49,6 +49,9 @@
 		m = &member{key: k, warmSince: now, state: stWarming}
 		r.add(m)
 	}
+	if l.Activation > m.listing.Activation && !isNew {
+		r.revive(now, m)
+	}
 	m.revision = revision
 	m.listing = l
 	if isNew && (first || l.SlowStart == 0) {
@@ -61,6 +64,14 @@
 	r.settle(now, m, fromDocument)
 }
 
+// revive forgets what an earlier activation could not be reached for.
+func (r *Registry) revive(now time.Time, m *member) {
+	m.failures = 0
+	if m.state == stUnreachable {
+		r.step(now, m, evReached, fromDocument)
+	}
+}
+
 func (r *Registry) remove(now time.Time, m *member, revision uint64) {
 	key := KeyOf(m.key.Service, m.key.Upstream)
 	r.learn(now, Notice{Key: key, DrainRevision: revision})
--- a/pkg/registered/registered.go
+++ b/pkg/registered/registered.go
@@ -2,9 +2,11 @@
 // store, as one entry host knows them.
 //
 // News may come late, twice and out of order; each piece carries the store's
-// revision. Draining is final for an id. An entry may vanish because its
-// upstream ended, or because its lease ran out while the store was away; what
-// vanishes right after the store has come back is therefore kept for a while.
+// revision. What is known is known of one start of an upstream: it may start again
+// under its id, and holds nothing of before then. Draining is final for a start. An
+// entry may vanish because its upstream ended, or because its lease ran out while the
+// store was away; what vanishes right after the store has come back is therefore kept
+// for a while.
 //
 // The package does no I/O and reads no clock. A Set belongs to one goroutine.
 package registered
@@ -18,8 +20,14 @@
 
 // Upstream is one upstream as it registered itself.
 type Upstream struct {
-	// ID names one start of the upstream; it is never used again.
+	// ID names the upstream, over all of its starts.
 	ID string
+	// Born is its start that the entry is about, in Unix milliseconds by its own clock;
+	// 0 if the entry does not say, and then the id is of one start only.
+	Born int64 `json:",omitempty"`
+	// Start counts the starts under this id that this host knows of, from 1. Set.Of
+	// sets it.
+	Start uint64 `json:"-"`
 	// Service is what it belongs to.
 	Service string
 	// Address is "IP:port".
@@ -39,6 +47,10 @@
 // entry is one id, also after it has vanished.
 type entry struct {
 	upstream Upstream
+	// earlier is newer news about an earlier start than upstream's, and since when it is
+	// known; nil if there is none.
+	earlier      *Upstream
+	earlierSince time.Time
 	// revision is that of the newest news, a removal included.
 	revision uint64
 	gone     bool
@@ -54,6 +66,11 @@
 	// Forget is how long the id of an upstream that is gone is remembered, so that
 	// a read of an old state can't bring it back.
 	Forget time.Duration
+	// EarlierAfter is how long news about an earlier start than the known one has to
+	// stand before it is believed: longer than two writes of a living upstream are apart.
+	// The writes of a start that has ended may arrive after the first ones of the next;
+	// and the clock that a start is told by may have been set back.
+	EarlierAfter time.Duration
 }
 
 // Set holds the known upstreams.
@@ -80,9 +97,10 @@
 func (s *Set) Returned(now time.Time) { s.returned = now }
 
 // Put takes in an entry. News that is not newer than what is known is ignored.
-func (s *Set) Put(u Upstream) {
+func (s *Set) Put(now time.Time, u Upstream) {
 	e := s.entries[u.ID]
 	if e == nil {
+		u.Start = 1
 		s.entries[u.ID] = &entry{upstream: u, revision: u.Revision}
 		s.changed[u.Service] = true
 		return
@@ -90,9 +108,34 @@
 	if u.Revision < e.revision || (e.gone && u.Revision == e.revision) {
 		return
 	}
+	e.revision = u.Revision
+	if u.Born != 0 && u.Born < e.upstream.Born {
+		e.holdBack(now, u)
+		return
+	}
+	s.put(e, u)
+}
+
+// holdBack keeps news about an earlier start.
+func (e *entry) holdBack(now time.Time, u Upstream) {
+	if e.earlier == nil || e.earlier.Born != u.Born {
+		e.earlierSince = now
+	}
+	e.earlier = &u
+}
+
+// put lets u replace what is known. What was known of another start is forgotten.
+func (s *Set) put(e *entry, u Upstream) {
 	old := e.upstream
-	u.Draining = u.Draining || old.Draining
-	e.upstream, e.revision = u, u.Revision
+	u.Start = old.Start
+	switch {
+	case u.Born != 0 && u.Born != old.Born:
+		u.Start++
+	default:
+		u.Born = old.Born
+		u.Draining = u.Draining || old.Draining
+	}
+	e.upstream, e.earlier = u, nil
 	e.gone, e.vanished = false, time.Time{}
 	delete(s.goneAt, u.ID)
 	s.changed[old.Service] = true
@@ -106,6 +149,7 @@
 		return
 	}
 	e.revision = revision
+	e.earlier = nil
 	if s.keeps(now) && !e.upstream.Draining {
 		if e.vanished.IsZero() {
 			e.vanished = now
@@ -132,7 +176,7 @@
 	listed := make(map[string]bool, len(list))
 	for _, u := range list {
 		listed[u.ID] = true
-		s.Put(u)
+		s.Put(now, u)
 	}
 	for id, e := range s.entries {
 		if !listed[id] && e.revision <= revision {
@@ -141,10 +185,13 @@
 	}
 }
 
-// Tick drops the vanished entries whose time to return is over, and forgets ids
-// that are long gone.
+// Tick drops the vanished entries whose time to return is over, believes news about an
+// earlier start that has stood, and forgets ids that are long gone.
 func (s *Set) Tick(now time.Time) {
 	for _, e := range s.entries {
+		if e.earlier != nil && now.Sub(e.earlierSince) >= s.conf.EarlierAfter {
+			s.put(e, *e.earlier)
+		}
 		if !e.gone && !e.vanished.IsZero() && !s.keeps(now) {
 			s.drop(now, e)
 		}
--- a/pkg/registered/registered_test.go
+++ b/pkg/registered/registered_test.go
@@ -12,7 +12,7 @@
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 func newSet() *Set {
-	return NewSet(Config{ReturnGrace: 1500 * time.Millisecond, Forget: time.Minute})
+	return NewSet(Config{ReturnGrace: 1500 * time.Millisecond, Forget: time.Minute, EarlierAfter: 4500 * time.Millisecond})
 }
 
 func entryOf(id string, revision uint64) Upstream {
@@ -30,11 +30,11 @@
 func TestLateNewsChangesNothing(t *testing.T) {
 	is := is.New(t)
 	s := newSet()
-	s.Put(entryOf("i-1", 5))
+	s.Put(at(0), entryOf("i-1", 5))
 	s.Remove(at(0), "i-1", 9)
-	s.Put(entryOf("i-1", 7)) // read from an old state
+	s.Put(at(0), entryOf("i-1", 7)) // read from an old state
 	is.Equal(len(ids(s)), 0)
-	s.Put(entryOf("i-1", 10)) // its lease had run out, and it is back
+	s.Put(at(0), entryOf("i-1", 10)) // its lease had run out, and it is back
 	is.Equal(ids(s), []string{"i-1"})
 	s.Remove(at(1), "i-1", 9)
 	is.Equal(ids(s), []string{"i-1"})
@@ -45,8 +45,8 @@
 	s := newSet()
 	leaving := entryOf("i-1", 5)
 	leaving.Draining = true
-	s.Put(leaving)
-	s.Put(entryOf("i-1", 6))
+	s.Put(at(0), leaving)
+	s.Put(at(0), entryOf("i-1", 6))
 	is.True(s.Of("a")[0].Draining)
 }
 
@@ -56,15 +56,15 @@
 	is := is.New(t)
 	s := newSet()
 	for _, id := range []string{"i-1", "i-2", "i-3"} {
-		s.Put(entryOf(id, 1))
+		s.Put(at(0), entryOf(id, 1))
 	}
 	leaving := entryOf("i-3", 2)
 	leaving.Draining = true
-	s.Put(leaving)
+	s.Put(at(0), leaving)
 	s.Returned(at(0))
 	s.Replace(at(0), nil, 10)
 	is.Equal(ids(s), []string{"i-1", "i-2"}) // one that said it leaves is gone
-	s.Put(entryOf("i-2", 11))
+	s.Put(at(0), entryOf("i-2", 11))
 	s.Tick(at(1499))
 	is.Equal(ids(s), []string{"i-1", "i-2"})
 	s.Tick(at(1500))
@@ -74,7 +74,7 @@
 func TestVanishedAtOtherTimesIsGoneAtOnce(t *testing.T) {
 	is := is.New(t)
 	s := newSet()
-	s.Put(entryOf("i-1", 1))
+	s.Put(at(0), entryOf("i-1", 1))
 	s.Returned(at(0))
 	s.Remove(at(1500), "i-1", 2)
 	is.Equal(len(ids(s)), 0)
@@ -83,7 +83,7 @@
 func TestReplaceIgnoresOlderListings(t *testing.T) {
 	is := is.New(t)
 	s := newSet()
-	s.Put(entryOf("i-1", 8))
+	s.Put(at(0), entryOf("i-1", 8))
 	s.Replace(at(0), nil, 7) // as of before the entry
 	is.Equal(ids(s), []string{"i-1"})
 	s.Replace(at(0), []Upstream{entryOf("i-2", 3)}, 9)
@@ -93,11 +93,11 @@
 func TestChangedNamesBothServices(t *testing.T) {
 	is := is.New(t)
 	s := newSet()
-	s.Put(entryOf("i-1", 1))
+	s.Put(at(0), entryOf("i-1", 1))
 	is.Equal(s.Changed(), []string{"a"})
 	moved := entryOf("i-1", 2)
 	moved.Service = "b"
-	s.Put(moved)
+	s.Put(at(0), moved)
 	is.Equal(s.Changed(), []string{"a", "b"})
 	is.Equal(len(s.Changed()), 0)
 }
@@ -105,7 +105,7 @@
 func TestForgetsWhatIsLongGone(t *testing.T) {
 	is := is.New(t)
 	s := newSet()
-	s.Put(entryOf("i-1", 1))
+	s.Put(at(0), entryOf("i-1", 1))
 	s.Remove(at(0), "i-1", 2)
 	s.Tick(at(59_000))
 	is.Equal(len(s.entries), 1)
