Share among hosts, by turns, what cold upstreams bear

A cold upstream bears a few requests a second of the whole fleet; the code sent what fits its slots. And it is bad for callers: such an upstream collapses, and its idle slots make its reports the best of all.

How cold an upstream is stands in its entry and in its health answers; what it bears stands with its service (cold_rate). Hosts without any shared state take turns (pkg/coldstart): time is cut into slots, one host has the turn in each, in an order shifted from upstream to upstream.

--- a/internal/gateway/asker.go
+++ b/internal/gateway/asker.go
@@ -60,6 +60,9 @@
 			Reason: "unhealthy", Value: int64(now.Sub(sent))})
 	default:
 		feedback.Report = a.dialect.Load(resp.Header)
+		if left, ok := a.dialect.Cold(resp.Header); ok {
+			u.Cold.Told(now, left)
+		}
 	}
 	balancer.FinishProbe(group.Picker, u, feedback)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/proxy"
 	"github.com/dapplespindle/dapplespindle/internal/source"
 	"github.com/dapplespindle/dapplespindle/internal/upstream"
+	"github.com/dapplespindle/dapplespindle/pkg/coldstart"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/follow"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
@@ -210,7 +211,9 @@
 		CheckTimeout: checkTimeout,
 		AskTimeout:   peerTimeout,
 	}
-	if fleet != nil {
+	if fleet == nil {
+		g.control.pools.options.Turns.Set(coldstart.Place{Hosts: 1})
+	} else {
 		g.fleet = fleet
 		conf.Peers = fleet.news
 		conf.Self = fleet.self()
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/dapplespindle/dapplespindle/internal/upstream"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/probefirst"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/registry"
+	"github.com/dapplespindle/dapplespindle/pkg/coldstart"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
 	"github.com/dapplespindle/dapplespindle/pkg/registered"
@@ -18,6 +21,10 @@
 	policy     balancer.Policy
 	picker     balancer.Picker
 	records    map[string]*balancer.Upstream
+	// entries are the revisions of the entries that records reflect, by id.
+	entries map[string]uint64
+	// coldRate is what an upstream bears while it is cold, in requests a second.
+	coldRate float64
 	// lifecycle is the version of the service's views that picker reflects.
 	lifecycle uint64
 }
@@ -32,7 +39,7 @@
 
 func newPools(host, failureDomain string) *pools {
 	return &pools{
-		options:   balancer.Options{Host: host, FailureDomain: failureDomain},
+		options:   balancer.Options{Host: host, FailureDomain: failureDomain, Turns: coldstart.NewTurns(host)},
 		lifecycle: new(lifecycle.Snapshot),
 		services:  make(map[string]*pool),
 	}
@@ -42,7 +49,7 @@
 func (p *pools) pool(service string) *pool {
 	pl := p.services[service]
 	if pl == nil {
-		pl = &pool{records: make(map[string]*balancer.Upstream)}
+		pl = &pool{records: make(map[string]*balancer.Upstream), entries: make(map[string]uint64)}
 		pl.setPolicy(probefirst.Name, p.options)
 		p.services[service] = pl
 	}
@@ -69,6 +76,7 @@
 		pl.setPolicy(g.Policy, p.options)
 		pl.rebuild(g.Registered, p.lifecycle)
 	}
+	pl.bear(g.ColdRate)
 	return &routing.Group{Config: g, Picker: pl.picker, Lifecycle: p.lifecycle.Version}
 }
 
@@ -94,24 +102,41 @@
 // refresh makes records for new upstreams, and for new starts of known ones, and
 // forgets those that are gone: cost, failures, load and connections are of one start.
 func (pl *pool) refresh(list []registered.Upstream, forget func(string)) {
+	now := time.Now()
 	known := make(map[string]*balancer.Upstream, len(list))
+	entries := make(map[string]uint64, len(list))
 	for _, entry := range list {
 		u := pl.records[entry.ID]
 		if u == nil || u.Activation != entry.Start || u.Address != upstream.InstanceTarget(entry.ID, entry.Address) {
 			u = newRecord(entry)
+			u.Cold.Bears(u.ID, pl.coldRate)
+		}
+		if pl.entries[entry.ID] != entry.Revision {
+			u.Cold.Heard(now, entry.ColdFor)
 		}
-		known[entry.ID] = u
+		known[entry.ID], entries[entry.ID] = u, entry.Revision
 	}
 	for id, u := range pl.records {
 		if known[id] != u {
 			forget(u.Address)
 		}
 	}
-	pl.records = known
+	pl.records, pl.entries = known, entries
+}
+
+// bear takes in what an upstream bears while it is cold.
+func (pl *pool) bear(coldRate float64) {
+	if coldRate == pl.coldRate {
+		return
+	}
+	pl.coldRate = coldRate
+	for _, u := range pl.records {
+		u.Cold.Bears(u.ID, coldRate)
+	}
 }
 
-// newRecord makes the record of an upstream. That it is cold after its start it
-// says itself, in the slowdown of its load reports.
+// newRecord makes the record of an upstream. How slow it is while it is cold it says
+// itself, in the slowdown of its load reports.
 func newRecord(entry registered.Upstream) *balancer.Upstream {
 	return &balancer.Upstream{
 		ID:            entry.ID,
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -33,6 +33,9 @@
 	FractionalRetryAfter bool
 	// Load reads the load report of an answer.
 	Load func(http.Header) balancer.Report
+	// Cold reads how much longer an upstream stays cold from the answer to a question
+	// about its load; false if it does not say. Nil reads nothing.
+	Cold func(http.Header) (time.Duration, bool)
 	// NotRun reports whether an upstream declares that it did not run the request.
 	NotRun func(status int, h http.Header) bool
 }
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -23,6 +23,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/dapplespindle/dapplespindle/pkg/coldstart"
 )
 
 // ErrNoUpstream means no upstream is eligible: the group is empty, or all are excluded.
@@ -131,6 +133,8 @@
 	Host string
 	// FailureDomain is where the entry host runs.
 	FailureDomain string
+	// Turns says when this host may send to cold upstreams; nil is any time.
+	Turns *coldstart.Turns
 	// SlowStart is the time over which a new upstream's share grows to full; 0 is off.
 	SlowStart time.Duration
 }
--- a/pkg/balancer/probefirst/probefirst.go
+++ b/pkg/balancer/probefirst/probefirst.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/coldstart"
 )
 
 // Name is the name in configuration documents.
@@ -42,18 +43,23 @@
 
 // Build implements balancer.Builder.
 func (Builder) Build(o balancer.Options) balancer.Policy {
-	return &policy{host: o.Host, failureDomain: o.FailureDomain, crowding: new(crowding)}
+	turns := o.Turns
+	if turns == nil {
+		turns = coldstart.NewTurns(o.Host)
+	}
+	return &policy{host: o.Host, failureDomain: o.FailureDomain, crowding: new(crowding), turns: turns}
 }
 
 type policy struct {
 	host          string
 	failureDomain string
 	crowding      *crowding
+	turns         *coldstart.Turns
 }
 
 // Update implements balancer.Policy.
 func (p *policy) Update(members []*balancer.Upstream) balancer.Picker {
-	next := &picker{crowding: p.crowding}
+	next := &picker{crowding: p.crowding, turns: p.turns}
 	for _, u := range members {
 		if u.FailureDomain == p.failureDomain {
 			next.near = append(next.near, u)
@@ -70,6 +76,12 @@
 	near, far  []*balancer.Upstream
 	home, rest []*balancer.Upstream // near, those asked first and the others
 	crowding   *crowding
+	turns      *coldstart.Turns
+}
+
+// eligible reports whether a request may go to u now.
+func (p *picker) eligible(u *balancer.Upstream, info balancer.PickInfo) bool {
+	return !info.Excludes(u) && p.turns.Open(info.Now, &u.Cold)
 }
 
 // Observe implements balancer.Observer.
@@ -85,7 +97,7 @@
 	}
 	var asked []*balancer.Upstream
 	for _, members := range [][]*balancer.Upstream{p.home, p.rest, p.far} {
-		if asked = appendStale(asked, members, info); len(asked) == AskAtOnce {
+		if asked = p.appendStale(asked, members, info); len(asked) == AskAtOnce {
 			break
 		}
 	}
@@ -93,14 +105,14 @@
 }
 
 // appendStale adds members without a fresh report to list, up to AskAtOnce.
-func appendStale(list, members []*balancer.Upstream, info balancer.PickInfo) []*balancer.Upstream {
+func (p *picker) appendStale(list, members []*balancer.Upstream, info balancer.PickInfo) []*balancer.Upstream {
 	n := uint64(len(members))
 	for i := range n {
 		if len(list) == AskAtOnce {
 			break
 		}
 		u := members[(info.Random+i)%n]
-		if !info.Excludes(u) && !fresh(u, info.Now) {
+		if !fresh(u, info.Now) && p.eligible(u, info) {
 			list = append(list, u)
 		}
 	}
@@ -128,18 +140,30 @@
 		if c.cost > GoodCost {
 			reason = "best-of-slow"
 		}
+		if !p.turns.Take(info.Now, &c.upstream.Cold) {
+			return balancer.Result{RetryAfter: FreshFor}, balancer.ErrNoSlot
+		}
 		p.crowding.chosen(c.upstream.Load())
 		return balancer.Result{Upstream: c.upstream, Reason: reason}, nil
 	}
 	if info.Extra {
 		return balancer.Result{}, balancer.ErrNoSlot
 	}
-	if u := p.blind(info); u != nil {
+	if u := p.blind(info); u != nil && p.turns.Take(info.Now, &u.Cold) {
 		return balancer.Result{Upstream: u, Reason: "no-report"}, nil
 	}
+	if p.anyLeft(info) {
+		return balancer.Result{RetryAfter: FreshFor}, balancer.ErrNoSlot
+	}
 	return balancer.Result{}, balancer.ErrNoUpstream
 }
 
+// anyLeft reports whether a member was not tried: it is cold, and this host waits for
+// its turn there.
+func (p *picker) anyLeft(info balancer.PickInfo) bool {
+	return balancer.FirstFrom(p.near, 0, info) != nil || balancer.FirstFrom(p.far, 0, info) != nil
+}
+
 // worthWaiting reports whether a request should rather wait for a faster upstream
 // than go to one of the given cost. It waits for as long as the slow one would take
 // longer than usual, so that the delay is at most twice that of the best choice.
@@ -181,21 +205,21 @@
 
 // best returns the best member with a fresh report.
 func (p *picker) best(info balancer.PickInfo, s slowdown) candidate {
-	near := bestOf(p.near, info, s, 0)
-	far := bestOf(p.far, info, s, FarCost)
+	near := p.bestOf(p.near, info, s, 0)
+	far := p.bestOf(p.far, info, s, FarCost)
 	if far.upstream != nil && far.better(near) {
 		return far
 	}
 	return near
 }
 
-func bestOf(members []*balancer.Upstream, info balancer.PickInfo, s slowdown, extra float64) candidate {
+func (p *picker) bestOf(members []*balancer.Upstream, info balancer.PickInfo, s slowdown, extra float64) candidate {
 	var best candidate
 	n := uint64(len(members))
 	for i := range n {
 		u := members[(info.Random+i)%n]
 		l := u.Load()
-		if l == nil || info.Now.Sub(l.At) > FreshFor || info.Excludes(u) {
+		if l == nil || info.Now.Sub(l.At) > FreshFor || !p.eligible(u, info) {
 			continue
 		}
 		c := candidate{upstream: u, cost: cost(u, l, s, info.Now) + extra, full: s.full(l)}
@@ -224,19 +248,19 @@
 // blind chooses without any fresh report: the fewest in flight from here, in
 // the own failure domain if there is one.
 func (p *picker) blind(info balancer.PickInfo) *balancer.Upstream {
-	if u := fewest(p.near, info); u != nil {
+	if u := p.fewest(p.near, info); u != nil {
 		return u
 	}
-	return fewest(p.far, info)
+	return p.fewest(p.far, info)
 }
 
-func fewest(members []*balancer.Upstream, info balancer.PickInfo) *balancer.Upstream {
+func (p *picker) fewest(members []*balancer.Upstream, info balancer.PickInfo) *balancer.Upstream {
 	var best *balancer.Upstream
 	lowest := 0.0
 	n := uint64(len(members))
 	for i := range n {
 		u := members[(info.Random+i)%n]
-		if info.Excludes(u) {
+		if !p.eligible(u, info) {
 			continue
 		}
 		c := float64(u.Outstanding()) + TroubleCost*u.Trouble(info.Now)
--- a/pkg/balancer/upstream.go
+++ b/pkg/balancer/upstream.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync/atomic"
 	"time"
+
+	"github.com/dapplespindle/dapplespindle/pkg/coldstart"
 )
 
 const (
@@ -38,6 +40,8 @@
 	Slots int
 	// MaxConnections bounds the connections over all entry hosts; 0 is no bound.
 	MaxConnections int
+	// Cold is how cold it is, and what it bears meanwhile.
+	Cold coldstart.Upstream
 	// Added is when it joined the group; zero if it was there at the start.
 	Added time.Time
 
--- /dev/null
+++ b/pkg/coldstart/coldstart.go
@@ -0,0 +1,128 @@
+// Package coldstart bounds what the hosts of a fleet send, together, to an upstream that
+// has started a moment ago, or has become cold again. Such an upstream bears a few
+// requests a second, and collapses under more.
+//
+// Hosts share nothing for this. Each knows about how many hosts there are and its own
+// number among them. Time is divided into slots, as many a second as the upstream bears
+// requests; in each slot it is the turn of one host, in an order that is shifted from
+// upstream to upstream, and a host sends one request in its turn at the most.
+//
+// In a second, an upstream that bears r requests a second gets at most r(1+2d)+1 where
+// the hosts agree on their numbers and their clocks agree within d seconds: so many slots
+// meet a second, and each has one owner. Where the hosts are in k groups that count
+// differently, as halves that are cut from each other, each group sends that much. Where
+// nothing agrees, each host still sends one request in hosts/r seconds.
+//
+// The package does no I/O, reads no clock and draws no randomness. Its types are safe
+// for concurrent use.
+package coldstart
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// AssumedHosts is the number of hosts that a host reckons with until it knows better.
+// The fleets known have 13 to 473; to reckon with too many wastes turns for some seconds.
+const AssumedHosts = 100
+
+// Place is a host's number among the hosts of its fleet.
+type Place struct {
+	// Self is the number, from 0.
+	Self int
+	// Hosts is how many there are; hosts that may be dead count.
+	Hosts int
+}
+
+// Turns says when this host has its turn.
+type Turns struct {
+	place atomic.Pointer[Place]
+}
+
+// NewTurns returns the turns of a host that knows no other yet. Its name gives it a
+// number that other hosts do not have as a rule.
+func NewTurns(host string) *Turns {
+	t := new(Turns)
+	t.Set(Place{Self: int(xxhash.Sum64String(host) % AssumedHosts), Hosts: AssumedHosts})
+	return t
+}
+
+// Set takes in this host's place. One that is out of range is ignored.
+func (t *Turns) Set(p Place) {
+	if p.Self >= 0 && p.Self < p.Hosts {
+		t.place.Store(&p)
+	}
+}
+
+// Upstream is what one host knows of how cold one upstream is. The zero value is warm,
+// and bears anything.
+type Upstream struct {
+	until atomic.Int64  // Unix time in ns at which it is warm
+	rate  atomic.Uint64 // requests a second, as the bits of a float64; 0 is no bound
+	shift atomic.Uint64 // of its order of turns
+	used  atomic.Int64  // slot of the last turn that was used, plus one
+}
+
+// Bears sets how many requests a second an upstream bears over all hosts while it is
+// cold; 0 sets no bound. The id shifts its order of turns.
+func (u *Upstream) Bears(id string, perSecond float64) {
+	u.shift.Store(xxhash.Sum64String(id))
+	u.rate.Store(math.Float64bits(max(perSecond, 0)))
+}
+
+// Told takes in the upstream's own answer that it is cold for a time from now on; 0 or
+// less says that it is warm.
+func (u *Upstream) Told(now time.Time, left time.Duration) {
+	u.until.Store(now.Add(left).UnixNano())
+}
+
+// Heard takes in news that the upstream was cold for a time when the news was written,
+// which may be a while ago: it never makes the upstream warm.
+func (u *Upstream) Heard(now time.Time, left time.Duration) {
+	until := now.Add(left).UnixNano()
+	for {
+		known := u.until.Load()
+		if until <= known || u.until.CompareAndSwap(known, until) {
+			return
+		}
+	}
+}
+
+// Cold reports whether the upstream is cold and bears few requests.
+func (u *Upstream) Cold(now time.Time) bool {
+	return u.rate.Load() != 0 && now.UnixNano() < u.until.Load()
+}
+
+// slot returns the slot that a time is in, counted from 1.
+func (u *Upstream) slot(now time.Time) int64 {
+	length := float64(time.Second) / math.Float64frombits(u.rate.Load())
+	return int64(float64(now.UnixNano())/length) + 1
+}
+
+// Open reports whether this host may send a request to an upstream now.
+func (t *Turns) Open(now time.Time, u *Upstream) bool {
+	if !u.Cold(now) {
+		return true
+	}
+	slot := u.slot(now)
+	return u.used.Load() != slot && t.owns(u, slot)
+}
+
+func (t *Turns) owns(u *Upstream, slot int64) bool {
+	p := t.place.Load()
+	return (uint64(slot)+u.shift.Load())%uint64(p.Hosts) == uint64(p.Self)
+}
+
+// Take uses this host's turn at an upstream for one request. It is false if there is
+// none, or no longer.
+func (t *Turns) Take(now time.Time, u *Upstream) bool {
+	if !u.Cold(now) {
+		return true
+	}
+	slot := u.slot(now)
+	used := u.used.Load()
+	return used != slot && t.owns(u, slot) && u.used.CompareAndSwap(used, slot)
+}
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -131,6 +131,10 @@
 	// MaxConnections is the bound for each registered upstream over all entry
 	// hosts. Default: 200.
 	MaxConnections int `json:"max_connections,omitempty"`
+	// ColdRate is how many requests a second, over all entry hosts, a registered
+	// upstream bears while it is cold: after a start, or when it says so. Default: 0,
+	// no bound.
+	ColdRate float64 `json:"cold_rate,omitempty"`
 	// TLS states how the members are reached.
 	TLS TLS `json:"tls,omitzero"`
 	// Probe is the measuring budget.
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -32,6 +32,7 @@
 	maxWaiting   = 100_000
 	maxSlots     = 10_000
 	maxConns     = 100_000
+	maxColdRate  = 100_000 // requests a second
 	maxAttempts  = 10
 	maxUpstreams = 4096
 	maxWeight    = 1_000_000
@@ -207,8 +208,8 @@
 
 func (g *Group) validateRegistered(field string) error {
 	if g.Registered == "" {
-		if g.HealthPath != "" || g.MaxConnections != 0 {
-			return &FieldError{field + ".registered", "is empty beside health_path or max_connections", "name the registered service or remove them"}
+		if g.HealthPath != "" || g.MaxConnections != 0 || g.ColdRate != 0 {
+			return &FieldError{field + ".registered", "is empty beside health_path, max_connections or cold_rate", "name the registered service or remove them"}
 		}
 		return nil
 	}
@@ -221,6 +222,9 @@
 	if g.MaxConnections < 1 || g.MaxConnections > maxConns {
 		return &FieldError{field + ".max_connections", "is outside 1 to 100000", "write the bound over all entry hosts"}
 	}
+	if !(g.ColdRate >= 0 && g.ColdRate <= maxColdRate) {
+		return &FieldError{field + ".cold_rate", "is outside 0 to 100000", "write requests a second over all entry hosts, or 0 for no bound"}
+	}
 	return nil
 }
 
