Ask on for an idle upstream where one is likely to be found

Cause: a request took the first upstream of a cost up to 1.8 times usual. Where upstreams have two slots and the last one slows work by 1.7, that is any upstream with one request, while half of them idle: the look-up (aim 300 ms, work 120) was late in calm seconds by it. The constant was found where they have three and six slots.

The policy now learns, by its own questions, how likely another one finds an idle upstream, and asks on for one while that is 0.3 or more.

--- a/pkg/balancer/feedback.go
+++ b/pkg/balancer/feedback.go
@@ -51,6 +51,9 @@
 	Sent *Load
 }
 
+// IsAnswerToProbe reports whether f is an upstream's answer to a probe, with its load.
+func (f *Feedback) IsAnswerToProbe() bool { return f.Asked.set && f.Report.Valid }
+
 // Call is one request in flight. It belongs to the goroutine that sent it.
 type Call struct {
 	// Upstream is where it was sent.
--- a/pkg/balancer/probefirst/probefirst.go
+++ b/pkg/balancer/probefirst/probefirst.go
@@ -26,8 +26,11 @@
 	AskAtOnce = 1
 	// MaxRounds bounds the rounds of asking before one choice.
 	MaxRounds = 6
-	// GoodCost is the cost up to which a candidate is taken without asking more.
+	// GoodCost is the cost up to which a candidate is taken rather than waited with.
 	GoodCost = 1.8
+	// IdleCost is the cost up to which an upstream counts as idle and of usual speed,
+	// in any failure domain.
+	IdleCost = 1.25
 	// FarCost is added for an upstream in another failure domain: the way is
 	// longer and the bytes are paid for.
 	FarCost = 0.15
@@ -47,19 +50,20 @@
 	if turns == nil {
 		turns = coldstart.NewTurns(o.Host)
 	}
-	return &policy{host: o.Host, failureDomain: o.FailureDomain, crowding: new(crowding), turns: turns}
+	return &policy{host: o.Host, failureDomain: o.FailureDomain, crowding: new(crowding), idle: new(idleShare), turns: turns}
 }
 
 type policy struct {
 	host          string
 	failureDomain string
 	crowding      *crowding
+	idle          *idleShare
 	turns         *coldstart.Turns
 }
 
 // Update implements balancer.Policy.
 func (p *policy) Update(members []*balancer.Upstream) balancer.Picker {
-	next := &picker{crowding: p.crowding, turns: p.turns}
+	next := &picker{crowding: p.crowding, idle: p.idle, turns: p.turns}
 	for _, u := range members {
 		if u.FailureDomain == p.failureDomain {
 			next.near = append(next.near, u)
@@ -76,6 +80,7 @@
 	near, far  []*balancer.Upstream
 	home, rest []*balancer.Upstream // near, those asked first and the others
 	crowding   *crowding
+	idle       *idleShare
 	turns      *coldstart.Turns
 }
 
@@ -85,14 +90,19 @@
 }
 
 // Observe implements balancer.Observer.
-func (p *picker) Observe(_ *balancer.Upstream, f balancer.Feedback) { p.crowding.observe(f) }
+func (p *picker) Observe(u *balancer.Upstream, f balancer.Feedback) {
+	p.crowding.observe(f)
+	if l := u.Load(); f.IsAnswerToProbe() && l != nil {
+		p.idle.add(cost(u, l, p.crowding.learned(), f.Now) <= IdleCost)
+	}
+}
 
 // Ask implements balancer.Asker.
 func (p *picker) Ask(info balancer.PickInfo, round int) []*balancer.Upstream {
 	if round >= MaxRounds {
 		return nil
 	}
-	if c := p.best(info, p.crowding.learned()); c.upstream != nil && !c.full && c.cost <= GoodCost {
+	if c := p.best(info, p.crowding.learned()); c.upstream != nil && !c.full && c.cost <= p.enough() {
 		return nil
 	}
 	var asked []*balancer.Upstream
@@ -104,6 +114,14 @@
 	return asked
 }
 
+// enough is the cost up to which no other upstream is asked.
+func (p *picker) enough() float64 {
+	if p.idle.worthAsking() {
+		return IdleCost
+	}
+	return GoodCost
+}
+
 // appendStale adds members without a fresh report to list, up to AskAtOnce.
 func (p *picker) appendStale(list, members []*balancer.Upstream, info balancer.PickInfo) []*balancer.Upstream {
 	n := uint64(len(members))
