--- a/internal/source/mirror_test.go
+++ b/internal/source/mirror_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dapplespindle/dapplespindle/pkg/config"
+	"github.com/dapplespindle/dapplespindle/pkg/evacuation"
 	"github.com/dapplespindle/dapplespindle/pkg/registered"
 )
 
@@ -54,3 +55,22 @@
 	is.Equal(len(c.Events), historyEvents+1)
 	is.Equal(c.Events[0].Revision, m.since+1)
 }
+
+// TestMirrorHandsOutEvacuations, as changes and with everything.
+func TestMirrorHandsOutEvacuations(t *testing.T) {
+	is := is.New(t)
+	m := newMirror()
+	m.replace(&State{Revision: 10, Evacuated: []evacuation.Domain{{FailureDomain: "a", Revision: 7}}})
+	begun := Event{Evacuation: &evacuation.Change{FailureDomain: "b"}, Revision: 12}
+	ended := Event{Evacuation: &evacuation.Change{FailureDomain: "a", Ended: true}, Revision: 13}
+	m.apply(&Changes{Revision: 13, Events: []Event{begun, ended}})
+	c, whole := m.changes(12)
+	is.True(whole)
+	is.Equal(c.Events, []Event{ended})
+	is.Equal(m.state().Evacuated, []evacuation.Domain{{FailureDomain: "b", Revision: 12}})
+	m.apply(&Changes{Revision: 12, Events: []Event{begun}}) // comes twice
+	m.replace(&State{Revision: 11})                         // an older read
+	is.Equal(m.state().Evacuated, []evacuation.Domain{{FailureDomain: "b", Revision: 12}})
+	m.replace(&State{Revision: 14})
+	is.Equal(len(m.state().Evacuated), 0)
+}
