Say under which request an upstream ended

After a send whose connection ended without an answer, a host now looks whether anything listens at the upstream's address. If not, event 3007 names the upstream, the time from the send to its end, and the request by what stays the same when it comes again: its content, and its content with its caller. No decision uses it yet. Cost: one connection try after a send that broke; nothing on the way of a request that is answered.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -140,6 +140,7 @@
 	start := time.Now()
 	resp, err := x.proxy.sender.Do(ctx, b.upstream.Address, req)
 	x.report(b, resp, err)
+	x.examine(ctx, b, start, err)
 	r := x.interpret(b, resp, err)
 	x.guard.end(r.err)
 	if r.err != nil && r.err.Kind.Answer().Outcome == errkind.NotRun {
--- a/internal/proxy/fakes_test.go
+++ b/internal/proxy/fakes_test.go
@@ -48,6 +48,19 @@
 	return n
 }
 
+// all returns the events with a code.
+func (r *recorder) all(c event.Code) []event.Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []event.Event
+	for _, e := range r.events {
+		if e.Code == c {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 func (r *recorder) reason(c event.Code) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -35,6 +35,7 @@
 	host      string
 	prefix    string
 	sender    Sender
+	listeners Listeners // nil if the sender can't tell
 	executor  Executor
 	events    event.Sink
 	dialect   *Dialect
@@ -103,6 +104,7 @@
 			return retry.NewBudget(config.DefaultBudgetPercent)
 		},
 	}
+	p.listeners, _ = sender.(Listeners)
 	for _, o := range options {
 		o(p)
 	}
--- /dev/null
+++ b/internal/upstream/listening.go
@@ -0,0 +1,21 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Refuses reports whether connections to address are refused: no process listens
+// there. Silence, and any other failure, says nothing.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	dialer := net.Dialer{Timeout: c.conf.DialTimeout}
+	nc, err := dialer.DialContext(ctx, "tcp", parseTarget(address).address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = nc.Close() // nothing was sent
+	return false
+}
--- a/pkg/event/request_events.go
+++ b/pkg/event/request_events.go
@@ -8,6 +8,7 @@
 	RequestRefused  Code = 3004
 	AttemptFailed   Code = 3005
 	RequestUnknown  Code = 3006
+	UpstreamEnded   Code = 3007
 )
 
 // requestEvents describes the codes 3xxx: requests.
@@ -17,5 +18,6 @@
 	RequestAnswered: {"request-answered", Debug, "The upstream's answer was passed to the caller.", "status"},
 	RequestRefused:  {"request-refused", Info, "The request certainly did not run; the reason is the error kind.", "status"},
 	AttemptFailed:   {"attempt-failed", Info, "One send to an upstream failed.", ""},
+	UpstreamEnded:   {"upstream-ended", Info, "An upstream ended while it ran a request: the connection ended, and nothing listens there any more. The detail names the request, and what is the same when it comes again.", "time from the send to the end, microseconds"},
 	RequestUnknown:  {"request-unknown", Warn, "The request may or may not have run; the caller was told so.", "status"},
 }
--- /dev/null
+++ b/pkg/poison/fingerprint.go
@@ -0,0 +1,65 @@
+// Package poison tells the requests under which upstreams end from those that were
+// merely there: a request that ends each upstream which runs it would, asked again and
+// again, end a whole service.
+//
+// The package does no I/O and reads no clock. A Table is safe for concurrent use.
+package poison
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"io"
+)
+
+// Fingerprint names a request by what it asks for, so that it is known again when it
+// is asked anew, through any entry host. It is the same on all hosts. Fingerprints that
+// callers could forge would let them have the requests of others refused: Content and
+// Caller are cut from a cryptographic hash.
+type Fingerprint struct {
+	// Target stands for the host and target alone; it is cheap, and only sorts out.
+	Target uint64
+	// Content stands for method, host, target and body.
+	Content uint64
+	// Caller stands for Content and who asks.
+	Caller uint64
+}
+
+// Target returns the first part of a fingerprint.
+func Target(host, target string) uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, host)
+	_, _ = io.WriteString(h, target)
+	return h.Sum64()
+}
+
+// Of returns the fingerprint of a request.
+func Of(method, host, target string, body []byte, caller string) Fingerprint {
+	h := sha256.New()
+	for _, part := range []string{method, host, target} {
+		writePart(h, part)
+	}
+	_, _ = h.Write(body)
+	content := h.Sum(nil)
+	h.Reset()
+	_, _ = h.Write(content)
+	writePart(h, caller)
+	return Fingerprint{
+		Target:  Target(host, target),
+		Content: binary.BigEndian.Uint64(content),
+		Caller:  binary.BigEndian.Uint64(h.Sum(nil)),
+	}
+}
+
+// writePart writes a text behind its length, so that two parts never run together.
+func writePart(w io.Writer, part string) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+	_, _ = w.Write(length[:])
+	_, _ = io.WriteString(w, part)
+}
+
+// String returns the form in logs: equal first halves are the same request, equal
+// second halves the same request of the same caller.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x-%016x", f.Content, f.Caller) }
