--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -23,6 +23,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/operator"
 	"github.com/dapplespindle/dapplespindle/internal/peer"
 	"github.com/dapplespindle/dapplespindle/internal/platform"
+	"github.com/dapplespindle/dapplespindle/internal/poisonnews"
 	"github.com/dapplespindle/dapplespindle/internal/prober"
 	"github.com/dapplespindle/dapplespindle/internal/proxy"
 	"github.com/dapplespindle/dapplespindle/internal/settings"
@@ -32,6 +33,7 @@
 	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/configsync"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
+	"github.com/dapplespindle/dapplespindle/pkg/poison"
 	"github.com/dapplespindle/dapplespindle/pkg/routing"
 )
 
@@ -184,11 +186,20 @@
 		Timeout:   e.conf.Probe.Timeout,
 		FreshFor:  e.conf.Probe.FreshFor,
 	})
+	e.poison = poisonnews.New(poisonnews.Config{
+		Loop:   e.loop,
+		Server: e.peerServer,
+		Pool:   e.pool,
+		Peers:  e.peerAddresses,
+		Recent: func(now time.Time, within time.Duration) []poison.Death { return e.proxy.RecentDeaths(now, within) },
+		Heard:  func(died []poison.Death, answered []poison.Fingerprint) { e.proxy.Heard(died, answered) },
+	})
 	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
 	e.proxy = proxy.New(e.host, incarnation, e.client, e.sink,
 		proxy.WithExecutor(e.tickets),
 		proxy.WithTracer(e.tracer),
 		proxy.WithUpstreams(e.control),
+		proxy.WithPoisonNews(e.poison),
 	)
 	e.server = httpwire.NewServer(httpwire.ServerConfig{
 		Address:      e.conf.Listen,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/operator"
 	"github.com/dapplespindle/dapplespindle/internal/peer"
 	"github.com/dapplespindle/dapplespindle/internal/platform"
+	"github.com/dapplespindle/dapplespindle/internal/poisonnews"
 	"github.com/dapplespindle/dapplespindle/internal/prober"
 	"github.com/dapplespindle/dapplespindle/internal/proxy"
 	"github.com/dapplespindle/dapplespindle/internal/settings"
@@ -47,6 +48,7 @@
 	members   *members.Members
 	feed      *configfeed.Feed
 	notices   *notices.Spreader
+	poison    *poisonnews.Teller
 	tickets   *execution.Service
 	prober    *prober.Prober
 	operators *operator.Server
--- a/internal/news/poison.go
+++ b/internal/news/poison.go
@@ -18,9 +18,6 @@
 // DeathsPerMessage is how many ends fit a datagram.
 const DeathsPerMessage = 5
 
-// maxAge bounds the age of an end that a host tells of.
-const maxAge = 7 * 24 * time.Hour
-
 // poisonMessage is what a host tells of requests under which upstreams ended.
 type poisonMessage struct {
 	Died     []deathMessage       `json:"d,omitempty"`
@@ -106,14 +103,15 @@
 }
 
 func (m *deathMessage) decode(now time.Time) (poison.Death, error) {
-	if m.Ended < 0 || m.Began < m.Ended || m.Began > maxAge.Microseconds() {
+	began, ended, ok := poison.Times(now, m.Began, m.Ended)
+	if !ok {
 		return poison.Death{}, errors.Newf("an end %d us ago of a request sent %d us ago", m.Ended, m.Began)
 	}
 	return poison.Death{
 		Request:  m.Request.decode(),
 		Upstream: m.Upstream,
 		Host:     m.Host,
-		Began:    now.Add(-time.Duration(m.Began) * time.Microsecond),
-		Ended:    now.Add(-time.Duration(m.Ended) * time.Microsecond),
+		Began:    began,
+		Ended:    ended,
 	}, nil
 }
--- /dev/null
+++ b/internal/poisonnews/poisonnews.go
@@ -0,0 +1,154 @@
+// Package poisonnews tells the other entry hosts, over gRPC, of requests under which
+// upstreams end: each end at once to all, and for a while, or as long as the request is
+// refused, again to a few, since a call may fail and hosts may start.
+package poisonnews
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	poisonv1 "github.com/dapplespindle/dapplespindle/api/poison/v1"
+	"github.com/dapplespindle/dapplespindle/internal/control"
+	"github.com/dapplespindle/dapplespindle/internal/peer"
+	"github.com/dapplespindle/dapplespindle/pkg/poison"
+)
+
+const (
+	// repeatEvery is the pause between two repeats, and repeatTo how many hosts hear one:
+	// each host hears four a second.
+	repeatEvery = 500 * time.Millisecond
+	repeatTo    = 2
+	// repeatFor is how long an end that gets no request refused is repeated.
+	repeatFor = 5 * time.Second
+	// maxDeaths bounds the ends of one message; 50 KB.
+	maxDeaths = 1024
+	// callTimeout bounds one call. What it would have told is repeated.
+	callTimeout = 500 * time.Millisecond
+)
+
+// Config is what New needs. All fields are required.
+type Config struct {
+	// Loop is the control loop; New must be called before it runs.
+	Loop *control.Loop
+	// Server is where peers reach this host; New must be called before it serves.
+	Server *peer.Server
+	// Pool connects to peers.
+	Pool *peer.Pool
+	// Peers returns the addresses of the other entry hosts. It runs on any goroutine.
+	Peers func() []string
+	// Recent returns the ends that a host which missed them should hear of.
+	Recent func(now time.Time, within time.Duration) []poison.Death
+	// Heard takes in what a peer tells. It runs on any goroutine.
+	Heard func(died []poison.Death, answered []poison.Fingerprint)
+}
+
+// Teller implements proxy.PoisonNews.
+type Teller struct {
+	poisonv1.UnimplementedPoisonServer
+	conf Config
+}
+
+// New registers a teller with the loop and the peers' server.
+func New(conf Config) *Teller {
+	t := &Teller{conf: conf}
+	poisonv1.RegisterPoisonServer(conf.Server, t)
+	conf.Loop.Every(repeatEvery, t.repeat)
+	return t
+}
+
+// Died implements proxy.PoisonNews.
+func (t *Teller) Died(d poison.Death) {
+	t.tell(t.conf.Peers(), &poisonv1.TellRequest{Died: encodeDeaths(time.Now(), []poison.Death{d})})
+}
+
+// Answered implements proxy.PoisonNews.
+func (t *Teller) Answered(f poison.Fingerprint) {
+	t.tell(t.conf.Peers(), &poisonv1.TellRequest{Answered: []*poisonv1.Fingerprint{encodeFingerprint(f)}})
+}
+
+// repeat tells a few hosts, drawn anew each time, what they may have missed.
+func (t *Teller) repeat(now time.Time) {
+	deaths := t.conf.Recent(now, repeatFor)
+	if len(deaths) == 0 {
+		return
+	}
+	deaths = deaths[:min(len(deaths), maxDeaths)]
+	peers := t.conf.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	t.tell(peers[:min(len(peers), repeatTo)], &poisonv1.TellRequest{Died: encodeDeaths(now, deaths)})
+}
+
+// tell sends a message to each of the hosts, beside the caller. One that is not reached
+// hears it again.
+func (t *Teller) tell(peers []string, req *poisonv1.TellRequest) {
+	for _, p := range peers {
+		go func() { _ = t.call(p, req) }()
+	}
+}
+
+func (t *Teller) call(address string, req *poisonv1.TellRequest) error {
+	conn, err := t.conf.Pool.Conn(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_, err = poisonv1.NewPoisonClient(conn).Tell(ctx, req)
+	return err
+}
+
+// Tell implements poisonv1.PoisonServer.
+func (t *Teller) Tell(_ context.Context, req *poisonv1.TellRequest) (*poisonv1.TellResponse, error) {
+	now := time.Now()
+	var died []poison.Death
+	for _, m := range req.GetDied() {
+		d, ok := decodeDeath(now, m)
+		if !ok {
+			return nil, status.Error(codes.InvalidArgument, "an end before its request was sent, or in the future")
+		}
+		died = append(died, d)
+	}
+	var answered []poison.Fingerprint
+	for _, m := range req.GetAnswered() {
+		answered = append(answered, decodeFingerprint(m))
+	}
+	t.conf.Heard(died, answered)
+	return new(poisonv1.TellResponse), nil
+}
+
+func encodeDeaths(now time.Time, deaths []poison.Death) []*poisonv1.Death {
+	var out []*poisonv1.Death
+	for _, d := range deaths {
+		out = append(out, &poisonv1.Death{
+			Request:    encodeFingerprint(d.Request),
+			Upstream:   d.Upstream,
+			Host:       d.Host,
+			BeganAgeUs: now.Sub(d.Began).Microseconds(),
+			EndedAgeUs: now.Sub(d.Ended).Microseconds(),
+		})
+	}
+	return out
+}
+
+func decodeDeath(now time.Time, m *poisonv1.Death) (poison.Death, bool) {
+	began, ended, ok := poison.Times(now, m.GetBeganAgeUs(), m.GetEndedAgeUs())
+	return poison.Death{
+		Request:  decodeFingerprint(m.GetRequest()),
+		Upstream: m.GetUpstream(),
+		Host:     m.GetHost(),
+		Began:    began,
+		Ended:    ended,
+	}, ok
+}
+
+func encodeFingerprint(f poison.Fingerprint) *poisonv1.Fingerprint {
+	return &poisonv1.Fingerprint{Target: f.Target, Content: f.Content, Caller: f.Caller}
+}
+
+func decodeFingerprint(m *poisonv1.Fingerprint) poison.Fingerprint {
+	return poison.Fingerprint{Target: m.GetTarget(), Content: m.GetContent(), Caller: m.GetCaller()}
+}
