--- a/internal/configfeed/feed.go
+++ b/internal/configfeed/feed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	pb "github.com/dapplespindle/dapplespindle/api/configsync/v1"
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/control"
 	"github.com/dapplespindle/dapplespindle/internal/peer"
 	"github.com/dapplespindle/dapplespindle/internal/platform"
@@ -77,7 +78,7 @@
 	if conf.Options.Rand == nil {
 		conf.Options.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	f := &Feed{conf: conf, ctx: ctx, node: configsync.NewNode(time.Now(), conf.Options)}
+	f := &Feed{conf: conf, ctx: ctx, node: configsync.NewNode(clock.Now(), conf.Options)}
 	f.sender = newSender(f)
 	f.publish()
 	pb.RegisterConfigSyncServer(conf.Server, &service{feed: f})
@@ -108,7 +109,7 @@
 
 // tick runs on the control goroutine.
 func (f *Feed) tick(time.Time) {
-	now := time.Now()
+	now := clock.Now()
 	if !now.Before(f.nextList) {
 		f.nextList = now.Add(membersEvery)
 		if members, ok := f.conf.Members(); ok {
@@ -166,7 +167,7 @@
 		answer = answerOf(changes)
 	}
 	_ = f.conf.Loop.Call(f.ctx, func() {
-		now := time.Now()
+		now := clock.Now()
 		if err != nil {
 			f.apply(f.node.PlatformFailed(now, err))
 			return
--- a/internal/configfeed/transport.go
+++ b/internal/configfeed/transport.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/dapplespindle/dapplespindle/api/configsync/v1"
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/pkg/configsync"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 )
@@ -38,7 +39,7 @@
 		return nil, status.Error(codes.InvalidArgument, "no sender or no known message")
 	}
 	f := s.feed
-	err := f.conf.Loop.Call(ctx, func() { f.apply(f.node.Receive(time.Now(), env.GetFrom(), m)) })
+	err := f.conf.Loop.Call(ctx, func() { f.apply(f.node.Receive(clock.Now(), env.GetFrom(), m)) })
 	if err != nil {
 		return nil, status.FromContextError(err).Err()
 	}
@@ -88,5 +89,5 @@
 
 func (s *sender) failed(address string) {
 	f := s.feed
-	_ = f.conf.Loop.Call(f.ctx, func() { f.apply(f.node.PeerFailed(time.Now(), address)) })
+	_ = f.conf.Loop.Call(f.ctx, func() { f.apply(f.node.PeerFailed(clock.Now(), address)) })
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -9,6 +9,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 )
 
 const queueLength = 4096
@@ -84,7 +86,7 @@
 		case f := <-l.queue:
 			f()
 		case p := <-ticks:
-			p.run(time.Now())
+			p.run(clock.Now())
 		}
 	}
 }
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	operatorv1 "github.com/dapplespindle/dapplespindle/api/operator/v1"
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/configfeed"
 	"github.com/dapplespindle/dapplespindle/internal/operator"
 	"github.com/dapplespindle/dapplespindle/internal/prober"
@@ -65,7 +66,7 @@
 		registry:  lifecycle.NewRegistry(lifecycle.DefaultConfig(), hostSink{e}),
 		published: new(operator.Published),
 		revisions: make(map[string]uint64),
-		started:   time.Now(),
+		started:   clock.Now(),
 		served:    make(chan struct{}),
 	}
 	c.readyBy = c.started.Add(e.conf.JoinTimeout)
@@ -75,7 +76,7 @@
 
 // configured takes the documents in force into the registry and publishes.
 func (c *controller) configured(s configfeed.Snapshot) {
-	now := time.Now()
+	now := clock.Now()
 	c.config = s
 	c.list(now)
 	c.groups.prune(services(s))
@@ -140,13 +141,13 @@
 	if c.ready || !c.config.Ready {
 		return c.ready
 	}
-	return c.entry.notices.Fetched() || len(c.entry.peerAddresses()) == 0 || time.Now().After(c.readyBy)
+	return c.entry.notices.Fetched() || len(c.entry.peerAddresses()) == 0 || clock.Now().After(c.readyBy)
 }
 
 // tick runs every heartbeatEvery.
 func (c *controller) tick(now time.Time) {
 	c.stepWake(now)
-	c.heartbeat.Store(int64(time.Since(c.started)))
+	c.heartbeat.Store(int64(clock.Since(c.started)))
 	if now.After(c.nextTick) {
 		c.nextTick = now.Add(registryEvery)
 		c.registry.Tick(now)
@@ -162,7 +163,7 @@
 
 // silent is how long the control goroutine has not run.
 func (c *controller) silent() time.Duration {
-	return time.Since(c.started) - time.Duration(c.heartbeat.Load())
+	return clock.Since(c.started) - time.Duration(c.heartbeat.Load())
 }
 
 // stepWake asks peers which upstreams left while this process was paused. It
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,9 +9,11 @@
 	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/dapplespindle/dapplespindle/internal/admin"
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/configfeed"
 	"github.com/dapplespindle/dapplespindle/internal/control"
 	"github.com/dapplespindle/dapplespindle/internal/events"
@@ -65,6 +67,9 @@
 // New assembles an entry host from checked settings. Logs go to w. The parts
 // that work in the background end with ctx.
 func New(ctx context.Context, conf settings.Entry, build string, w io.Writer) (*Entry, error) {
+	if err := clock.Check(); err != nil {
+		return nil, errors.Wrap(err, "boot clock")
+	}
 	e := &Entry{conf: conf, build: build, host: conf.PeerListen, loop: control.NewLoop()}
 	steps := []func(context.Context) error{
 		func(context.Context) error { return e.buildEvents(w) },
@@ -129,6 +134,9 @@
 	}
 	defer e.close()
 	e.emit(event.Event{Code: event.ProcessStarted})
+	clock.OnResume(func(suspended time.Duration) {
+		e.emit(event.Event{Code: event.HostSuspended, Value: suspended.Milliseconds()})
+	})
 	e.newStopper().Run(ctx, signals)
 	return nil
 }
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/upstream"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/registry"
@@ -95,7 +96,7 @@
 		st.policyName = g.Policy
 		st.policy = s.buildPolicy(g)
 	}
-	st.refresh(g, time.Now())
+	st.refresh(g, clock.Now())
 	st.picker = st.policy.Update(s.taking(service, g, st))
 }
 
--- a/internal/entry/hosts.go
+++ b/internal/entry/hosts.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"net/netip"
-	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/members"
 	"github.com/dapplespindle/dapplespindle/internal/platform"
 	"github.com/dapplespindle/dapplespindle/pkg/configsync"
@@ -53,7 +53,7 @@
 		return
 	}
 	c.hostsRevision = list.Revision
-	now := time.Now()
+	now := clock.Now()
 	for _, k := range upstreamsOn(leavingHosts(list), c.config.InForce) {
 		c.registry.HostLeaving(now, k)
 	}
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/prober"
 	"github.com/dapplespindle/dapplespindle/internal/upstream"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
@@ -21,7 +22,7 @@
 		return
 	}
 	c.entry.loop.Post(func() {
-		c.registry.Refused(time.Now(), k, activation)
+		c.registry.Refused(clock.Now(), k, activation)
 		c.publishSoon()
 	})
 }
@@ -29,7 +30,7 @@
 // ConnectFailed implements proxy.Upstreams.
 func (c *controller) ConnectFailed(k lifecycle.UpstreamKey) {
 	c.entry.loop.Post(func() {
-		c.registry.ConnectFailed(time.Now(), k)
+		c.registry.ConnectFailed(clock.Now(), k)
 		c.publishSoon()
 	})
 }
@@ -37,7 +38,7 @@
 // Reached implements proxy.Upstreams.
 func (c *controller) Reached(k lifecycle.UpstreamKey) {
 	c.entry.loop.Post(func() {
-		c.registry.Reached(time.Now(), k)
+		c.registry.Reached(clock.Now(), k)
 		c.publishSoon()
 	})
 }
--- a/internal/execution/adopt.go
+++ b/internal/execution/adopt.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/status"
 
 	executionv1 "github.com/dapplespindle/dapplespindle/api/execution/v1"
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/pkg/atmostonce"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 )
@@ -71,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	ledger, err := atmostonce.Adopt(s.conf.Ledger, time.Now(), snapshot)
+	ledger, err := atmostonce.Adopt(s.conf.Ledger, clock.Now(), snapshot)
 	if err != nil {
 		return err
 	}
--- a/internal/execution/handover.go
+++ b/internal/execution/handover.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	executionv1 "github.com/dapplespindle/dapplespindle/api/execution/v1"
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/peer"
 	"github.com/dapplespindle/dapplespindle/pkg/atmostonce"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
@@ -79,7 +80,7 @@
 	defer s.mu.Unlock()
 	s.own.mu.Lock()
 	defer s.own.mu.Unlock()
-	snapshot, err := s.own.ledger.Freeze(time.Now())
+	snapshot, err := s.own.ledger.Freeze(clock.Now())
 	if err == nil {
 		s.moved[s.own.sealer.Incarnation()] = successor
 	}
--- a/internal/execution/server.go
+++ b/internal/execution/server.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/status"
 
 	executionv1 "github.com/dapplespindle/dapplespindle/api/execution/v1"
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/pkg/atmostonce"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
@@ -26,9 +27,8 @@
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	now := time.Now()
-	req := decodeRequest(m, now)
-	ctx, cancel := context.WithDeadline(ctx, now.Add(time.Duration(m.GetTimeoutUs())*time.Microsecond))
+	req := decodeRequest(m, clock.Now())
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(m.GetTimeoutUs())*time.Microsecond)
 	defer cancel()
 	return &executionv1.ExecuteResponse{Result: encodeResult(v.service.forwarded(ctx, ticket, req))}, nil
 }
--- a/internal/execution/service.go
+++ b/internal/execution/service.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc"
 
 	executionv1 "github.com/dapplespindle/dapplespindle/api/execution/v1"
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/internal/peer"
 	"github.com/dapplespindle/dapplespindle/pkg/atmostonce"
@@ -74,7 +75,7 @@
 		moved:   make(map[atmostonce.Incarnation]netip.AddrPort),
 	}
 	number := atmostonce.Incarnation(binary.BigEndian.Uint64(incarnation[:]))
-	s.own = newSpace(atmostonce.NewSealer(conf.Address, number, secret), atmostonce.New(conf.Ledger, time.Now()), s.emit)
+	s.own = newSpace(atmostonce.NewSealer(conf.Address, number, secret), atmostonce.New(conf.Ledger, clock.Now()), s.emit)
 	return s, nil
 }
 
--- a/internal/execution/space.go
+++ b/internal/execution/space.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/pkg/atmostonce"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
@@ -39,7 +39,7 @@
 // issue returns the text of a new ticket.
 func (s *space) issue(requestID string) (string, error) {
 	s.mu.Lock()
-	sequence, err := s.ledger.Issue(time.Now())
+	sequence, err := s.ledger.Issue(clock.Now())
 	s.mu.Unlock()
 	if err != nil {
 		s.emit(event.Event{Code: event.TicketRefused, Request: requestID, Reason: err.Error()})
@@ -93,7 +93,7 @@
 // ask decides, and finds or makes the call in the same step.
 func (s *space) ask(ask atmostonce.Ask) (atmostonce.Decision, *call) {
 	s.mu.Lock()
-	d, err := s.ledger.Ask(time.Now(), ask)
+	d, err := s.ledger.Ask(clock.Now(), ask)
 	c := s.calls[ask.Sequence]
 	if d.Verdict == atmostonce.Execute {
 		c = &call{done: make(chan struct{})}
@@ -121,7 +121,7 @@
 
 func (s *space) finish(sequence uint64, c *call, wanted atmostonce.Result) atmostonce.Result {
 	s.mu.Lock()
-	result, err := s.ledger.Finish(time.Now(), sequence, wanted)
+	result, err := s.ledger.Finish(clock.Now(), sequence, wanted)
 	delete(s.calls, sequence)
 	s.mu.Unlock()
 	c.result = result
@@ -143,7 +143,7 @@
 
 func (s *space) send(sequence uint64) *errkind.Error {
 	s.mu.Lock()
-	denied, err := s.ledger.Send(time.Now(), sequence)
+	denied, err := s.ledger.Send(clock.Now(), sequence)
 	s.mu.Unlock()
 	s.report(err)
 	if denied != nil {
@@ -154,7 +154,7 @@
 
 func (s *space) notRun(sequence uint64) {
 	s.mu.Lock()
-	err := s.ledger.NotRun(time.Now(), sequence)
+	err := s.ledger.NotRun(clock.Now(), sequence)
 	s.mu.Unlock()
 	s.report(err)
 }
--- a/internal/gateway/asker.go
+++ b/internal/gateway/asker.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/internal/proxy"
 	"github.com/dapplespindle/dapplespindle/internal/upstream"
@@ -40,14 +41,14 @@
 
 // ask records what one upstream says of its load.
 func (a *asker) ask(ctx context.Context, group *routing.Group, u *balancer.Upstream) {
-	sent, mark := time.Now(), u.Mark()
+	sent, mark := clock.Now(), u.Mark()
 	resp, err := a.question(ctx, group, u)
 	if err != nil && err.Kind == errkind.UpstreamBroken {
 		// Upstreams may forget idle connections and reset what comes on them; a
 		// question may be asked twice, and the next one is on another connection.
 		resp, err = a.question(ctx, group, u)
 	}
-	now := time.Now()
+	now := clock.Now()
 	feedback := balancer.Feedback{Now: now, Latency: now.Sub(sent), Asked: mark}
 	switch {
 	case err != nil:
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/internal/source"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
@@ -65,7 +66,7 @@
 // read takes in everything that is published.
 func (c *controller) read(s *source.State) {
 	c.gateway.emit(event.Event{Code: event.UpstreamsRead, Value: int64(len(s.Upstreams))})
-	c.set.Replace(time.Now(), s.Upstreams, s.Revision)
+	c.set.Replace(clock.Now(), s.Upstreams, s.Revision)
 	c.evacuate(c.evacuated.Replace(s.Evacuated, s.Revision)...)
 	c.listed = true
 	fresh := c.configure(s.Configuration)
@@ -88,7 +89,7 @@
 		return false
 	}
 	c.gateway.emit(event.Event{Code: event.UpstreamsRead, Reason: "part", Value: int64(len(s.Upstreams))})
-	now := time.Now()
+	now := clock.Now()
 	for _, u := range s.Upstreams {
 		c.set.Put(now, u)
 	}
@@ -122,7 +123,7 @@
 
 // changed takes in what has changed, and puts it in force at once.
 func (c *controller) changed(changes *source.Changes) {
-	now := time.Now()
+	now := clock.Now()
 	for i := range changes.Events {
 		c.change(now, &changes.Events[i])
 	}
@@ -172,8 +173,8 @@
 // returned is told since when the store answers again.
 func (c *controller) returned(at time.Time) {
 	c.set.Returned(at)
-	time.AfterFunc(time.Until(at.Add(returnGrace)), func() {
-		c.gateway.loop.Post(func() { c.tick(time.Now()) })
+	time.AfterFunc(clock.Until(at.Add(returnGrace)), func() {
+		c.gateway.loop.Post(func() { c.tick(clock.Now()) })
 	})
 }
 
@@ -226,7 +227,7 @@
 
 // relist tells the registry of the services whose entries changed.
 func (c *controller) relist() {
-	now := time.Now()
+	now := clock.Now()
 	for _, service := range c.set.Changed() {
 		c.revision++
 		var listings []lifecycle.Listing
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/members"
 	"github.com/dapplespindle/dapplespindle/internal/news"
 	"github.com/dapplespindle/dapplespindle/internal/source"
@@ -102,7 +103,7 @@
 // refresh gives the follower the hosts when they have changed. It runs on the
 // control goroutine.
 func (f *fleet) refresh(s *membership.Snapshot) {
-	now := time.Now()
+	now := clock.Now()
 	if s.Joined && f.joined.IsZero() {
 		f.joined = now
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,9 +15,11 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/dapplespindle/dapplespindle/internal/admin"
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/control"
 	"github.com/dapplespindle/dapplespindle/internal/events"
 	"github.com/dapplespindle/dapplespindle/internal/hoststop"
@@ -57,6 +59,9 @@
 
 // New assembles an entry host from checked settings. Logs go to w.
 func New(conf Settings, store source.Store, dialect *proxy.Dialect, w io.Writer) (*Gateway, error) {
+	if err := clock.Check(); err != nil {
+		return nil, errors.Wrap(err, "boot clock")
+	}
 	g := &Gateway{conf: conf, loop: control.NewLoop()}
 	if err := g.buildEvents(w); err != nil {
 		return nil, err
@@ -270,6 +275,7 @@
 		return err
 	}
 	g.emit(event.Event{Code: event.ProcessStarted})
+	clock.OnResume(g.resumed)
 	g.stopper.Run(ctx, signals)
 	if g.fleet != nil {
 		g.fleet.stop()
@@ -309,6 +315,12 @@
 	return nil
 }
 
+// resumed is called when the machine was suspended.
+func (g *Gateway) resumed(suspended time.Duration) {
+	g.emit(event.Event{Code: event.HostSuspended, Value: suspended.Milliseconds()})
+	g.follower.Resumed()
+}
+
 // leave is called when the planned stop begins.
 func (g *Gateway) leave() {
 	if g.fleet != nil {
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -1,8 +1,7 @@
 package gateway
 
 import (
-	"time"
-
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/upstream"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/probefirst"
@@ -102,7 +101,7 @@
 // refresh makes records for new upstreams, and for new starts of known ones, and
 // forgets those that are gone: cost, failures, load and connections are of one start.
 func (pl *pool) refresh(list []registered.Upstream, forget func(string)) {
-	now := time.Now()
+	now := clock.Now()
 	known := make(map[string]*balancer.Upstream, len(list))
 	entries := make(map[string]uint64, len(list))
 	for _, entry := range list {
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
 )
 
@@ -18,7 +19,7 @@
 		return
 	}
 	c.gateway.loop.Post(func() {
-		c.registry.Refused(time.Now(), k, activation)
+		c.registry.Refused(clock.Now(), k, activation)
 		c.publish(false)
 	})
 }
@@ -26,7 +27,7 @@
 // ConnectFailed implements proxy.Upstreams.
 func (c *controller) ConnectFailed(k lifecycle.UpstreamKey) {
 	c.gateway.loop.Post(func() {
-		c.registry.ConnectFailed(time.Now(), k)
+		c.registry.ConnectFailed(clock.Now(), k)
 		c.publish(false)
 	})
 }
@@ -34,7 +35,7 @@
 // Reached implements proxy.Upstreams.
 func (c *controller) Reached(k lifecycle.UpstreamKey) {
 	c.gateway.loop.Post(func() {
-		c.registry.Reached(time.Now(), k)
+		c.registry.Reached(clock.Now(), k)
 		c.publish(false)
 	})
 }
--- a/internal/hoststop/hoststop.go
+++ b/internal/hoststop/hoststop.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
@@ -70,7 +71,7 @@
 		case times := <-s.times:
 			s.host.SetConfig(times)
 		case <-signals:
-			effects = s.host.Signal(time.Now(), s.inFlight())
+			effects = s.host.Signal(clock.Now(), s.inFlight())
 			if ticker == nil {
 				ticker = time.NewTicker(tick)
 				defer ticker.Stop()
--- a/internal/httpwire/guard.go
+++ b/internal/httpwire/guard.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire/framing"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire/socket"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
@@ -43,10 +44,10 @@
 	switch {
 	case !c.scanner.HeadDone() && c.state == connIdle:
 		c.state = connHead
-		c.alarm.set(time.Now(), c.server.limits.Load().HeadTimeout, c.onAlarm)
+		c.alarm.set(clock.Now(), c.server.limits.Load().HeadTimeout, c.onAlarm)
 	case c.scanner.HeadDone() && c.state != connBody:
 		c.state = connBody
-		c.alarm.set(time.Now(), conf.BodyTimeout, c.onAlarm)
+		c.alarm.set(clock.Now(), conf.BodyTimeout, c.onAlarm)
 		c.sendContinue()
 	}
 }
@@ -98,7 +99,7 @@
 	if g.complete != 1 || len(req.Body) != c.scanner.BodyBytes() {
 		return nil, errNotOneMessage
 	}
-	req.Received = time.Now()
+	req.Received = clock.Now()
 	req.RemoteAddr = c.remote
 	req.keepAlive = c.scanner.Head().Persistent()
 	return req, nil
@@ -145,7 +146,7 @@
 		c.tls.CloseWrite()
 	}
 	socket.EndWrite(c.conn)
-	c.alarm.set(time.Now(), lingerTimeout, c.onAlarm)
+	c.alarm.set(clock.Now(), lingerTimeout, c.onAlarm)
 }
 
 var errLingered = errors.New("bytes after the last answer")
@@ -162,7 +163,7 @@
 func (c *serverConn) onAlarm() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.alarm.due(time.Now()) {
+	if !c.alarm.due(clock.Now()) {
 		return
 	}
 	switch c.state {
@@ -188,7 +189,7 @@
 // read then must not be sent anywhere, since its caller gets no answer.
 func (c *serverConn) endIdle() {
 	if !socket.Quiet(c.conn) {
-		c.alarm.set(time.Now(), unreadWait, c.onAlarm)
+		c.alarm.set(clock.Now(), unreadWait, c.onAlarm)
 		return
 	}
 	c.state = connClosing
--- a/internal/httpwire/serverconn.go
+++ b/internal/httpwire/serverconn.go
@@ -6,11 +6,11 @@
 	"runtime"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire/framing"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire/socket"
 )
@@ -189,7 +189,7 @@
 
 // rest waits for the next request.
 func (c *serverConn) rest() {
-	c.alarm.set(time.Now(), c.server.limits.Load().IdleTimeout, c.onAlarm)
+	c.alarm.set(clock.Now(), c.server.limits.Load().IdleTimeout, c.onAlarm)
 }
 
 // closeIfIdle closes the connection if no request is received or served on it and
--- a/internal/httpwire/tls.go
+++ b/internal/httpwire/tls.go
@@ -2,10 +2,10 @@
 
 import (
 	"crypto/tls"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire/socket"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 )
@@ -15,7 +15,7 @@
 func (c *serverConn) awaitHandshake() {
 	c.state = connShaking
 	c.tls = socket.NewServerTLS(c.server.conf.TLS, c.conn.RemoteAddr(), c.writeRaw, c.plain)
-	c.alarm.set(time.Now(), c.server.conf.HandshakeTimeout, c.onAlarm)
+	c.alarm.set(clock.Now(), c.server.conf.HandshakeTimeout, c.onAlarm)
 }
 
 // shaken is called at the end of the handshake, and once more when the bytes
--- a/internal/members/hostlist.go
+++ b/internal/members/hostlist.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 )
 
@@ -51,7 +52,7 @@
 		}
 		return true
 	}
-	m.conf.Loop.Post(func() { m.apply(m.core.SetHosts(time.Now(), list.Revision, list.Hosts)) })
+	m.conf.Loop.Post(func() { m.apply(m.core.SetHosts(clock.Now(), list.Revision, list.Hosts)) })
 	return false
 }
 
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/control"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/membership"
@@ -71,7 +72,6 @@
 	snapshot  atomic.Pointer[membership.Snapshot]
 	started   time.Time
 	lastTick  atomic.Int64 // nanoseconds after started
-	lastWall  time.Time    // of the last tick, on the control goroutine
 	reported  time.Time    // when refused datagrams were last reported
 	refused   int64        // reported so far
 	cancel    context.CancelFunc
@@ -96,8 +96,8 @@
 		conf.PauseBound = 2 * conf.Period
 	}
 	conf.Address = netip.AddrPortFrom(conf.Address.Addr().Unmap(), conf.Address.Port())
-	now := time.Now()
-	m := &Members{conf: conf, started: now, lastWall: now, reported: now}
+	now := clock.Now()
+	m := &Members{conf: conf, started: now, reported: now}
 	m.core = membership.New(now, m.coreConfig(now))
 	m.snapshot.Store(m.core.Snapshot())
 	m.transport = newTransport(conf.Address, codec, m.receive)
@@ -141,14 +141,14 @@
 // stop begins, not on the control goroutine; membership goes on. It fails only
 // with ctx's error.
 func (m *Members) Leave(ctx context.Context) error {
-	return m.conf.Loop.Call(ctx, func() { m.apply(m.core.Leave(time.Now())) })
+	return m.conf.Loop.Call(ctx, func() { m.apply(m.core.Leave(clock.Now())) })
 }
 
 // Stop tells the peers that this host is gone, and closes the socket. The
 // control loop must still run, else the peers have to find out. Call it not on
 // the control goroutine.
 func (m *Members) Stop(ctx context.Context) {
-	_ = m.conf.Loop.Call(ctx, func() { m.apply(m.core.Stop(time.Now())) })
+	_ = m.conf.Loop.Call(ctx, func() { m.apply(m.core.Stop(clock.Now())) })
 	if m.cancel != nil {
 		m.cancel()
 	}
@@ -162,7 +162,7 @@
 // notices a pause before the control goroutine does, so a traffic goroutine
 // that asks right after waking gets the right answer.
 func (m *Members) Waking() bool {
-	silent := time.Since(m.started) - time.Duration(m.lastTick.Load())
+	silent := clock.Since(m.started) - time.Duration(m.lastTick.Load())
 	return silent > m.conf.PauseBound || m.snapshot.Load().Waking
 }
 
@@ -184,7 +184,6 @@
 func (m *Members) Stats() Stats { return m.transport.stats() }
 
 func (m *Members) tick(now time.Time) {
-	m.checkSuspend(now)
 	m.apply(m.core.Tick(now))
 	m.lastTick.Store(int64(now.Sub(m.started)))
 	m.reportRefused(now)
@@ -196,24 +195,12 @@
 	}
 }
 
-// checkSuspend finds pauses in which the monotonic clock stood still, such as
-// that of a suspended virtual machine. A wall clock that is set forward looks
-// the same, and costs one exchange with a peer.
-func (m *Members) checkSuspend(now time.Time) {
-	wall := now.Round(0).Sub(m.lastWall.Round(0))
-	hidden := wall - now.Sub(m.lastWall)
-	m.lastWall = now
-	if hidden > m.conf.PauseBound {
-		m.apply(m.core.Wake(now, wall))
-	}
-}
-
 // receive hands a message to the control goroutine; it reports false when
 // that goroutine is behind.
 func (m *Members) receive(msg *membership.Message, done func()) bool {
 	return m.conf.Loop.Post(func() {
 		defer done()
-		m.apply(m.core.Receive(time.Now(), msg))
+		m.apply(m.core.Receive(clock.Now(), msg))
 	})
 }
 
--- a/internal/news/answer.go
+++ b/internal/news/answer.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpget"
 	"github.com/dapplespindle/dapplespindle/internal/source"
 )
@@ -50,14 +51,14 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	answered := time.Now()
+	answered := clock.Now()
 	body, err := t.pack(after, told)
 	if err != nil {
 		t.refused(err)
 		http.Error(w, "can't be encoded", http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set(headerAge, formatAge(told.Age+time.Since(answered)))
+	w.Header().Set(headerAge, formatAge(told.Age+clock.Since(answered)))
 	if told.ReturnedAge > 0 {
 		w.Header().Set(headerReturnedAge, formatAge(told.ReturnedAge))
 	}
--- a/internal/news/poison.go
+++ b/internal/news/poison.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/pkg/poison"
 )
 
@@ -47,7 +48,7 @@
 // TellDeaths sends ends of upstreams to each of the hosts, in as many messages as it
 // takes.
 func (t *Transport) TellDeaths(to []netip.AddrPort, deaths []poison.Death) {
-	now := time.Now()
+	now := clock.Now()
 	for part := range slices.Chunk(deaths, DeathsPerMessage) {
 		var m poisonMessage
 		for _, d := range part {
@@ -85,7 +86,7 @@
 	if err := json.Unmarshal(text, &m); err != nil {
 		return errors.Wrap(err, "message of ends")
 	}
-	now := time.Now()
+	now := clock.Now()
 	var died []poison.Death
 	for _, d := range m.Died {
 		death, err := d.decode(now)
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/status"
 
 	noticesv1 "github.com/dapplespindle/dapplespindle/api/notices/v1"
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/control"
 	"github.com/dapplespindle/dapplespindle/internal/peer"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
@@ -84,7 +85,7 @@
 // goroutine.
 func (s *Spreader) Refetch() {
 	s.awake.Add(1)
-	s.ask(time.Now(), refetchFanOut, func(error) {})
+	s.ask(clock.Now(), refetchFanOut, func(error) {})
 }
 
 // Tell pushes news to peers in the next rounds. News about an upstream that is
@@ -103,7 +104,7 @@
 		s.news[n.Key] = n
 	}
 	s.rounds = pushRounds
-	s.push(time.Now())
+	s.push(clock.Now())
 }
 
 func (s *Spreader) push(time.Time) {
@@ -218,7 +219,7 @@
 		return nil, status.Error(codes.FailedPrecondition, "has not fetched notices itself")
 	}
 	err := s.conf.Loop.Call(ctx, func() {
-		resp.Notices = lifecycle.EncodeNotices(s.conf.Known(time.Now()))
+		resp.Notices = lifecycle.EncodeNotices(s.conf.Known(clock.Now()))
 	})
 	return resp, err
 }
@@ -228,7 +229,7 @@
 	if err != nil {
 		return err
 	}
-	return s.conf.Loop.Call(ctx, func() { s.conf.Merge(time.Now(), list) })
+	return s.conf.Loop.Call(ctx, func() { s.conf.Merge(clock.Now(), list) })
 }
 
 // choose returns up to n of the peers, at random.
--- a/internal/poisonnews/poisonnews.go
+++ b/internal/poisonnews/poisonnews.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/status"
 
 	poisonv1 "github.com/dapplespindle/dapplespindle/api/poison/v1"
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/control"
 	"github.com/dapplespindle/dapplespindle/internal/peer"
 	"github.com/dapplespindle/dapplespindle/pkg/poison"
@@ -62,7 +63,7 @@
 
 // Died implements proxy.PoisonNews.
 func (t *Teller) Died(d poison.Death) {
-	t.tell(t.conf.Peers(), &poisonv1.TellRequest{Died: encodeDeaths(time.Now(), []poison.Death{d})})
+	t.tell(t.conf.Peers(), &poisonv1.TellRequest{Died: encodeDeaths(clock.Now(), []poison.Death{d})})
 }
 
 // Answered implements proxy.PoisonNews.
@@ -103,7 +104,7 @@
 
 // Tell implements poisonv1.PoisonServer.
 func (t *Teller) Tell(_ context.Context, req *poisonv1.TellRequest) (*poisonv1.TellResponse, error) {
-	now := time.Now()
+	now := clock.Now()
 	var died []poison.Death
 	for _, m := range req.GetDied() {
 		d, ok := decodeDeath(now, m)
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/internal/upstream"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
@@ -116,7 +117,7 @@
 		return false
 	}
 	// The plan was checked; Configure reports nothing else.
-	_ = p.budget.Configure(time.Now(), t.Address, t.Plan)
+	_ = p.budget.Configure(clock.Now(), t.Address, t.Plan)
 	if known == nil {
 		p.budget.Stagger(t.Address, rand.N(t.Plan.Window()))
 	} else {
@@ -150,7 +151,7 @@
 			return
 		case <-tick.C:
 		}
-		if t, g, ok := p.next(time.Now()); ok {
+		if t, g, ok := p.next(clock.Now()); ok {
 			go p.probe(ctx, t, g)
 		}
 	}
@@ -160,14 +161,14 @@
 func (p *Prober) probe(ctx context.Context, t *target, g probebudget.Grant) {
 	ctx, cancel := context.WithTimeout(ctx, p.conf.Timeout)
 	defer cancel()
-	sent := time.Now()
+	sent := clock.Now()
 	if !p.allowed(sent, t) {
 		p.settle(t, g, 0, probebudget.NotSent)
 		return
 	}
 	p.emit(event.Event{Code: event.ProbeSent, Upstream: t.Upstream, Value: int64(g.Cost)})
 	resp, err := p.conf.Sender.Do(ctx, t.Via, p.request(t))
-	received := time.Now()
+	received := clock.Now()
 	took := min(received.Sub(sent), p.conf.Timeout)
 	p.settle(t, g, took, outcome(err))
 	if over := took - g.Cost; over > 0 {
@@ -195,7 +196,7 @@
 func (p *Prober) settle(t *target, g probebudget.Grant, took time.Duration, o probebudget.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.budget.Settle(time.Now(), g, took, o) {
+	if !p.budget.Settle(clock.Now(), g, took, o) {
 		p.emit(event.Event{Code: event.GrantNotOpen, Upstream: t.Upstream})
 	}
 }
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
@@ -102,7 +103,7 @@
 		return x.quarantineLeft()
 	}
 	if x.state == nil {
-		if kind == errkind.NotReady && x.proxy.starting.recent(time.Now()) {
+		if kind == errkind.NotReady && x.proxy.starting.recent(clock.Now()) {
 			return limit.RetryAfterStart(x.proxy.random())
 		}
 		return limit.RetryAfter(0, x.proxy.random())
--- a/internal/proxy/ask.go
+++ b/internal/proxy/ask.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 	"github.com/dapplespindle/dapplespindle/pkg/routing"
 )
@@ -32,7 +32,7 @@
 			return
 		}
 		x.proxy.asker.Ask(ctx, group, list)
-		info.Now = time.Now()
+		info.Now = clock.Now()
 	}
 }
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/execution"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
@@ -89,13 +90,13 @@
 func (x *exchange) pick(ctx context.Context, n int, waited time.Duration, extra bool) (binding, error) {
 	group := x.state.group.current.Load()
 	info := balancer.PickInfo{
-		Now:        time.Now(),
+		Now:        clock.Now(),
 		Random:     x.proxy.random(),
 		Exclude:    x.tried,
 		Waited:     waited,
 		Extra:      extra,
 		Usual:      x.usual(),
-		TargetLeft: time.Until(x.usefulUntil()),
+		TargetLeft: clock.Until(x.usefulUntil()),
 		Left:       x.left(),
 	}
 	x.ask(ctx, group, &info)
@@ -137,7 +138,7 @@
 		return result{binding: b, err: err}
 	}
 	req := x.attemptRequest(b)
-	start := time.Now()
+	start := clock.Now()
 	resp, err := x.proxy.sender.Do(ctx, b.upstream.Address, req)
 	x.report(b, resp, err)
 	x.examine(ctx, b, start, err)
@@ -147,7 +148,7 @@
 	if r.err != nil && r.err.Kind.Answer().Outcome == errkind.NotRun {
 		execution.AfterNotRun(ctx)
 	}
-	x.done(b, x.feedbackOf(ctx, r, resp, time.Since(start)))
+	x.done(b, x.feedbackOf(ctx, r, resp, clock.Since(start)))
 	return r
 }
 
@@ -165,7 +166,7 @@
 
 // done reports the end of a send to the balancer, the limit and the queue.
 func (x *exchange) done(b binding, f feedback) {
-	now := time.Now()
+	now := clock.Now()
 	x.state.group.inFlight.Add(-1)
 	told := f.balancer(now)
 	told.Target = x.rule.Config.TargetLatency.Std()
--- a/internal/proxy/deadline.go
+++ b/internal/proxy/deadline.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 )
 
@@ -25,7 +26,7 @@
 }
 
 // left is the time to the deadline.
-func (x *exchange) left() time.Duration { return time.Until(x.deadline) }
+func (x *exchange) left() time.Duration { return clock.Until(x.deadline) }
 
 // timeoutValue tells an upstream how much of the deadline is left, in whole
 // milliseconds.
--- a/internal/proxy/poison.go
+++ b/internal/proxy/poison.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/poison"
@@ -64,13 +65,13 @@
 // Heard takes in what another host tells of ends of upstreams, and of requests that were
 // answered. It may be called on any goroutine.
 func (p *Proxy) Heard(died []poison.Death, answered []poison.Fingerprint) {
-	now := time.Now()
+	now := clock.Now()
 	for _, d := range died {
 		p.died(now, d, quarantineHeard)
 	}
 	for _, f := range answered {
 		if _, lifted := p.poison.table.Answered(now, f); lifted {
-			p.quarantineEnded(now, f)
+			p.quarantineEnded(f)
 		}
 	}
 }
@@ -85,15 +86,15 @@
 	news := p.poison.table.Died(now, d)
 	if news.Began {
 		p.events.Emit(event.Event{
-			Code: event.QuarantineBegun, At: now, EntryHost: p.host, Reason: reason,
-			Detail: d.Request.String() + " until " + news.Until.UTC().Format(time.RFC3339), Value: int64(news.Ends),
+			Code: event.QuarantineBegun, At: time.Now(), EntryHost: p.host, Reason: reason,
+			Detail: d.Request.String() + " until " + clock.Wall(news.Until).UTC().Format(time.RFC3339), Value: int64(news.Ends),
 		})
 	}
 	return news.New
 }
 
-func (p *Proxy) quarantineEnded(now time.Time, f poison.Fingerprint) {
-	p.events.Emit(event.Event{Code: event.QuarantineEnded, At: now, EntryHost: p.host, Detail: f.String()})
+func (p *Proxy) quarantineEnded(f poison.Fingerprint) {
+	p.events.Emit(event.Event{Code: event.QuarantineEnded, At: time.Now(), EntryHost: p.host, Detail: f.String()})
 }
 
 // examine finds out whether the request's upstream ended while it ran it.
@@ -111,7 +112,7 @@
 		Upstream: poison.Hash(x.state.group.owner, b.upstream.ID),
 		Host:     poison.Hash(p.host, p.prefix),
 		Began:    start,
-		Ended:    time.Now(),
+		Ended:    clock.Now(),
 	}
 	done := make(chan struct{})
 	go func() {
@@ -134,11 +135,11 @@
 func (x *exchange) upstreamEnded(b binding, d poison.Death) {
 	p := x.proxy
 	p.events.Emit(event.Event{
-		Code: event.UpstreamEnded, At: d.Ended, EntryHost: p.host,
+		Code: event.UpstreamEnded, At: clock.Wall(d.Ended), EntryHost: p.host,
 		Service: x.rule.Service.Name, Rule: x.rule.Config.Name, Upstream: b.upstream.ID,
 		Detail: "request " + x.id + " is " + d.Request.String(), Value: d.Ended.Sub(d.Began).Microseconds(),
 	})
-	if p.died(time.Now(), d, quarantineSeen) && p.poison.news != nil {
+	if p.died(clock.Now(), d, quarantineSeen) && p.poison.news != nil {
 		p.poison.news.Died(d)
 	}
 }
@@ -162,7 +163,7 @@
 	if !table.Suspects(x.req.Host, x.req.Target) {
 		return 0
 	}
-	now := time.Now()
+	now := clock.Now()
 	until := table.RefusedUntil(now, x.fingerprint())
 	return max(until.Sub(now), 0)
 }
@@ -174,11 +175,11 @@
 	if r.err != nil || r.resp.Status >= http.StatusInternalServerError || !table.Suspects(x.req.Host, x.req.Target) {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	f := x.fingerprint()
 	tell, lifted := table.Answered(now, f)
 	if lifted {
-		x.proxy.quarantineEnded(now, f)
+		x.proxy.quarantineEnded(f)
 	}
 	if tell && x.proxy.poison.news != nil {
 		go x.proxy.poison.news.Answered(f)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,8 +11,8 @@
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
-	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/execution"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/internal/tracing"
@@ -205,7 +205,7 @@
 
 // RefuseUnread answers a request that was refused before it was read whole.
 func (p *Proxy) RefuseUnread(remoteAddr string, err *errkind.Error) *httpwire.Response {
-	x := p.newExchange(&httpwire.Request{RemoteAddr: remoteAddr, Received: time.Now(), Header: make(http.Header)})
+	x := p.newExchange(&httpwire.Request{RemoteAddr: remoteAddr, Received: clock.Now(), Header: make(http.Header)})
 	defer x.hop.End()
 	resp := x.refuse(err)
 	x.ended(resp)
@@ -215,14 +215,14 @@
 func (p *Proxy) newExchange(req *httpwire.Request) *exchange {
 	x := &exchange{proxy: p, req: req, id: p.requestID(req)}
 	x.tried = x.triedFirst[:0]
-	x.hop = p.tracer.Begin(x.id, req.Header, req.Received)
+	x.hop = p.tracer.Begin(x.id, req.Header, clock.Wall(req.Received))
 	return x
 }
 
 // serve runs a request that was admitted.
 func (x *exchange) serve(ctx context.Context, executor Executor) *httpwire.Response {
 	x.emit(event.Event{Code: event.RequestReceived})
-	ctx, cancel := context.WithDeadline(ctx, x.limitDeadline())
+	ctx, cancel := context.WithTimeout(ctx, clock.Until(x.limitDeadline()))
 	defer cancel()
 	x.prepareHeader()
 	if x.repeatable() {
--- a/internal/proxy/starting.go
+++ b/internal/proxy/starting.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 )
 
 const (
@@ -34,7 +36,7 @@
 func newStarting(holds bool) *starting {
 	s := &starting{configured: make(chan struct{})}
 	if holds {
-		s.until = time.Now().Add(startWindow)
+		s.until = clock.Now().Add(startWindow)
 	}
 	return s
 }
--- /dev/null
+++ b/internal/proxy/suspend_test.go
@@ -0,0 +1,62 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/internal/clock"
+	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+)
+
+// TestRequestOverASuspension: the machine is suspended while a request waits to be sent
+// again. Upstreams get no more time than its caller still waits, and one whose time is
+// over is sent to none. Timers of this process did not see that time pass.
+func TestRequestOverASuspension(t *testing.T) {
+	for name, test := range map[string]struct {
+		suspended time.Duration
+		sends     int
+	}{
+		"time is left":      {300 * time.Millisecond, 2},
+		"its time is over":  {2 * time.Second, 1},
+		"it is not awaited": {time.Minute, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var mu sync.Mutex
+				var left []int
+				undo := func() {}
+				sender := senderFunc(func(_ context.Context, _ string, req *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+					mu.Lock()
+					defer mu.Unlock()
+					ms, err := strconv.Atoi(req.Header.Get(HeaderTimeout))
+					is.NoErr(err)
+					left = append(left, ms)
+					if len(left) > 1 {
+						return ok(), nil
+					}
+					undo = clock.Skip(test.suspended)
+					return refusal(), nil
+				})
+				p := newProxy(service(2, lookup()), leastOutstanding, sender, new(recorder))
+				req := request("GET")
+				req.Received = clock.Now()
+				resp := p.Serve(t.Context(), req)
+				undo()
+				is.Equal(len(left), test.sends)
+				is.Equal(resp.Status == http.StatusOK, test.sends == 2)
+				if test.sends == 2 {
+					is.True(left[1] <= left[0]-int(test.suspended.Milliseconds()))
+				}
+			})
+		})
+	}
+}
--- a/internal/proxy/trail.go
+++ b/internal/proxy/trail.go
@@ -3,8 +3,8 @@
 import (
 	"net/http"
 	"sync"
-	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 )
@@ -64,5 +64,5 @@
 		return true
 	}
 	target := x.rule.Config.TargetLatency.Std()
-	return target > 0 && time.Since(x.req.Received) > target
+	return target > 0 && clock.Since(x.req.Received) > target
 }
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
@@ -80,6 +81,6 @@
 		u.Leaving(key, b.view.Activation)
 	}
 	if x.proxy.dialect.Load(resp.Header).Valid {
-		u.Reported(b.upstream.Address, time.Now())
+		u.Reported(b.upstream.Address, clock.Now())
 	}
 }
--- a/internal/proxy/wait.go
+++ b/internal/proxy/wait.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
@@ -54,18 +55,18 @@
 func (x *exchange) wait(ctx context.Context, full error, ends uint64) (binding, *errkind.Error) {
 	g := x.state.group
 	w := x.newWaiter()
-	start := time.Now()
+	start := clock.Now()
 	if reason := g.push(start, w); reason != queue.Kept {
 		return binding{}, x.shed(reason)
 	}
 	x.emit(event.Event{Code: event.RequestQueued, Attempt: x.sent + 1, Reason: full.Error(), Value: g.waiting.Load()})
 	if errors.Is(full, errLimit) || g.ends.Load() != ends {
-		g.wake(time.Now(), 1)
+		g.wake(clock.Now(), 1)
 	}
 	b, err := x.awaitSlot(ctx, w, start)
 	if err == nil {
 		x.admitted(true)
-		x.emit(event.Event{Code: event.QueueLeft, Upstream: b.upstream.ID, Attempt: b.number, Value: time.Since(start).Microseconds()})
+		x.emit(event.Event{Code: event.QueueLeft, Upstream: b.upstream.ID, Attempt: b.number, Value: clock.Since(start).Microseconds()})
 	}
 	return b, err
 }
@@ -82,26 +83,26 @@
 			if reason != queue.Kept {
 				return binding{}, x.shed(reason)
 			}
-		case now := <-tick.C:
-			g.hint(now, interval)
+		case <-tick.C:
+			g.hint(clock.Now(), interval)
 			continue
 		case <-ctx.Done():
 			x.leave(w)
 			return binding{}, x.expired(ctx)
 		}
 		ends := g.ends.Load()
-		b, err := x.pick(ctx, x.sent+1, time.Since(start), false)
+		b, err := x.pick(ctx, x.sent+1, clock.Since(start), false)
 		if err == nil {
 			return b, nil
 		}
 		if errors.Is(err, balancer.ErrNoUpstream) {
-			g.release(time.Now(), feedback{outcome: limit.Ignored})
+			g.release(clock.Now(), feedback{outcome: limit.Ignored})
 			return binding{}, errkind.Wrap(errkind.NoUpstream, err, g.current.Load().Config.Name)
 		}
 		g.limiter.Release(limit.Sample{Outcome: limit.Ignored})
 		g.putBack(w)
 		if g.ends.Load() != ends {
-			g.wake(time.Now(), 1)
+			g.wake(clock.Now(), 1)
 		}
 	}
 }
@@ -123,7 +124,7 @@
 		return
 	}
 	if <-w.signal == queue.Kept {
-		g.release(time.Now(), feedback{outcome: limit.Ignored})
+		g.release(clock.Now(), feedback{outcome: limit.Ignored})
 	}
 }
 
--- a/internal/source/follower.go
+++ b/internal/source/follower.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/follow"
 )
@@ -67,7 +68,7 @@
 
 // NewFollower returns a follower that has read nothing.
 func NewFollower(conf Config) *Follower {
-	now := time.Now()
+	now := clock.Now()
 	return &Follower{
 		conf:    conf,
 		inputs:  make(chan func(), inputsLength),
@@ -85,7 +86,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	if f.conf.Peers == nil {
-		f.do(f.core.Hosts(time.Now(), f.conf.Self, nil, true))
+		f.do(f.core.Hosts(clock.Now(), f.conf.Self, nil, true))
 	}
 	for {
 		select {
@@ -94,10 +95,10 @@
 		case input := <-f.inputs:
 			input()
 		case <-timer.C:
-			f.do(f.core.Tick(time.Now()))
+			f.do(f.core.Tick(clock.Now()))
 		}
 		if due, ok := f.core.Due(); ok {
-			timer.Reset(time.Until(due))
+			timer.Reset(clock.Until(due))
 		} else {
 			timer.Stop()
 		}
@@ -142,10 +143,10 @@
 		go f.ask(ctx, *e.Ask)
 	}
 	if len(e.Tell) > 0 {
-		f.tell(time.Now(), e.Tell)
+		f.tell(clock.Now(), e.Tell)
 	}
 	if len(e.Warn) > 0 {
-		f.warn(time.Now(), e.Warn)
+		f.warn(clock.Now(), e.Warn)
 	}
 }
 
@@ -164,7 +165,7 @@
 			f.takeAll(state)
 			revision = state.Revision
 		}
-		f.do(f.core.ReadDone(time.Now(), revision, err))
+		f.do(f.core.ReadDone(clock.Now(), revision, err))
 	})
 }
 
@@ -204,14 +205,14 @@
 	callCtx, cancel := context.WithTimeout(ctx, f.conf.CheckTimeout)
 	defer cancel()
 	revision, err := f.conf.Store.Revision(callCtx)
-	f.post(ctx, func() { f.do(f.core.CheckDone(time.Now(), revision, err)) })
+	f.post(ctx, func() { f.do(f.core.CheckDone(clock.Now(), revision, err)) })
 }
 
 func (f *Follower) look(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, f.conf.CheckTimeout)
 	defer cancel()
 	err := f.conf.Store.Alive(callCtx)
-	f.post(ctx, func() { f.do(f.core.LookDone(time.Now(), err)) })
+	f.post(ctx, func() { f.do(f.core.LookDone(clock.Now(), err)) })
 }
 
 // shortWait is the wait of a watch that only fetches what is there already.
@@ -234,7 +235,7 @@
 			f.reject(changes.Rejected)
 			f.take(changes)
 		}
-		f.do(f.core.WatchDone(time.Now(), revision, changed, err))
+		f.do(f.core.WatchDone(clock.Now(), revision, changed, err))
 	})
 }
 
@@ -250,7 +251,7 @@
 	if f.mirror.revision != 0 || !f.conf.Part(s) {
 		return false
 	}
-	f.do(f.core.Begun(time.Now(), f.conf.RestWithin))
+	f.do(f.core.Begun(clock.Now(), f.conf.RestWithin))
 	return true
 }
 
--- a/internal/source/peers.go
+++ b/internal/source/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/follow"
 )
@@ -64,7 +65,7 @@
 	done := make(chan struct{})
 	f.post(ctx, func() {
 		defer close(done)
-		out = f.answer(time.Now(), after)
+		out = f.answer(clock.Now(), after)
 	})
 	select {
 	case <-ctx.Done():
@@ -77,10 +78,19 @@
 	return out, nil
 }
 
+// Resumed takes in that the machine was suspended: what this host knows is older than its
+// timers count, so that what is due is looked for now. It may be called on any goroutine.
+func (f *Follower) Resumed() {
+	select {
+	case f.inputs <- func() { f.do(f.core.Tick(clock.Now())) }:
+	default: // so much happens that it is looked for anyway
+	}
+}
+
 // Heard takes in what a peer tells. It may be called on any goroutine; a message
 // that finds the queue full is lost.
 func (f *Follower) Heard(t *Told) {
-	arrived := time.Now()
+	arrived := clock.Now()
 	select {
 	case f.inputs <- func() { f.heard(arrived, t) }:
 	default:
@@ -91,7 +101,7 @@
 // was learned from one of them. It reports false if the queue is full.
 func (f *Follower) SetHosts(hosts []follow.Host, settled bool) bool {
 	select {
-	case f.inputs <- func() { f.do(f.core.Hosts(time.Now(), f.conf.Self, hosts, settled)) }:
+	case f.inputs <- func() { f.do(f.core.Hosts(clock.Now(), f.conf.Self, hosts, settled)) }:
 		return true
 	default:
 		return false
@@ -183,12 +193,12 @@
 		f.takeTold(t)
 		known = t.Revision
 	}
-	f.do(f.core.Heard(time.Now(), t.From, newsOf(arrived, t), known))
+	f.do(f.core.Heard(clock.Now(), t.From, newsOf(arrived, t), known))
 }
 
 func (f *Follower) heardReturn(at time.Time, t *Told) {
 	if t.ReturnedAge > 0 {
-		f.do(f.core.HeardReturn(time.Now(), at.Add(-t.ReturnedAge)))
+		f.do(f.core.HeardReturn(clock.Now(), at.Add(-t.ReturnedAge)))
 	}
 }
 
@@ -203,7 +213,7 @@
 // ask asks a peer. Its answer is as old as it says when the question was sent.
 func (f *Follower) ask(ctx context.Context, q follow.Ask) {
 	peer := follow.Host{Address: q.Peer}
-	began := time.Now()
+	began := clock.Now()
 	timeout := f.conf.AskTimeout
 	if q.After == 0 {
 		timeout = f.conf.ReadTimeout // everything is large, and the store is read beside
@@ -216,10 +226,10 @@
 			err = f.takeAnswer(began, t)
 		}
 		if err != nil {
-			f.do(f.core.AskDone(time.Now(), peer, follow.News{}, err))
+			f.do(f.core.AskDone(clock.Now(), peer, follow.News{}, err))
 			return
 		}
-		f.do(f.core.AskDone(time.Now(), t.From, newsOf(began, t), nil))
+		f.do(f.core.AskDone(clock.Now(), t.From, newsOf(began, t), nil))
 	})
 }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -20,6 +20,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire/socket"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
@@ -124,7 +125,7 @@
 // leaves.
 func (c *Client) CloseIdle(address string) {
 	if p := c.knownPool(address); p != nil {
-		p.closeIdle(time.Now())
+		p.closeIdle(clock.Now())
 	}
 }
 
@@ -136,7 +137,7 @@
 	delete(c.pools, address)
 	c.mu.Unlock()
 	if p != nil {
-		p.retire(time.Now())
+		p.retire(clock.Now())
 	}
 }
 
@@ -236,7 +237,8 @@
 		select {
 		case <-c.stop:
 			return
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := clock.Now()
 			for _, p := range c.allPools() {
 				p.closeIdle(now.Add(-c.conf.IdleTimeout))
 			}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 )
 
@@ -37,12 +38,12 @@
 	defer p.mu.Unlock()
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		cn := p.idle[n-1]
-		if once && p.open < p.limit && time.Since(cn.idleSince) > onceIdle {
+		if once && p.open < p.limit && clock.Since(cn.idleSince) > onceIdle {
 			break // the others have been idle for longer
 		}
 		p.idle[n-1] = nil
 		p.idle = p.idle[:n-1]
-		if cn.usable(time.Now()) {
+		if cn.usable(clock.Now()) {
 			return cn, true
 		}
 		cn.close()
@@ -65,7 +66,7 @@
 		return
 	}
 	cn.reused = true
-	cn.idleSince = time.Now()
+	cn.idleSince = clock.Now()
 	p.idle = append(p.idle, cn)
 }
 
--- /dev/null
+++ b/internal/upstream/suspend_test.go
@@ -0,0 +1,39 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/internal/clock"
+)
+
+// TestConnectionsAreIdleWhileSuspended: after a suspension, a request that must not be
+// sent twice gets a new connection. The one that was used a moment before it has been
+// idle for as long as the machine was away, and upstreams forget such ones.
+func TestConnectionsAreIdleWhileSuspended(t *testing.T) {
+	is := is.New(t)
+	var connections atomic.Int64
+	address := startUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		connections.Add(1)
+		for readRequest(r) {
+			_, _ = c.Write([]byte(okAnswer))
+		}
+	})
+	client := startClient(t, Config{})
+	once := request("POST", nil)
+	once.Once = true
+	for range 2 {
+		_, err := client.Do(testContext(t), address, once)
+		is.True(err == nil)
+	}
+	is.Equal(connections.Load(), int64(1))
+	defer clock.Skip(5 * time.Second)()
+	_, err := client.Do(testContext(t), address, once)
+	is.True(err == nil)
+	is.Equal(connections.Load(), int64(2))
+}
--- a/pkg/event/process_events.go
+++ b/pkg/event/process_events.go
@@ -15,6 +15,8 @@
 
 	SettingsReloaded Code = 1010
 	SettingsRejected Code = 1011
+
+	HostSuspended Code = 1012
 )
 
 // processEvents describes the codes 1xxx: the process.
@@ -29,5 +31,6 @@
 	HandshakeFailed:      {"handshake-failed", Debug, "A caller's TLS handshake failed; no request was read.", ""},
 	SettingsReloaded:     {"settings-reloaded", Info, "A changed settings file is in force.", ""},
 	SettingsRejected:     {"settings-rejected", Warn, "A changed settings file is refused whole; the settings in force stay, and the detail names the field.", ""},
+	HostSuspended:        {"host-suspended", Warn, "The machine was suspended and runs again: the steady clock stood still meanwhile. What was known is that much older, and is learned anew.", "milliseconds"},
 	LibraryMessage:       {"library-message", Warn, "The event loop library reported a problem.", ""},
 }
