--- a/internal/proxy/poison.go
+++ b/internal/proxy/poison.go
@@ -146,7 +146,7 @@
 
 // fingerprint names the request by what it asks for, and the caller by its IP.
 func (x *exchange) fingerprint() poison.Fingerprint {
-	return poison.Of(x.req.Method, x.req.Host, x.req.Target, x.req.Body, callerIP(x.req.RemoteAddr))
+	return poison.Of(x.req.Method, x.rule.Service.Name, x.req.Target, x.req.Body, callerIP(x.req.RemoteAddr))
 }
 
 // quarantined refuses a request under which upstreams end.
@@ -160,7 +160,7 @@
 // quarantineLeft is how much longer the request is refused; 0 if it is not.
 func (x *exchange) quarantineLeft() time.Duration {
 	table := x.proxy.poison.table
-	if !table.Suspects(x.req.Host, x.req.Target) {
+	if !table.Suspects(x.rule.Service.Name, x.req.Target) {
 		return 0
 	}
 	now := clock.Now()
@@ -172,7 +172,7 @@
 // that the upstream failed, such as at the deadline, says nothing of a whole run.
 func (x *exchange) answered(r result) {
 	table := x.proxy.poison.table
-	if r.err != nil || r.resp.Status >= http.StatusInternalServerError || !table.Suspects(x.req.Host, x.req.Target) {
+	if r.err != nil || r.resp.Status >= http.StatusInternalServerError || !table.Suspects(x.rule.Service.Name, x.req.Target) {
 		return
 	}
 	now := clock.Now()
--- a/internal/proxy/poison_test.go
+++ b/internal/proxy/poison_test.go
@@ -139,7 +139,7 @@
 
 // contentOf is how events name what a request asks for.
 func contentOf(r *httpwire.Request) string {
-	content, _, _ := strings.Cut(poison.Of(r.Method, r.Host, r.Target, r.Body, "").String(), "-")
+	content, _, _ := strings.Cut(poison.Of(r.Method, "test", r.Target, r.Body, "").String(), "-")
 	return content
 }
 
--- a/pkg/poison/fingerprint.go
+++ b/pkg/poison/fingerprint.go
@@ -13,20 +13,21 @@
 )
 
 // Fingerprint names a request by what it asks for, so that it is known again when it
-// is asked anew, through any entry host. It is the same on all hosts. Fingerprints that
+// is asked anew, through any entry host. It is the same on all hosts. The Host header is
+// no part of it: callers may name each entry host by its address. Fingerprints that
 // callers could forge would let them have the requests of others refused: Content and
 // Caller are cut from a cryptographic hash.
 type Fingerprint struct {
-	// Target stands for the host and target alone; it is cheap, and only sorts out.
+	// Target stands for the service and target alone; it is cheap, and only sorts out.
 	Target uint64
-	// Content stands for method, host, target and body.
+	// Content stands for method, service, target and body.
 	Content uint64
 	// Caller stands for Content and who asks.
 	Caller uint64
 }
 
 // Target returns the first part of a fingerprint.
-func Target(host, target string) uint64 { return Hash(host, target) }
+func Target(service, target string) uint64 { return Hash(service, target) }
 
 // FNV-1a, 64 bits.
 const (
@@ -46,10 +47,11 @@
 	return h
 }
 
-// Of returns the fingerprint of a request.
-func Of(method, host, target string, body []byte, caller string) Fingerprint {
+// Of returns the fingerprint of a request to a service, which is the name of the document
+// whose rule it matched.
+func Of(method, service, target string, body []byte, caller string) Fingerprint {
 	h := sha256.New()
-	for _, part := range []string{method, host, target} {
+	for _, part := range []string{method, service, target} {
 		writePart(h, part)
 	}
 	_, _ = h.Write(body)
@@ -58,7 +60,7 @@
 	_, _ = h.Write(content)
 	writePart(h, caller)
 	return Fingerprint{
-		Target:  Target(host, target),
+		Target:  Target(service, target),
 		Content: binary.BigEndian.Uint64(content),
 		Caller:  binary.BigEndian.Uint64(h.Sum(nil)),
 	}
--- a/pkg/poison/fingerprint_test.go
+++ b/pkg/poison/fingerprint_test.go
@@ -18,7 +18,7 @@
 		"another body":        {Of("GET", "shop", "/lots/1", []byte("c"), "10.0.0.1"), true, false, false},
 		"another method":      {Of("PUT", "shop", "/lots/1", []byte("b"), "10.0.0.1"), true, false, false},
 		"another target":      {Of("GET", "shop", "/lots/2", []byte("b"), "10.0.0.1"), false, false, false},
-		"another host":        {Of("GET", "yard", "/lots/1", []byte("b"), "10.0.0.1"), false, false, false},
+		"another service":     {Of("GET", "yard", "/lots/1", []byte("b"), "10.0.0.1"), false, false, false},
 		"parts that run over": {Of("GET", "shop/", "lots/1", []byte("b"), "10.0.0.1"), true, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/poison/table.go
+++ b/pkg/poison/table.go
@@ -88,14 +88,14 @@
 	return &Table{suspects: make(map[uint64]*suspect), targets: make(map[uint64]int)}
 }
 
-// Suspects reports whether some request with this host and target is remembered. Of one
+// Suspects reports whether some request with this service and target is remembered. Of one
 // that is not, no fingerprint is needed: where nothing is remembered, asking costs 4 ns, and 28 ns where
 // others are.
-func (t *Table) Suspects(host, target string) bool {
+func (t *Table) Suspects(service, target string) bool {
 	if t.count.Load() == 0 {
 		return false
 	}
-	key := Target(host, target)
+	key := Target(service, target)
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	return t.targets[key] > 0
