--- a/cmd/spindle-standin/main.go
+++ b/cmd/spindle-standin/main.go
@@ -44,6 +44,7 @@
 		slots           int
 		mean            time.Duration
 		name            string
+		endsUnder       string
 		server, request float64
 	)
 	cmd := &cobra.Command{
@@ -54,6 +55,7 @@
 			for i := range count {
 				u := standin.NewUpstream(fmt.Sprintf("%s-%d", name, i+1), slots, mean)
 				u.ServerSigma, u.RequestSigma = server, request
+				u.EndsUnder, u.End = endsUnder, func() { os.Exit(1) }
 				addr := net.JoinHostPort(host, strconv.Itoa(port+i))
 				go func() { errs <- http.ListenAndServe(addr, u.Handler()) }()
 			}
@@ -69,5 +71,6 @@
 	f.Float64Var(&server, "server-sigma", 0.6, "shape of the part of service times that is drawn for each send")
 	f.Float64Var(&request, "request-sigma", 0, "shape of the part of service times that belongs to the request")
 	f.StringVar(&name, "name", "upstream", "prefix of the ids")
+	f.StringVar(&endsUnder, "ends-under", "", "path of requests under which the process ends")
 	return cmd
 }
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -23,6 +23,11 @@
 	// ServerSigma and RequestSigma are the shapes of two log-normal factors of a
 	// service time: one is drawn anew, one belongs to the request's id.
 	ServerSigma, RequestSigma float64
+	// EndsUnder is the path of requests under which the process ends, by End; empty for
+	// none.
+	EndsUnder string
+	// End ends the process.
+	End func()
 
 	slots   chan struct{}
 	active  atomic.Int64
@@ -94,6 +99,10 @@
 	if !u.serve(r, action == "") {
 		return
 	}
+	if u.EndsUnder != "" && r.URL.Path == u.EndsUnder {
+		u.End()
+		return
+	}
 	u.record(action)
 	w.Header().Set(HeaderLoad, strconv.FormatInt(u.active.Load(), 10))
 	if u.leaving.Load() {
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -159,6 +159,9 @@
 	return fmt.Sprintf("%s%d:%d", f.network, last, port)
 }
 
+// deadlyPath is that of requests under which the process of an upstream ends.
+const deadlyPath = "/ledger/deadly"
+
 var domains = []string{"caruaru", "petrolina", "feira-de-santana", "campina-grande"}
 
 const (
@@ -197,7 +200,7 @@
 func (f *fleet) startUpstream(i int, addr string) *process {
 	host, port, _ := net.SplitHostPort(addr)
 	return start(f.t, "spindle-standin", "upstream", "--host", host, "--port", port,
-		"--name", "up"+strconv.Itoa(i+1), "--mean", upstreamMean.String())
+		"--name", "up"+strconv.Itoa(i+1), "--mean", upstreamMean.String(), "--ends-under", deadlyPath)
 }
 
 // addEntry starts one more entry host.
