--- a/internal/proxy/poison.go
+++ b/internal/proxy/poison.go
@@ -157,6 +157,12 @@
 	return errkind.New(errkind.Quarantined, "upstreams ended while they ran it")
 }
 
+// suspect reports whether an upstream ended under the request.
+func (x *exchange) suspect() bool {
+	table := x.proxy.poison.table
+	return table.Suspects(x.rule.Service.Name, x.req.Target) && table.Ends(x.fingerprint()) > 0
+}
+
 // quarantineLeft is how much longer the request is refused; 0 if it is not.
 func (x *exchange) quarantineLeft() time.Duration {
 	table := x.proxy.poison.table
--- a/internal/proxy/poison_test.go
+++ b/internal/proxy/poison_test.go
@@ -15,9 +15,11 @@
 	"github.com/matryer/is"
 
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/poison"
+	"github.com/dapplespindle/dapplespindle/pkg/retry"
 )
 
 // dyingSender is a Sender whose connections end without an answer.
@@ -64,6 +66,39 @@
 	return fingerprint
 }
 
+// TestSuspectIsNotHedged: an upstream ended under the request, and the next one is slow
+// with it. It is not sent to a third beside that one, which may end too.
+func TestSuspectIsNotHedged(t *testing.T) {
+	for name, ended := range map[string]bool{"an upstream ended": true, "none did": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				rule := lookup()
+				rule.Retry.MaxAttempts = 3
+				rule.Retry.HedgeAfter = config.Duration(50 * time.Millisecond)
+				rec := new(recorder)
+				slow := func(ctx context.Context, _ string, _ *httpwire.Request) (*httpwire.Response, *errkind.Error) {
+					select {
+					case <-time.After(200 * time.Millisecond):
+						return ok(), nil
+					case <-ctx.Done():
+						return nil, errkind.New(errkind.CallerGone, "the other send was answered")
+					}
+				}
+				p := newProxy(service(4, rule), leastOutstanding, dyingSender{slow, false}, rec)
+				req := request("GET")
+				if ended {
+					f := poison.Of("GET", "test", req.Target, nil, "10.0.0.9")
+					p.Heard([]poison.Death{{Request: f, Upstream: 1, Began: req.Received, Ended: req.Received}}, nil)
+				}
+				is.Equal(p.Serve(t.Context(), req).Status, http.StatusOK)
+				is.Equal(rec.count(event.HedgeSent) > 0, !ended)
+				is.Equal(rec.reason(event.HedgeDenied) == string(retry.DeniedSuspect), ended)
+			})
+		})
+	}
+}
+
 // shared is a service that several hosts use, whose upstreams end under one request. An
 // upstream that ended is back after a while.
 type shared struct {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -90,6 +90,7 @@
 		Sent:           x.sent,
 		MaxAttempts:    maxAttempts(x.rule.Config),
 		Quarantined:    x.quarantined() != nil,
+		Suspect:        x.suspect(),
 		ArrivedAsRetry: x.isRetry,
 		NoRetry:        x.noRetry,
 		Left:           x.left(),
--- a/pkg/poison/table.go
+++ b/pkg/poison/table.go
@@ -123,6 +123,17 @@
 	return until
 }
 
+// Ends returns how many upstreams are known to have ended under a request of its caller.
+func (t *Table) Ends(f Fingerprint) int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	s := t.suspects[f.Content]
+	if s == nil {
+		return 0
+	}
+	return len(ends(s.of(f.Caller)))
+}
+
 // News says what a report changed.
 type News struct {
 	// New is true for an end that was not known.
--- a/pkg/retry/decide.go
+++ b/pkg/retry/decide.go
@@ -30,6 +30,9 @@
 	DeniedBudget Reason = "budget-spent"
 	// DeniedQuarantined is a request under which several upstreams ended.
 	DeniedQuarantined Reason = "quarantined"
+	// DeniedSuspect is a request under which an upstream ended: it is not hedged, so that
+	// two do not end at once.
+	DeniedSuspect Reason = "upstream-ended"
 	// DeniedNoOther means no other upstream can take the request.
 	DeniedNoOther Reason = "no-other-upstream"
 )
@@ -50,6 +53,8 @@
 	ArrivedAsRetry bool
 	// Quarantined states that upstreams end under it.
 	Quarantined bool
+	// Suspect states that an upstream ended under it, here or at another host.
+	Suspect bool
 	// NoRetry states that the upstream's answer said not to retry.
 	NoRetry bool
 	// Left is the time to the deadline.
@@ -79,6 +84,8 @@
 		return DeniedKind
 	case a.Quarantined:
 		return DeniedQuarantined
+	case a.Suspect && a.Kind == errkind.None:
+		return DeniedSuspect
 	case a.Sent >= a.MaxAttempts:
 		return DeniedAttempts
 	case a.ArrivedAsRetry:
