Keep how ends are repeated in one place; let retries not wait for the telling

Both daemons had the same figures and the same draw of hosts. A request that waits for the look whether its upstream ended goes on once that is known, not when hundreds of hosts have been told.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/follow"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+	"github.com/dapplespindle/dapplespindle/pkg/poison"
 )
 
 // Gateway is one entry host. New builds its parts; Run starts and stops them.
@@ -227,7 +228,7 @@
 	}
 	g.follower = source.NewFollower(conf)
 	g.loop.Every(tickEvery, g.control.tick)
-	g.loop.Every(repeatEvery, g.repeatDeaths)
+	g.loop.Every(poison.RepeatEvery, g.repeatDeaths)
 	return nil
 }
 
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/internal/news"
@@ -10,20 +11,7 @@
 	"github.com/dapplespindle/dapplespindle/pkg/poison"
 )
 
-// An end of an upstream is told to all hosts at once, so that the third one is known
-// everywhere some milliseconds later. What is lost on the way, and what a host that
-// starts has missed, is repeated while it counts.
-const (
-	// repeatEvery is the pause between two repeats, and repeatTo how many other hosts
-	// hear one. Each host hears four a second: of those that missed an end, one in 50
-	// does not hear of it within a second.
-	repeatEvery = 500 * time.Millisecond
-	repeatTo    = 2
-	// repeatFor is how long an end that gets no request refused is repeated.
-	repeatFor = 5 * time.Second
-)
-
-// poisonNews implements proxy.PoisonNews.
+// poisonNews implements proxy.PoisonNews over the hosts' datagrams.
 type poisonNews struct {
 	gateway *Gateway
 }
@@ -42,24 +30,17 @@
 	}
 }
 
-// repeatDeaths tells a few hosts, drawn anew each time, what they may have missed. Of
-// more than a message holds, some are drawn.
+// repeatDeaths tells a few hosts what they may have missed, as much as one message holds.
 func (g *Gateway) repeatDeaths(now time.Time) {
 	if g.fleet == nil {
 		return
 	}
-	deaths := g.proxy.RecentDeaths(now, repeatFor)
+	deaths := g.proxy.RecentDeaths(now, poison.RepeatFor)
 	if len(deaths) == 0 {
 		return
 	}
-	to := append([]netip.AddrPort(nil), *g.fleet.others.Load()...)
-	g.fleet.news.TellDeaths(draw(to, repeatTo), draw(deaths, news.DeathsPerMessage))
-}
-
-// draw returns up to n of a list, which it reorders.
-func draw[T any](list []T, n int) []T {
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(n, len(list))]
+	others := slices.Clone(*g.fleet.others.Load())
+	g.fleet.news.TellDeaths(poison.Draw(others, poison.RepeatTo, rand.IntN), poison.Draw(deaths, news.DeathsPerMessage, rand.IntN))
 }
 
 // knowOthers takes in the other hosts. It runs on the control goroutine.
@@ -67,7 +48,7 @@
 	if s.Version == f.version {
 		return
 	}
-	var others []netip.AddrPort
+	others := []netip.AddrPort{}
 	for i := range s.Members {
 		m := &s.Members[i]
 		if m.State != membership.Dead && m.Address != s.Self.Address {
--- a/internal/poisonnews/poisonnews.go
+++ b/internal/poisonnews/poisonnews.go
@@ -1,6 +1,5 @@
 // Package poisonnews tells the other entry hosts, over gRPC, of requests under which
-// upstreams end: each end at once to all, and for a while, or as long as the request is
-// refused, again to a few, since a call may fail and hosts may start.
+// upstreams end, as pkg/poison asks for.
 package poisonnews
 
 import (
@@ -19,12 +18,6 @@
 )
 
 const (
-	// repeatEvery is the pause between two repeats, and repeatTo how many hosts hear one:
-	// each host hears four a second.
-	repeatEvery = 500 * time.Millisecond
-	repeatTo    = 2
-	// repeatFor is how long an end that gets no request refused is repeated.
-	repeatFor = 5 * time.Second
 	// maxDeaths bounds the ends of one message; 50 KB.
 	maxDeaths = 1024
 	// callTimeout bounds one call. What it would have told is repeated.
@@ -57,7 +50,7 @@
 func New(conf Config) *Teller {
 	t := &Teller{conf: conf}
 	poisonv1.RegisterPoisonServer(conf.Server, t)
-	conf.Loop.Every(repeatEvery, t.repeat)
+	conf.Loop.Every(poison.RepeatEvery, t.repeat)
 	return t
 }
 
@@ -71,16 +64,14 @@
 	t.tell(t.conf.Peers(), &poisonv1.TellRequest{Answered: []*poisonv1.Fingerprint{encodeFingerprint(f)}})
 }
 
-// repeat tells a few hosts, drawn anew each time, what they may have missed.
+// repeat tells a few hosts what they may have missed.
 func (t *Teller) repeat(now time.Time) {
-	deaths := t.conf.Recent(now, repeatFor)
+	deaths := t.conf.Recent(now, poison.RepeatFor)
 	if len(deaths) == 0 {
 		return
 	}
-	deaths = deaths[:min(len(deaths), maxDeaths)]
-	peers := t.conf.Peers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	t.tell(peers[:min(len(peers), repeatTo)], &poisonv1.TellRequest{Died: encodeDeaths(now, deaths)})
+	told := encodeDeaths(now, poison.Draw(deaths, maxDeaths, rand.IntN))
+	t.tell(poison.Draw(t.conf.Peers(), poison.RepeatTo, rand.IntN), &poisonv1.TellRequest{Died: told})
 }
 
 // tell sends a message to each of the hosts, beside the caller. One that is not reached
--- a/internal/proxy/poison.go
+++ b/internal/proxy/poison.go
@@ -26,7 +26,7 @@
 }
 
 // PoisonNews tells the other entry hosts what this one saw. Its methods are called on
-// traffic goroutines and may take as long as sending a datagram to each host does.
+// goroutines of their own.
 type PoisonNews interface {
 	// Died tells of an end of an upstream.
 	Died(d poison.Death)
@@ -114,34 +114,36 @@
 		Began:    start,
 		Ended:    clock.Now(),
 	}
-	done := make(chan struct{})
+	known := make(chan struct{})
 	go func() {
-		defer close(done)
 		defer p.poison.examining.Add(-1)
-		ctx, cancel := context.WithTimeout(context.Background(), examineTimeout)
-		defer cancel()
-		if p.listeners.Refuses(ctx, b.upstream.Address) {
-			x.upstreamEnded(b, d)
+		ended := x.upstreamEnded(b, d)
+		close(known)
+		if ended && p.poison.news != nil {
+			p.poison.news.Died(d)
 		}
 	}()
 	select {
-	case <-done:
+	case <-known:
 	case <-time.After(examineWait):
 	}
 }
 
-// upstreamEnded remembers an end, reports it and tells the others. The request has
-// usually been answered by then, so that the event is not one of its own.
-func (x *exchange) upstreamEnded(b binding, d poison.Death) {
+// upstreamEnded looks whether an upstream ended, and remembers and reports it. The request
+// may have been answered by then, so that the event is not one of its own.
+func (x *exchange) upstreamEnded(b binding, d poison.Death) bool {
 	p := x.proxy
+	ctx, cancel := context.WithTimeout(context.Background(), examineTimeout)
+	defer cancel()
+	if !p.listeners.Refuses(ctx, b.upstream.Address) {
+		return false
+	}
 	p.events.Emit(event.Event{
 		Code: event.UpstreamEnded, At: clock.Wall(d.Ended), EntryHost: p.host,
 		Service: x.rule.Service.Name, Rule: x.rule.Config.Name, Upstream: b.upstream.ID,
 		Detail: "request " + x.id + " is " + d.Request.String(), Value: d.Ended.Sub(d.Began).Microseconds(),
 	})
-	if p.died(clock.Now(), d, quarantineSeen) && p.poison.news != nil {
-		p.poison.news.Died(d)
-	}
+	return p.died(clock.Now(), d, quarantineSeen)
 }
 
 // fingerprint names the request by what it asks for, and the caller by its IP.
