--- a/pkg/follow/network_test.go
+++ b/pkg/follow/network_test.go
@@ -33,7 +33,7 @@
 	w.calls++
 	h.watch = &openWatch{after: call.After, deaf: w.deaf && (call.Waits || w.keeps)}
 	h.watch.done = func(rev uint64, changed bool, err error) {
-		h.input(life, func() { h.do(h.WatchDone(w.now, rev, changed, err)) })
+		h.input(life, func() { h.do(h.WatchDone(h.clock(), rev, changed, err)) })
 	}
 	own := h.watch
 	w.after(storeWay, func() {
@@ -80,26 +80,29 @@
 }
 
 func (h *host) ask(q Ask) {
-	w, life, began := h.world, h.life, h.world.now
+	w, life, began := h.world, h.life, h.clock()
 	peer := w.find(q.Peer)
 	fail := func(d time.Duration) {
-		w.after(d, func() { h.input(life, func() { h.do(h.AskDone(w.now, Host{Address: q.Peer}, News{}, errCall)) }) })
+		w.after(d, func() { h.input(life, func() { h.do(h.AskDone(h.clock(), Host{Address: q.Peer}, News{}, errCall)) }) })
 	}
 	if h.peers != open || peer.peers != open || peer.paused {
 		fail(askTimeout)
 		return
 	}
 	w.after(peerWay, func() {
-		n, ok := peer.News(w.now)
+		n, ok := peer.News(peer.clock())
 		if !peer.alive || !ok {
 			fail(peerWay)
 			return
 		}
-		n.Fresh = began.Add(n.Fresh.Sub(w.now))
+		n.Fresh = began.Add(n.Fresh.Sub(peer.clock()))
+		if !n.Returned.IsZero() {
+			n.Returned = n.Returned.Add(h.clock().Sub(peer.clock()))
+		}
 		w.after(peerWay, func() {
 			h.input(life, func() {
 				h.heardReturn(n, 0)
-				h.do(h.AskDone(w.now, peer.self, n, nil))
+				h.do(h.AskDone(h.clock(), peer.self, n, nil))
 			})
 		})
 	})
@@ -108,7 +111,7 @@
 // tell sends a message, with the changes in a share of them if it may carry any.
 func (h *host) tell(to []netip.AddrPort, n News, changes bool) {
 	w := h.world
-	sent, life := w.now, uint64(h.life)
+	sent, life := h.clock(), uint64(h.life)
 	for _, a := range to {
 		peer := w.find(a)
 		if w.random.Float64() < w.loss || h.peers != open || peer.peers != open {
@@ -117,19 +120,19 @@
 		w.after(peerWay, func() {
 			peer.input(peer.life, func() {
 				own := n
-				late := peer.delays.Of(h.self.Address, life, sent.Sub(epoch), w.now)
-				own.Fresh = w.now.Add(n.Fresh.Sub(sent) - late)
+				late := peer.delays.Of(h.self.Address, life, sent.Sub(epoch), peer.clock())
+				own.Fresh = peer.clock().Add(n.Fresh.Sub(sent) - late)
 				own.Unanswered = nil
 				for _, u := range n.Unanswered {
-					u.At = w.now.Add(u.At.Sub(sent) - late)
+					u.At = peer.clock().Add(u.At.Sub(sent) - late)
 					own.Unanswered = append(own.Unanswered, u)
 				}
 				var known uint64
 				if changes && w.random.Float64() < w.inline {
 					known = n.Revision
 				}
-				peer.heardReturn(n, w.now.Sub(sent))
-				peer.do(peer.Heard(w.now, h.self, own, known))
+				peer.heardReturn(n, peer.clock().Sub(sent))
+				peer.do(peer.Heard(peer.clock(), h.self, own, known))
 			})
 		})
 	}
@@ -137,6 +140,6 @@
 
 func (h *host) heardReturn(n News, way time.Duration) {
 	if !n.Returned.IsZero() {
-		h.do(h.HeardReturn(h.world.now, n.Returned.Add(way)))
+		h.do(h.HeardReturn(h.clock(), n.Returned.Add(way)))
 	}
 }
--- a/pkg/follow/world_test.go
+++ b/pkg/follow/world_test.go
@@ -30,6 +30,7 @@
 	loss     float64 // of datagrams
 	inline   float64 // share of messages that carry their changes
 	viewLag  time.Duration
+	naive    bool // clocks of hosts stand still while they are suspended
 }
 
 // path is what happens to calls on a way.
@@ -49,7 +50,9 @@
 	life     int // counts starts; what was begun in another life is lost
 	alive    bool
 	paused   bool
-	held     []func() // inputs that wait for the end of a pause
+	held     []func()      // inputs that wait for the end of a pause
+	frozen   bool          // suspended: its timers stand still too
+	stood    time.Duration // how far its clock is behind, if that does not count suspensions
 	store    path
 	peers    path
 	harmed   time.Time // when a fault of this host last began or ended
@@ -191,7 +194,7 @@
 	}
 	w.after(w.viewLag/2+time.Duration(w.random.Float64()*float64(w.viewLag)/2), func() {
 		for _, h := range w.hosts {
-			h.input(h.life, func() { h.do(h.Hosts(w.now, h.self, alive, true)) })
+			h.input(h.life, func() { h.do(h.Hosts(h.clock(), h.self, alive, true)) })
 		}
 	})
 }
@@ -204,12 +207,13 @@
 	h.delays = Delays{}
 	h.harmed = h.world.now
 	h.tick = time.Time{}
+	h.frozen, h.stood = false, 0
 	h.Core = New(h.world.now, h.world.config(first))
 	var known []Host
 	for _, s := range h.world.hosts[:min(seeds, len(h.world.hosts))] {
 		known = append(known, Host{Address: s.self.Address})
 	}
-	h.input(h.life, func() { h.do(h.Hosts(h.world.now, h.self, known, false)) })
+	h.input(h.life, func() { h.do(h.Hosts(h.clock(), h.self, known, false)) })
 }
 
 func (h *host) kill() {
@@ -232,6 +236,36 @@
 	}
 }
 
+// clock is what the host measures by.
+func (h *host) clock() time.Time { return h.world.now.Add(-h.stood) }
+
+// resumeSeen is the longest time until a host sees that it was suspended.
+const resumeSeen = 500 * time.Millisecond
+
+// suspend stops the process and its clocks for a while.
+func (h *host) suspend(length time.Duration) {
+	w, life := h.world, h.life
+	h.pause()
+	h.frozen = true
+	w.after(length, func() {
+		if h.life != life {
+			return
+		}
+		h.frozen = false
+		h.tick = time.Time{}
+		if w.naive {
+			h.stood += length
+			h.wake()
+			h.schedule()
+			return
+		}
+		h.wake()
+		w.after(time.Duration(w.random.Float64()*float64(resumeSeen)), func() {
+			h.input(life, func() { h.do(h.Tick(h.clock())) })
+		})
+	})
+}
+
 // input gives the core something, unless it is of another life.
 func (h *host) input(life int, f func()) {
 	switch {
@@ -245,7 +279,6 @@
 
 // do carries out effects, and schedules the next tick.
 func (h *host) do(e Effects) {
-	w := h.world
 	for _, ev := range e.Events {
 		h.events[ev.Code]++
 	}
@@ -253,13 +286,13 @@
 		h.returned++
 	}
 	if e.Read {
-		h.call(func(rev uint64, err error) Effects { return h.ReadDone(w.now, rev, err) })
+		h.call(func(rev uint64, err error) Effects { return h.ReadDone(h.clock(), rev, err) })
 	}
 	if e.Check {
-		h.call(func(rev uint64, err error) Effects { return h.CheckDone(w.now, rev, err) })
+		h.call(func(rev uint64, err error) Effects { return h.CheckDone(h.clock(), rev, err) })
 	}
 	if e.Look {
-		h.call(func(_ uint64, err error) Effects { return h.LookDone(w.now, err) })
+		h.call(func(_ uint64, err error) Effects { return h.LookDone(h.clock(), err) })
 	}
 	if e.Watch != nil {
 		h.beginWatch(*e.Watch)
@@ -271,12 +304,12 @@
 		h.ask(*e.Ask)
 	}
 	if len(e.Tell) > 0 {
-		if n, ok := h.News(w.now); ok {
+		if n, ok := h.News(h.clock()); ok {
 			h.tell(e.Tell, n, true)
 		}
 	}
 	if len(e.Warn) > 0 {
-		if n, ok := h.Warning(w.now); ok {
+		if n, ok := h.Warning(h.clock()); ok {
 			h.tell(e.Warn, n, false)
 		}
 	}
@@ -290,11 +323,14 @@
 	}
 	h.tick = due
 	life := h.life
-	h.world.after(max(0, due.Sub(h.world.now)), func() {
+	h.world.after(max(0, due.Sub(h.clock())), func() {
+		if h.frozen {
+			return // resume goes on
+		}
 		h.input(life, func() {
 			if h.tick.Equal(due) {
 				h.tick = time.Time{}
-				h.do(h.Tick(h.world.now))
+				h.do(h.Tick(h.clock()))
 			}
 		})
 	})
