--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -168,6 +168,8 @@
 // other packages.
 func Skip(d time.Duration) (undo func()) {
 	process.suspended.Add(int64(d))
+	process.mu.Lock()
+	defer process.mu.Unlock()
 	for _, f := range process.resumed {
 		go f(d)
 	}
--- a/pkg/poison/table.go
+++ b/pkg/poison/table.go
@@ -24,10 +24,10 @@
 	// incident four had lost two sends.
 	minEnds = 3
 	// minEndsOfAll, minCallers and minSpan are what it takes to refuse a request whoever
-	// asks. Of a page that many callers ask for, requests are at most upstreams, so that
-	// three ends of a deadly one may meet it: with a bound of three ends of two callers,
-	// one of seven pages asked seven times a second was refused in a simulated incident.
-	// Within half a second and five ends such a page is answered somewhere.
+	// asks. A page that many callers ask for is in flight at most upstreams at any time, so
+	// that three ends under another request may meet it: with a bound of three ends and two
+	// callers, one of seven such pages was refused in a simulated incident. Within half a
+	// second and five ends it is answered somewhere.
 	minEndsOfAll = 5
 	minCallers   = 3
 	minSpan      = 500 * time.Millisecond
@@ -47,8 +47,8 @@
 	// too, which is what a report's way and a busy host may add.
 	killSlack = 10 * time.Millisecond
 	hostSlack = 50 * time.Millisecond
-	// maxSuspects bounds the requests remembered, and maxDeaths the ends of each; 1.1 MB
-	// together.
+	// maxSuspects bounds the requests remembered, and maxDeaths the ends of each: by the
+	// size of a Death, 88 bytes, 1.4 MB together.
 	maxSuspects = 1024
 	maxDeaths   = 16
 	// expireEvery is how often what is long ago is looked for.
@@ -89,8 +89,8 @@
 }
 
 // Suspects reports whether some request with this service and target is remembered. Of one
-// that is not, no fingerprint is needed: where nothing is remembered, asking costs 4 ns, and 28 ns where
-// others are.
+// that is not, no fingerprint is needed: where nothing is remembered, asking costs 4 ns, and
+// 28 ns where others are.
 func (t *Table) Suspects(service, target string) bool {
 	if t.count.Load() == 0 {
 		return false
