Say when an upstream names a limit, and when it stops

What was seen: upstreams that name how many requests a second they take from all hosts get as many as before, and no log line tells whether a host has read it. Events 3012 and 3013 name each change of what a host has read from answers and probes, 3014 a word that is no number. Nothing acts on it yet.

--- a/internal/gateway/asker.go
+++ b/internal/gateway/asker.go
@@ -70,6 +70,7 @@
 			Reason: "unhealthy", Value: int64(now.Sub(sent))})
 	default:
 		feedback.Report = a.dialect.Load(resp.Header)
+		a.limited(group, u, resp)
 		if left, ok := a.dialect.Cold(resp.Header); ok {
 			u.Cold.Told(now, left)
 		}
@@ -103,6 +104,15 @@
 	return true
 }
 
+// limited takes in what an answer says of the upstream's limit.
+func (a *asker) limited(group *routing.Group, u *balancer.Upstream, resp *httpwire.Response) {
+	e, news := a.dialect.HearLimit(u, resp)
+	if news {
+		e.Service, e.Reason = group.Config.Registered, "probe"
+		a.events.Emit(e)
+	}
+}
+
 func (a *asker) question(ctx context.Context, group *routing.Group, u *balancer.Upstream) (*httpwire.Response, *errkind.Error) {
 	return a.client.Do(ctx, u.Address, &httpwire.Request{
 		Method: http.MethodGet,
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -9,6 +9,7 @@
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+	"github.com/dapplespindle/dapplespindle/pkg/ratelimit"
 	"github.com/dapplespindle/dapplespindle/pkg/rest"
 )
 
@@ -49,6 +50,9 @@
 	// from this host; 0 if it does not say, an error if its word can't be read. Nil reads
 	// nothing.
 	Rest func(status int, h http.Header) (time.Duration, error)
+	// Limit reads what an answer says of the requests a second that the upstream takes from
+	// all hosts together; an error if its word can't be read. Nil reads nothing.
+	Limit func(status int, h http.Header) (ratelimit.Word, error)
 }
 
 // OwnDialect is the product's own: docs/OVERLOAD.md.
@@ -64,7 +68,8 @@
 		Leaving: func(_ int, h http.Header) bool {
 			return lifecycle.SaysLeaving(h.Get(lifecycle.HeaderLeaving))
 		},
-		Rest: ownRest,
+		Rest:  ownRest,
+		Limit: ownLimit,
 	}
 }
 
@@ -80,6 +85,16 @@
 	return rest.Seconds(h.Get(HeaderRetryAfter))
 }
 
+// ownLimit reads the product's own word for a limit. An entry host below speaks for
+// itself where it gives no upstream's answer; a refusal that names none says nothing.
+func ownLimit(status int, h http.Header) (ratelimit.Word, error) {
+	value := h.Get(HeaderLimit)
+	if value == "" && (h.Get(HeaderError) != "" || status == http.StatusServiceUnavailable) {
+		return ratelimit.Word{}, nil
+	}
+	return ratelimit.Read(value)
+}
+
 // WithDialect speaks d instead of the product's own dialect.
 func WithDialect(d *Dialect) Option { return func(p *Proxy) { p.dialect = d } }
 
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -34,6 +34,9 @@
 	HeaderNotRun = "Dapplespindle-Not-Run"
 	// HeaderLoad on an answer is the number of requests in flight at the upstream.
 	HeaderLoad = "X-Load-Active"
+	// HeaderLimit on an answer is how many requests a second the upstream takes from all
+	// entry hosts together, for as long as its answers say so.
+	HeaderLimit = "X-Limit-Per-Second"
 	// HeaderRetryAfter is the standard header, in seconds.
 	HeaderRetryAfter = "Retry-After"
 	// HeaderRetryAfterMs is the same in milliseconds.
--- a/pkg/balancer/upstream.go
+++ b/pkg/balancer/upstream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/pkg/coldstart"
+	"github.com/dapplespindle/dapplespindle/pkg/ratelimit"
 	"github.com/dapplespindle/dapplespindle/pkg/rest"
 )
 
@@ -45,6 +46,8 @@
 	Cold coldstart.Upstream
 	// Rest is the rest that it asked this host for.
 	Rest rest.State
+	// Limit is how many requests a second it takes from all hosts.
+	Limit ratelimit.State
 	// Added is when it joined the group; zero if it was there at the start.
 	Added time.Time
 
--- /dev/null
+++ b/pkg/ratelimit/word.go
@@ -0,0 +1,50 @@
+package ratelimit
+
+import (
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrUnreadable means that a limit is no number of requests a second.
+var ErrUnreadable = errors.New("limit is no number of requests a second")
+
+// Kind is what an answer says of the upstream's limit.
+type Kind uint8
+
+const (
+	// Silent says nothing: the answer may not be the upstream's own word.
+	Silent Kind = iota
+	// Unlimited says that the upstream names no limit, or no longer.
+	Unlimited
+	// Limited names a limit.
+	Limited
+)
+
+// Word is what one answer says of the limit of the upstream that gave it.
+type Word struct {
+	// Kind is what it says.
+	Kind Kind
+	// PerSecond is the limit, in requests a second of all hosts together.
+	PerSecond float64
+}
+
+// MostPerSecond bounds a limit; upstreams that take more are as good as unlimited.
+const MostPerSecond = 1e6
+
+// Read reads a limit as upstreams write it, a decimal number of requests a second. An
+// empty value names none; one that is not a number from 0 on is ErrUnreadable, and says
+// nothing.
+func Read(value string) (Word, error) {
+	value = strings.TrimSpace(value)
+	if value == "" {
+		return Word{Kind: Unlimited}, nil
+	}
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) || n < 0 {
+		return Word{}, ErrUnreadable
+	}
+	return Word{Kind: Limited, PerSecond: min(n, MostPerSecond)}, nil
+}
--- /dev/null
+++ b/pkg/ratelimit/word_test.go
@@ -0,0 +1,33 @@
+package ratelimit_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/pkg/ratelimit"
+)
+
+func TestRead(t *testing.T) {
+	is := is.New(t)
+	for value, want := range map[string]ratelimit.Word{
+		"":      {Kind: ratelimit.Unlimited},
+		" ":     {Kind: ratelimit.Unlimited},
+		"0":     {Kind: ratelimit.Limited},
+		"1.2":   {Kind: ratelimit.Limited, PerSecond: 1.2},
+		" 25 ":  {Kind: ratelimit.Limited, PerSecond: 25},
+		"0.04":  {Kind: ratelimit.Limited, PerSecond: 0.04},
+		"2e2":   {Kind: ratelimit.Limited, PerSecond: 200},
+		"1e300": {Kind: ratelimit.Limited, PerSecond: ratelimit.MostPerSecond},
+	} {
+		got, err := ratelimit.Read(value)
+		is.NoErr(err)
+		is.Equal(got, want)
+	}
+	for _, value := range []string{"-1", "few", "NaN", "inf", "1e999", "3/s", "1,5", "2 3"} {
+		got, err := ratelimit.Read(value)
+		is.True(errors.Is(err, ratelimit.ErrUnreadable))
+		is.Equal(got, ratelimit.Word{})
+	}
+}
