Take the hosts' turns and the repeats of news out of the packages that had them

What cold upstreams share (turns among hosts) and what news of ends share (told to all, repeated to a few) is needed by a second user each. pkg/turns and pkg/gossip hold them; behaviour as before, but for which host's turn a slot is.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -11,10 +11,10 @@
 	"github.com/dapplespindle/dapplespindle/internal/members"
 	"github.com/dapplespindle/dapplespindle/internal/news"
 	"github.com/dapplespindle/dapplespindle/internal/source"
-	"github.com/dapplespindle/dapplespindle/pkg/coldstart"
 	"github.com/dapplespindle/dapplespindle/pkg/follow"
 	"github.com/dapplespindle/dapplespindle/pkg/membership"
 	"github.com/dapplespindle/dapplespindle/pkg/poison"
+	"github.com/dapplespindle/dapplespindle/pkg/turns"
 )
 
 const (
@@ -127,7 +127,7 @@
 	}
 	f.gateway.shareRetries()
 	self := slices.IndexFunc(s.Members, func(m membership.Member) bool { return m.Address == s.Self.Address })
-	f.gateway.control.pools.options.Turns.Set(coldstart.Place{Self: self, Hosts: len(s.Members)})
+	f.gateway.control.pools.options.Turns.Set(clock.Now(), turns.Place{Self: self, Hosts: len(s.Members)})
 }
 
 // settleAfter is how long after it found a first peer a host knows most others: of
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,12 +29,12 @@
 	"github.com/dapplespindle/dapplespindle/internal/proxy"
 	"github.com/dapplespindle/dapplespindle/internal/source"
 	"github.com/dapplespindle/dapplespindle/internal/upstream"
-	"github.com/dapplespindle/dapplespindle/pkg/coldstart"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/follow"
+	"github.com/dapplespindle/dapplespindle/pkg/gossip"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
-	"github.com/dapplespindle/dapplespindle/pkg/poison"
 	"github.com/dapplespindle/dapplespindle/pkg/retry"
+	"github.com/dapplespindle/dapplespindle/pkg/turns"
 )
 
 // Gateway is one entry host. New builds its parts; Run starts and stops them.
@@ -220,7 +220,7 @@
 		AskTimeout:   peerTimeout,
 	}
 	if fleet == nil {
-		g.control.pools.options.Turns.Set(coldstart.Place{Hosts: 1})
+		g.control.pools.options.Turns.Set(clock.Now(), turns.Place{Hosts: 1})
 	} else {
 		g.fleet = fleet
 		conf.Peers = fleet.news
@@ -229,7 +229,7 @@
 	}
 	g.follower = source.NewFollower(conf)
 	g.loop.Every(tickEvery, g.control.tick)
-	g.loop.Every(poison.RepeatEvery, g.repeatDeaths)
+	g.loop.Every(gossip.RepeatEvery, g.repeatDeaths)
 	g.loop.Every(retry.SaveEvery, func(time.Time) { g.proxy.Tick() })
 	return nil
 }
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -8,12 +8,12 @@
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/probefirst"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/registry"
-	"github.com/dapplespindle/dapplespindle/pkg/coldstart"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
 	"github.com/dapplespindle/dapplespindle/pkg/registered"
 	"github.com/dapplespindle/dapplespindle/pkg/rest"
 	"github.com/dapplespindle/dapplespindle/pkg/routing"
+	"github.com/dapplespindle/dapplespindle/pkg/turns"
 )
 
 // pool is what outlives snapshots of one registered service: the policy and
@@ -47,7 +47,7 @@
 
 func newPools(host, failureDomain string) *pools {
 	return &pools{
-		options:   balancer.Options{Host: host, FailureDomain: failureDomain, Turns: coldstart.NewTurns(host)},
+		options:   balancer.Options{Host: host, FailureDomain: failureDomain, Turns: turns.New(host)},
 		lifecycle: new(lifecycle.Snapshot),
 		services:  make(map[string]*pool),
 		rests:     rest.NewBook(),
--- a/internal/poisonnews/poisonnews.go
+++ b/internal/poisonnews/poisonnews.go
@@ -14,6 +14,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/control"
 	"github.com/dapplespindle/dapplespindle/internal/peer"
+	"github.com/dapplespindle/dapplespindle/pkg/gossip"
 	"github.com/dapplespindle/dapplespindle/pkg/poison"
 )
 
@@ -50,7 +51,7 @@
 func New(conf Config) *Teller {
 	t := &Teller{conf: conf}
 	poisonv1.RegisterPoisonServer(conf.Server, t)
-	conf.Loop.Every(poison.RepeatEvery, t.repeat)
+	conf.Loop.Every(gossip.RepeatEvery, t.repeat)
 	return t
 }
 
@@ -70,8 +71,8 @@
 	if len(deaths) == 0 {
 		return
 	}
-	told := encodeDeaths(now, poison.Draw(deaths, maxDeaths, rand.IntN))
-	t.tell(poison.Draw(t.conf.Peers(), poison.RepeatTo, rand.IntN), &poisonv1.TellRequest{Died: told})
+	told := encodeDeaths(now, gossip.Draw(deaths, maxDeaths, rand.IntN))
+	t.tell(gossip.Draw(t.conf.Peers(), gossip.RepeatTo, rand.IntN), &poisonv1.TellRequest{Died: told})
 }
 
 // tell sends a message to each of the hosts, beside the caller. One that is not reached
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -24,7 +24,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/dapplespindle/dapplespindle/pkg/coldstart"
+	"github.com/dapplespindle/dapplespindle/pkg/turns"
 )
 
 // ErrNoUpstream means no upstream is eligible: the group is empty, or all are excluded.
@@ -138,7 +138,7 @@
 	// FailureDomain is where the entry host runs.
 	FailureDomain string
 	// Turns says when this host may send to cold upstreams; nil is any time.
-	Turns *coldstart.Turns
+	Turns *turns.Turns
 	// SlowStart is the time over which a new upstream's share grows to full; 0 is off.
 	SlowStart time.Duration
 }
--- a/pkg/balancer/probefirst/probefirst.go
+++ b/pkg/balancer/probefirst/probefirst.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
-	"github.com/dapplespindle/dapplespindle/pkg/coldstart"
+	"github.com/dapplespindle/dapplespindle/pkg/turns"
 )
 
 // Name is the name in configuration documents.
@@ -52,11 +52,11 @@
 
 // Build implements balancer.Builder.
 func (Builder) Build(o balancer.Options) balancer.Policy {
-	turns := o.Turns
-	if turns == nil {
-		turns = coldstart.NewTurns(o.Host)
+	mine := o.Turns
+	if mine == nil {
+		mine = turns.New(o.Host)
 	}
-	return &policy{host: o.Host, failureDomain: o.FailureDomain, crowding: new(crowding), idle: new(idleShare), turns: turns}
+	return &policy{host: o.Host, failureDomain: o.FailureDomain, crowding: new(crowding), idle: new(idleShare), turns: mine}
 }
 
 type policy struct {
@@ -64,7 +64,7 @@
 	failureDomain string
 	crowding      *crowding
 	idle          *idleShare
-	turns         *coldstart.Turns
+	turns         *turns.Turns
 }
 
 // Update implements balancer.Policy.
@@ -87,12 +87,12 @@
 	home, rest []*balancer.Upstream // near, those asked first and the others
 	crowding   *crowding
 	idle       *idleShare
-	turns      *coldstart.Turns
+	turns      *turns.Turns
 }
 
 // eligible reports whether a request may go to u now.
 func (p *picker) eligible(u *balancer.Upstream, info balancer.PickInfo) bool {
-	return !info.Excludes(u) && p.turns.Open(info.Now, &u.Cold)
+	return !info.Excludes(u) && u.Cold.Open(info.Now, p.turns)
 }
 
 // Observe implements balancer.Observer.
@@ -114,7 +114,7 @@
 		if c.cost > GoodCost {
 			reason = "best-of-slow"
 		}
-		if !p.turns.Take(info.Now, &c.upstream.Cold) {
+		if !c.upstream.Cold.Take(info.Now, p.turns) {
 			return balancer.Result{RetryAfter: FreshFor}, balancer.ErrNoSlot
 		}
 		p.crowding.chosen(c.upstream.Load())
@@ -123,7 +123,7 @@
 	if info.Extra {
 		return balancer.Result{}, balancer.ErrNoSlot
 	}
-	if u := p.blind(info); u != nil && p.turns.Take(info.Now, &u.Cold) {
+	if u := p.blind(info); u != nil && u.Cold.Take(info.Now, p.turns) {
 		return balancer.Result{Upstream: u, Reason: "no-report"}, nil
 	}
 	if p.anyLeft(info) {
--- a/pkg/coldstart/coldstart.go
+++ b/pkg/coldstart/coldstart.go
@@ -2,10 +2,8 @@
 // has started a moment ago, or has become cold again. Such an upstream bears a few
 // requests a second, and collapses under more.
 //
-// Hosts share nothing for this. Each knows about how many hosts there are and its own
-// number among them. Time is divided into slots, as many a second as the upstream bears
-// requests; in each slot it is the turn of one host, in an order that is shifted from
-// upstream to upstream, and a host sends one request in its turn at the most.
+// Hosts share nothing for this but the order of pkg/turns: there are as many slots a second
+// as the upstream bears requests, and a host sends one request in its turn at the most.
 //
 // In a second, an upstream that bears r requests a second gets at most r(1+2d)+1 where
 // the hosts agree on their numbers and their clocks agree within d seconds: so many slots
@@ -23,39 +21,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-)
-
-// AssumedHosts is the number of hosts that a host reckons with until it knows better.
-// The fleets known have 13 to 473; to reckon with too many wastes turns for some seconds.
-const AssumedHosts = 100
-
-// Place is a host's number among the hosts of its fleet.
-type Place struct {
-	// Self is the number, from 0.
-	Self int
-	// Hosts is how many there are; hosts that may be dead count.
-	Hosts int
-}
 
-// Turns says when this host has its turn.
-type Turns struct {
-	place atomic.Pointer[Place]
-}
-
-// NewTurns returns the turns of a host that knows no other yet. Its name gives it a
-// number that other hosts do not have as a rule.
-func NewTurns(host string) *Turns {
-	t := new(Turns)
-	t.Set(Place{Self: int(xxhash.Sum64String(host) % AssumedHosts), Hosts: AssumedHosts})
-	return t
-}
-
-// Set takes in this host's place. One that is out of range is ignored.
-func (t *Turns) Set(p Place) {
-	if p.Self >= 0 && p.Self < p.Hosts {
-		t.place.Store(&p)
-	}
-}
+	"github.com/dapplespindle/dapplespindle/pkg/turns"
+)
 
 // Upstream is what one host knows of how cold one upstream is. The zero value is warm,
 // and bears anything.
@@ -102,27 +70,22 @@
 	return int64(float64(now.UnixNano())/length) + 1
 }
 
-// Open reports whether this host may send a request to an upstream now.
-func (t *Turns) Open(now time.Time, u *Upstream) bool {
+// Open reports whether the host whose turns are given may send a request to u now.
+func (u *Upstream) Open(now time.Time, t *turns.Turns) bool {
 	if !u.Cold(now) {
 		return true
 	}
 	slot := u.slot(now)
-	return u.used.Load() != slot && t.owns(u, slot)
-}
-
-func (t *Turns) owns(u *Upstream, slot int64) bool {
-	p := t.place.Load()
-	return (uint64(slot)+u.shift.Load())%uint64(p.Hosts) == uint64(p.Self)
+	return u.used.Load() != slot && t.Owns(slot, u.shift.Load())
 }
 
-// Take uses this host's turn at an upstream for one request. It is false if there is
-// none, or no longer.
-func (t *Turns) Take(now time.Time, u *Upstream) bool {
+// Take uses the host's turn at u for one request. It is false if there is none, or no
+// longer.
+func (u *Upstream) Take(now time.Time, t *turns.Turns) bool {
 	if !u.Cold(now) {
 		return true
 	}
 	slot := u.slot(now)
 	used := u.used.Load()
-	return used != slot && t.owns(u, slot) && u.used.CompareAndSwap(used, slot)
+	return used != slot && t.Owns(slot, u.shift.Load()) && u.used.CompareAndSwap(used, slot)
 }
--- /dev/null
+++ b/pkg/turns/turns.go
@@ -0,0 +1,93 @@
+// Package turns has the hosts of a fleet act in turn where an upstream bears so much from
+// all of them together.
+//
+// Hosts share nothing for this. Each knows about how many hosts there are and its own
+// number among them. Time is divided into slots, and each slot is the turn of one host, in
+// an order that is shifted from upstream to upstream.
+//
+// Where the hosts agree on their numbers, each slot has one owner. Where they are in k
+// groups that count differently, as halves that are cut from each other, it has one in each
+// group.
+//
+// The package does no I/O, reads no clock and draws no randomness. Its types are safe for
+// concurrent use.
+package turns
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// AssumedHosts is the number of hosts that a host reckons with until it knows better.
+// The fleets known have 13 to 473; to reckon with too many wastes turns for some seconds.
+const AssumedHosts = 100
+
+// Place is a host's number among the hosts of its fleet.
+type Place struct {
+	// Self is the number, from 0.
+	Self int
+	// Hosts is how many there are; hosts that may be dead count.
+	Hosts int
+}
+
+// Turns says which slots are this host's.
+type Turns struct {
+	place atomic.Pointer[placed]
+}
+
+// placed is a place and since when it holds.
+type placed struct {
+	Place
+	since time.Time
+}
+
+// New returns the turns of a host that knows no other yet. Its name gives it a number that
+// other hosts do not have as a rule.
+func New(host string) *Turns {
+	t := new(Turns)
+	t.Set(time.Time{}, Place{Self: int(xxhash.Sum64String(host) % AssumedHosts), Hosts: AssumedHosts})
+	return t
+}
+
+// Alone returns the turns of a host without a fleet: all slots are its own.
+func Alone() *Turns {
+	t := new(Turns)
+	t.Set(time.Time{}, Place{Hosts: 1})
+	return t
+}
+
+// Set takes in this host's place. One that is out of range is ignored.
+func (t *Turns) Set(now time.Time, p Place) {
+	known := t.place.Load()
+	if p.Self < 0 || p.Self >= p.Hosts || known != nil && known.Place == p {
+		return
+	}
+	t.place.Store(&placed{p, now})
+}
+
+// Place returns this host's place, and since when it holds.
+func (t *Turns) Place() (Place, time.Time) {
+	p := t.place.Load()
+	return p.Place, p.since
+}
+
+// Owns reports whether a slot is this host's. Shift is that of the upstream's order.
+func (t *Turns) Owns(slot int64, shift uint64) bool {
+	p := t.place.Load()
+	return owner(slot, shift, p.Hosts) == uint64(p.Self)
+}
+
+// owner is the number of the host whose slot it is. Half of the shift is used, so that the
+// sum does not overflow.
+func owner(slot int64, shift uint64, hosts int) uint64 {
+	return (uint64(slot) + shift>>1) % uint64(hosts)
+}
+
+// Next returns the first slot from one on that is this host's.
+func (t *Turns) Next(slot int64, shift uint64) int64 {
+	p := t.place.Load()
+	hosts := uint64(p.Hosts)
+	return slot + int64((uint64(p.Self)+hosts-owner(slot, shift, p.Hosts))%hosts)
+}
