--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -18,6 +18,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/configfeed"
 	"github.com/dapplespindle/dapplespindle/internal/execution"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/internal/limitnews"
 	"github.com/dapplespindle/dapplespindle/internal/members"
 	"github.com/dapplespindle/dapplespindle/internal/notices"
 	"github.com/dapplespindle/dapplespindle/internal/operator"
@@ -184,6 +185,7 @@
 		Report:    e.control.probed,
 		Rest:      proxy.OwnDialect().Rest,
 		Rested:    e.control.rested,
+		Limited:   e.control.groups.limits.Limited,
 		Path:      e.conf.Probe.Path,
 		Timeout:   e.conf.Probe.Timeout,
 		FreshFor:  e.conf.Probe.FreshFor,
@@ -196,6 +198,14 @@
 		Recent: func(now time.Time, within time.Duration) []poison.Death { return e.proxy.RecentDeaths(now, within) },
 		Heard:  func(died []poison.Death, answered []poison.Fingerprint) { e.proxy.Heard(died, answered) },
 	})
+	e.limits = limitnews.New(limitnews.Config{
+		Loop:   e.loop,
+		Server: e.peerServer,
+		Pool:   e.pool,
+		Peers:  e.peerAddresses,
+		Book:   e.control.groups.limits,
+		Heard:  e.heardLimits,
+	})
 	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
 	e.proxy = proxy.New(e.host, incarnation, e.client, e.sink,
 		proxy.WithExecutor(e.tickets),
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/dapplespindle/dapplespindle/pkg/membership"
 	"github.com/dapplespindle/dapplespindle/pkg/plan"
 	"github.com/dapplespindle/dapplespindle/pkg/routing"
+	"github.com/dapplespindle/dapplespindle/pkg/turns"
 )
 
 const (
@@ -50,6 +52,7 @@
 	nextTick  time.Time
 	watermark configsync.Watermark
 	fleet     uint64 // version of the membership that the shares reflect
+	placed    uint64 // version of the membership that the turns reflect
 	// hostsRevision is that of the newest list of hosts that was read.
 	hostsRevision uint64
 
@@ -62,7 +65,7 @@
 func newController(e *Entry) *controller {
 	c := &controller{
 		entry:     e,
-		groups:    newGroupStore(e.conf.FailureDomain),
+		groups:    newGroupStore(e.host, e.conf.FailureDomain),
 		registry:  lifecycle.NewRegistry(lifecycle.DefaultConfig(), hostSink{e}),
 		published: new(operator.Published),
 		revisions: make(map[string]uint64),
@@ -79,7 +82,7 @@
 	now := clock.Now()
 	c.config = s
 	c.list(now)
-	c.groups.prune(services(s))
+	c.groups.prune(services(s), now)
 	c.publish()
 	_, hosts := rank(c.entry.members.Snapshot())
 	c.shareConnections(hosts)
@@ -152,6 +155,7 @@
 		c.nextTick = now.Add(registryEvery)
 		c.registry.Tick(now)
 		c.groups.rests.Tick(now)
+		c.groups.limits.Tick(now)
 		c.reportDrained(now)
 		c.publishChanged()
 	}
@@ -159,6 +163,7 @@
 		c.publish()
 	}
 	c.shareFleet()
+	c.takePlace(now)
 	c.tellPeers()
 }
 
@@ -201,6 +206,19 @@
 	}
 }
 
+// takePlace takes in this host's number for its turns at upstreams, once it knows others or
+// has waited for them. Those held for dead count too: they may be on the other side of a
+// split, and serve there.
+func (c *controller) takePlace(now time.Time) {
+	s := c.entry.members.Snapshot()
+	if s.Version == c.placed || !s.Joined && now.Before(c.readyBy) {
+		return
+	}
+	c.placed = s.Version
+	self := slices.IndexFunc(s.Members, func(m membership.Member) bool { return m.Address == s.Self.Address })
+	c.groups.options.Turns.Set(now, turns.Place{Self: self, Hosts: len(s.Members)})
+}
+
 // rank returns this host's place among the usable members, and their number.
 func rank(s *membership.Snapshot) (self, hosts int) {
 	for i := range s.Members {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/events"
 	"github.com/dapplespindle/dapplespindle/internal/execution"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
+	"github.com/dapplespindle/dapplespindle/internal/limitnews"
 	"github.com/dapplespindle/dapplespindle/internal/logging"
 	"github.com/dapplespindle/dapplespindle/internal/members"
 	"github.com/dapplespindle/dapplespindle/internal/metrics"
@@ -51,6 +52,7 @@
 	feed      *configfeed.Feed
 	notices   *notices.Spreader
 	poison    *poisonnews.Teller
+	limits    *limitnews.Teller
 	tickets   *execution.Service
 	prober    *prober.Prober
 	operators *operator.Server
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -2,8 +2,10 @@
 
 import (
 	"github.com/dapplespindle/dapplespindle/internal/operator"
+	"github.com/dapplespindle/dapplespindle/internal/proxy"
 	"github.com/dapplespindle/dapplespindle/pkg/configsync"
 	"github.com/dapplespindle/dapplespindle/pkg/membership"
+	"github.com/dapplespindle/dapplespindle/pkg/ratelimit"
 )
 
 // configMembers gives the configuration feed the entry hosts that are not
@@ -36,6 +38,13 @@
 	return out
 }
 
+// heardLimits reports what a peer's news have changed.
+func (e *Entry) heardLimits(changed []*ratelimit.State) {
+	for _, s := range changed {
+		e.emit(proxy.LimitEvent(s.ID(), s.Word(), ratelimit.Peer))
+	}
+}
+
 // fleetView implements operator.FleetView over the membership.
 type fleetView struct {
 	entry *Entry
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -11,8 +11,10 @@
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/spindle"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+	"github.com/dapplespindle/dapplespindle/pkg/ratelimit"
 	"github.com/dapplespindle/dapplespindle/pkg/rest"
 	"github.com/dapplespindle/dapplespindle/pkg/routing"
+	"github.com/dapplespindle/dapplespindle/pkg/turns"
 )
 
 // groupKey identifies a group over changes of configuration.
@@ -42,13 +44,17 @@
 	groups    map[groupKey]*groupState
 	// rests are by "IP:port".
 	rests *rest.Book
+	// limits are by "IP:port" too.
+	limits *ratelimit.Book
 }
 
-func newGroupStore(failureDomain string) *groupStore {
+func newGroupStore(host, failureDomain string) *groupStore {
+	mine := turns.New(host)
 	return &groupStore{
-		options: balancer.Options{FailureDomain: failureDomain},
+		options: balancer.Options{FailureDomain: failureDomain, Turns: mine},
 		groups:  make(map[groupKey]*groupState),
 		rests:   rest.NewBook(),
+		limits:  ratelimit.NewBook(mine),
 	}
 }
 
@@ -97,14 +103,26 @@
 }
 
 // prune forgets the groups that no document has any more.
-func (s *groupStore) prune(services []*config.Service) {
+func (s *groupStore) prune(services []*config.Service, now time.Time) {
 	present := make(map[groupKey]bool, len(s.groups))
 	for _, svc := range services {
 		for i := range svc.Groups {
 			present[groupKey{svc.Name, svc.Groups[i].Name}] = true
 		}
 	}
-	maps.DeleteFunc(s.groups, func(k groupKey, _ *groupState) bool { return !present[k] })
+	maps.DeleteFunc(s.groups, func(k groupKey, st *groupState) bool {
+		if !present[k] {
+			s.release(st, now)
+		}
+		return !present[k]
+	})
+}
+
+// release gives up what a group that is gone holds.
+func (s *groupStore) release(st *groupState, now time.Time) {
+	for _, u := range st.upstreams {
+		s.limits.Release(now, u.Limit)
+	}
 }
 
 // rebuild makes the picker of a group anew.
@@ -113,7 +131,7 @@
 		st.policyName = g.Policy
 		st.policy = s.buildPolicy(g)
 	}
-	st.refresh(g, s.rests, clock.Now())
+	s.refresh(st, g, clock.Now())
 	st.members = s.taking(service, g, st)
 	st.picker = st.policy.Update(st.members)
 }
@@ -155,7 +173,7 @@
 // refresh makes records for new members and forgets those that are no longer
 // configured. An upstream that joins a group which already had members starts
 // slowly.
-func (st *groupState) refresh(g *config.Group, rests *rest.Book, now time.Time) {
+func (s *groupStore) refresh(st *groupState, g *config.Group, now time.Time) {
 	joined := len(st.upstreams) > 0
 	known := make(map[string]*balancer.Upstream, len(g.Upstreams))
 	for i := range g.Upstreams {
@@ -163,13 +181,19 @@
 		u := st.upstreams[cu.ID]
 		if u == nil || u.Address != upstream.Target(cu.Address, g.TLS) {
 			u = newUpstream(cu, g.TLS)
-			u.Rest.Extend(rests.Of(upstream.HostOf(u.Address)))
+			u.Rest.Extend(s.rests.Of(upstream.HostOf(u.Address)))
+			u.Limit = s.limits.Hold(upstream.HostOf(u.Address), 0)
 			if joined {
 				u.Added = now
 			}
 		}
 		known[cu.ID] = u
 	}
+	for id, u := range st.upstreams {
+		if known[id] != u {
+			s.limits.Release(now, u.Limit)
+		}
+	}
 	st.upstreams = known
 }
 
--- a/internal/entry/groups_test.go
+++ b/internal/entry/groups_test.go
@@ -30,7 +30,7 @@
 
 func newGroupFleet() *groupFleet {
 	return &groupFleet{
-		store:    newGroupStore("caruaru"),
+		store:    newGroupStore("10.0.0.1", "caruaru"),
 		registry: lifecycle.NewRegistry(lifecycle.DefaultConfig(), event.Discard{}),
 		service:  config.Service{Name: "catalogue"},
 	}
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -55,6 +55,9 @@
 	c.entry.loop.Post(func() { c.groups.rest(address, until) })
 }
 
+// LimitHeard implements proxy.Upstreams.
+func (c *controller) LimitHeard(u *balancer.Upstream) { c.entry.limits.Changed(u.Limit) }
+
 // Reported implements proxy.Upstreams.
 func (c *controller) Reported(address string, now time.Time) {
 	c.entry.prober.Heard(upstream.HostOf(address), now)
--- a/internal/gateway/asker.go
+++ b/internal/gateway/asker.go
@@ -14,6 +14,7 @@
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+	"github.com/dapplespindle/dapplespindle/pkg/ratelimit"
 	"github.com/dapplespindle/dapplespindle/pkg/routing"
 )
 
@@ -70,7 +71,7 @@
 			Reason: "unhealthy", Value: int64(now.Sub(sent))})
 	default:
 		feedback.Report = a.dialect.Load(resp.Header)
-		a.limited(group, u, resp)
+		a.limited(group, u, now, sent, resp)
 		if left, ok := a.dialect.Cold(resp.Header); ok {
 			u.Cold.Told(now, left)
 		}
@@ -105,12 +106,14 @@
 }
 
 // limited takes in what an answer says of the upstream's limit.
-func (a *asker) limited(group *routing.Group, u *balancer.Upstream, resp *httpwire.Response) {
-	e, news := a.dialect.HearLimit(u, resp)
-	if news {
-		e.Service, e.Reason = group.Config.Registered, "probe"
-		a.events.Emit(e)
+func (a *asker) limited(group *routing.Group, u *balancer.Upstream, now, sent time.Time, resp *httpwire.Response) {
+	e, news := a.dialect.HearLimit(u, now, sent, resp, ratelimit.Probe)
+	if !news {
+		return
 	}
+	e.Service = group.Config.Registered
+	a.events.Emit(e)
+	a.told.LimitHeard(u)
 }
 
 func (a *asker) question(ctx context.Context, group *routing.Group, u *balancer.Upstream) (*httpwire.Response, *errkind.Error) {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -207,6 +207,7 @@
 	c.set.Tick(now)
 	c.registry.Tick(now)
 	c.pools.rests.Tick(now)
+	c.pools.limits.Tick(now)
 	c.publish(false)
 }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -69,6 +69,7 @@
 		Answer:  func(ctx context.Context, after uint64) (*source.Told, error) { return g.follower.Answer(ctx, after) },
 		Events:  g.sink,
 
+		HeardLimits: g.heardLimits,
 		HeardPoison: func(died []poison.Death, answered []poison.Fingerprint) { g.proxy.Heard(died, answered) },
 	})
 	return f, nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -230,6 +230,7 @@
 	g.follower = source.NewFollower(conf)
 	g.loop.Every(tickEvery, g.control.tick)
 	g.loop.Every(gossip.RepeatEvery, g.repeatDeaths)
+	g.loop.Every(gossip.RepeatEvery, g.repeatLimits)
 	g.loop.Every(retry.SaveEvery, func(time.Time) { g.proxy.Tick() })
 	return nil
 }
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+	"github.com/dapplespindle/dapplespindle/pkg/ratelimit"
 	"github.com/dapplespindle/dapplespindle/pkg/registered"
 )
 
@@ -62,14 +63,41 @@
 	entry := registered.Upstream{ID: "u", Service: "s", Start: 1, Address: "10.0.0.1:80"}
 	pl := p.pool("s")
 	forget := func(string) {}
-	pl.refresh([]registered.Upstream{entry}, p.rests, forget)
+	p.refreshPool(pl, []registered.Upstream{entry}, forget)
 	now := time.Now()
 	until := pl.records["u"].Rest.Ask(now, time.Minute, 0)
 	p.rests.Asked(restKey("u", 1), until)
-	pl.refresh(nil, p.rests, forget)
-	pl.refresh([]registered.Upstream{entry}, p.rests, forget)
+	p.refreshPool(pl, nil, forget)
+	p.refreshPool(pl, []registered.Upstream{entry}, forget)
 	is.Equal(pl.records["u"].Rest.Left(now), until.Sub(now))
 	entry.Start = 2
-	pl.refresh([]registered.Upstream{entry}, p.rests, forget)
+	p.refreshPool(pl, []registered.Upstream{entry}, forget)
 	is.Equal(pl.records["u"].Rest.Left(now), time.Duration(0))
 }
+
+// TestLimitOutlivesRecords: what an upstream names, and the turns that are used, hold when
+// its entry was missing for a while, and not for its next start.
+func TestLimitOutlivesRecords(t *testing.T) {
+	is := is.New(t)
+	p := newPools("host", "here")
+	entry := registered.Upstream{ID: "u", Service: "s", Start: 1, Born: 7, Address: "10.0.0.1:80"}
+	pl := p.pool("s")
+	list := func(entries ...registered.Upstream) { p.refreshPool(pl, entries, func(string) {}) }
+	list(entry)
+	now := time.Now()
+	known := pl.records["u"].Limit
+	known.Hear(now, now, ratelimit.Word{Kind: ratelimit.Limited, PerSecond: 2}, ratelimit.Answer)
+	list()
+	list(entry)
+	is.Equal(pl.records["u"].Limit, known)
+	entry.Start, entry.Born = 2, 8
+	list(entry)
+	is.True(pl.records["u"].Limit != known)
+	is.True(!pl.records["u"].Limit.Limited())
+
+	// What hosts tell of the earlier start does not touch the next one.
+	told, ok := known.News(now)
+	is.True(ok)
+	is.Equal(len(p.limits.Hear(now.Add(time.Second), []ratelimit.News{told})), 0)
+	is.True(!pl.records["u"].Limit.Limited())
+}
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -10,6 +10,7 @@
 	"github.com/dapplespindle/dapplespindle/pkg/balancer/registry"
 	"github.com/dapplespindle/dapplespindle/pkg/config"
 	"github.com/dapplespindle/dapplespindle/pkg/lifecycle"
+	"github.com/dapplespindle/dapplespindle/pkg/ratelimit"
 	"github.com/dapplespindle/dapplespindle/pkg/registered"
 	"github.com/dapplespindle/dapplespindle/pkg/rest"
 	"github.com/dapplespindle/dapplespindle/pkg/routing"
@@ -39,18 +40,21 @@
 	lifecycle *lifecycle.Snapshot
 	services  map[string]*pool
 	// rests are by restKey.
-	rests *rest.Book
+	rests  *rest.Book
+	limits *ratelimit.Book
 }
 
 // restKey names one start of an upstream: the next one did not ask for anything.
 func restKey(id string, start uint64) string { return id + "/" + strconv.FormatUint(start, 10) }
 
 func newPools(host, failureDomain string) *pools {
+	mine := turns.New(host)
 	return &pools{
-		options:   balancer.Options{Host: host, FailureDomain: failureDomain, Turns: turns.New(host)},
+		options:   balancer.Options{Host: host, FailureDomain: failureDomain, Turns: mine},
 		lifecycle: new(lifecycle.Snapshot),
 		services:  make(map[string]*pool),
 		rests:     rest.NewBook(),
+		limits:    ratelimit.NewBook(mine),
 	}
 }
 
@@ -102,16 +106,16 @@
 		if pl.lifecycle == p.lifecycle.ServiceVersion(service) {
 			continue
 		}
-		pl.refresh(set.Of(service), p.rests, forget)
+		p.refreshPool(pl, set.Of(service), forget)
 		pl.rebuild(service, p.lifecycle)
 		changed = append(changed, service)
 	}
 	return changed
 }
 
-// refresh makes records for new upstreams, and for new starts of known ones, and
+// refreshPool makes records for new upstreams, and for new starts of known ones, and
 // forgets those that are gone: cost, failures, load and connections are of one start.
-func (pl *pool) refresh(list []registered.Upstream, rests *rest.Book, forget func(string)) {
+func (p *pools) refreshPool(pl *pool, list []registered.Upstream, forget func(string)) {
 	now := clock.Now()
 	known := make(map[string]*balancer.Upstream, len(list))
 	entries := make(map[string]uint64, len(list))
@@ -120,7 +124,8 @@
 		if u == nil || u.Activation != entry.Start || u.Address != upstream.InstanceTarget(entry.ID, entry.Address) {
 			u = newRecord(entry)
 			u.Cold.Bears(u.ID, pl.coldRate)
-			u.Rest.Extend(rests.Of(restKey(entry.ID, entry.Start)))
+			u.Rest.Extend(p.rests.Of(restKey(entry.ID, entry.Start)))
+			u.Limit = p.limits.Hold(entry.ID, entry.Born)
 		}
 		if pl.entries[entry.ID] != entry.Revision {
 			u.Cold.Heard(now, entry.ColdFor)
@@ -130,6 +135,7 @@
 	for id, u := range pl.records {
 		if known[id] != u {
 			forget(u.Address)
+			p.limits.Release(now, u.Limit)
 		}
 	}
 	pl.records, pl.entries = known, entries
--- /dev/null
+++ b/internal/gateway/ratelimit.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/internal/clock"
+	"github.com/dapplespindle/dapplespindle/internal/news"
+	"github.com/dapplespindle/dapplespindle/internal/proxy"
+	"github.com/dapplespindle/dapplespindle/pkg/gossip"
+	"github.com/dapplespindle/dapplespindle/pkg/ratelimit"
+)
+
+// This file tells the other hosts what upstreams say of their limits.
+
+// tellLimit tells all hosts what is now known of a limit.
+func (g *Gateway) tellLimit(s *ratelimit.State) {
+	if g.fleet == nil {
+		return
+	}
+	if told, ok := s.News(clock.Now()); ok {
+		g.fleet.news.TellLimits(*g.fleet.others.Load(), []ratelimit.News{told})
+	}
+}
+
+// repeatLimits tells a few hosts what they may have missed, as much as one message holds.
+func (g *Gateway) repeatLimits(now time.Time) {
+	if g.fleet == nil {
+		return
+	}
+	known := g.control.pools.limits.News(now)
+	if len(known) == 0 {
+		return
+	}
+	others := slices.Clone(*g.fleet.others.Load())
+	g.fleet.news.TellLimits(gossip.Draw(others, gossip.RepeatTo, rand.IntN), gossip.Draw(known, news.LimitsPerMessage, rand.IntN))
+}
+
+// heardLimits takes in what another host tells.
+func (g *Gateway) heardLimits(told []ratelimit.News) {
+	now := clock.Now()
+	for _, s := range g.control.pools.limits.Hear(now, told) {
+		g.emit(proxy.LimitEvent(s.ID(), s.Word(), ratelimit.Peer))
+	}
+}
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -46,6 +46,9 @@
 	c.gateway.loop.Post(func() { c.pools.rests.Asked(restKey(u.ID, u.Activation), until) })
 }
 
+// LimitHeard implements proxy.Upstreams.
+func (c *controller) LimitHeard(u *balancer.Upstream) { c.gateway.tellLimit(u.Limit) }
+
 // Reported implements proxy.Upstreams.
 func (c *controller) Reported(string, time.Time) {}
 
--- /dev/null
+++ b/internal/limitnews/limitnews.go
@@ -0,0 +1,125 @@
+// Package limitnews tells the other entry hosts, over gRPC, of the limits that upstreams
+// name.
+package limitnews
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	limitsv1 "github.com/dapplespindle/dapplespindle/api/limits/v1"
+	"github.com/dapplespindle/dapplespindle/internal/clock"
+	"github.com/dapplespindle/dapplespindle/internal/control"
+	"github.com/dapplespindle/dapplespindle/internal/peer"
+	"github.com/dapplespindle/dapplespindle/pkg/gossip"
+	"github.com/dapplespindle/dapplespindle/pkg/ratelimit"
+)
+
+const (
+	// maxLimits bounds the limits of one message; 40 KB.
+	maxLimits = 1024
+	// callTimeout bounds one call. What it would have told is repeated.
+	callTimeout = 500 * time.Millisecond
+)
+
+// Config is what New needs. All fields are required.
+type Config struct {
+	// Loop is the control loop; New must be called before it runs.
+	Loop *control.Loop
+	// Server is where peers reach this host; New must be called before it serves.
+	Server *peer.Server
+	// Pool connects to peers.
+	Pool *peer.Pool
+	// Peers returns the addresses of the other entry hosts. It runs on any goroutine.
+	Peers func() []string
+	// Book holds what this host knows.
+	Book *ratelimit.Book
+	// Heard is told which upstreams' limits a peer's news have changed. It runs on any
+	// goroutine.
+	Heard func([]*ratelimit.State)
+}
+
+// Teller tells peers of limits, and hears them.
+type Teller struct {
+	limitsv1.UnimplementedLimitsServer
+	conf Config
+}
+
+// New registers a teller with the loop and the peers' server.
+func New(conf Config) *Teller {
+	t := &Teller{conf: conf}
+	limitsv1.RegisterLimitsServer(conf.Server, t)
+	conf.Loop.Every(gossip.RepeatEvery, t.repeat)
+	return t
+}
+
+// Changed tells all hosts what is now known of a limit.
+func (t *Teller) Changed(s *ratelimit.State) {
+	if news, ok := s.News(clock.Now()); ok {
+		t.tell(t.conf.Peers(), []ratelimit.News{news})
+	}
+}
+
+// repeat tells a few hosts what they may have missed.
+func (t *Teller) repeat(now time.Time) {
+	known := t.conf.Book.News(now)
+	if len(known) == 0 {
+		return
+	}
+	t.tell(gossip.Draw(t.conf.Peers(), gossip.RepeatTo, rand.IntN), gossip.Draw(known, maxLimits, rand.IntN))
+}
+
+// tell sends a message to each of the hosts, beside the caller. One that is not reached
+// hears it again.
+func (t *Teller) tell(peers []string, news []ratelimit.News) {
+	req := &limitsv1.TellRequest{Limits: encode(news)}
+	t.conf.Pool.CallAll(peers, callTimeout, func(ctx context.Context, c *grpc.ClientConn) error {
+		_, err := limitsv1.NewLimitsClient(c).Tell(ctx, req)
+		return err
+	})
+}
+
+// Tell implements limitsv1.LimitsServer.
+func (t *Teller) Tell(_ context.Context, req *limitsv1.TellRequest) (*limitsv1.TellResponse, error) {
+	news := decode(req.GetLimits())
+	for i := range news {
+		if err := news[i].Validate(); err != nil {
+			return nil, status.Error(codes.InvalidArgument, err.Error())
+		}
+	}
+	if changed := t.conf.Book.Hear(clock.Now(), news); len(changed) > 0 {
+		t.conf.Heard(changed)
+	}
+	return new(limitsv1.TellResponse), nil
+}
+
+func encode(news []ratelimit.News) []*limitsv1.Limit {
+	var out []*limitsv1.Limit
+	for _, n := range news {
+		out = append(out, &limitsv1.Limit{
+			Upstream:  n.Server.Name,
+			Born:      n.Server.Born,
+			PerSecond: n.PerSecond,
+			Ended:     n.Ended,
+			AgeUs:     n.Age.Microseconds(),
+		})
+	}
+	return out
+}
+
+func decode(limits []*limitsv1.Limit) []ratelimit.News {
+	var out []ratelimit.News
+	for _, m := range limits {
+		out = append(out, ratelimit.News{
+			Server:    ratelimit.Server{Name: m.GetUpstream(), Born: m.GetBorn()},
+			PerSecond: m.GetPerSecond(),
+			Ended:     m.GetEnded(),
+			Age:       time.Duration(m.GetAgeUs()) * time.Microsecond,
+		})
+	}
+	return out
+}
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -22,6 +22,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/source"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/poison"
+	"github.com/dapplespindle/dapplespindle/pkg/ratelimit"
 )
 
 const (
@@ -49,6 +50,8 @@
 	Answer func(ctx context.Context, after uint64) (*source.Told, error)
 	// HeardPoison takes in what a peer tells of ends of upstreams.
 	HeardPoison func(died []poison.Death, answered []poison.Fingerprint)
+	// HeardLimits takes in what a peer tells of the limits of upstreams.
+	HeardLimits func([]ratelimit.News)
 	// Events receives what was refused.
 	Events event.Sink
 }
@@ -148,8 +151,8 @@
 		if err != nil {
 			continue // such as an answer of a peer's machine that the port is closed
 		}
-		if n > 0 && buffer[0] == poisonKind {
-			if err := t.heardPoison(buffer[1:n]); err != nil {
+		if heard := t.kind(buffer[:n]); heard != nil {
+			if err := heard(buffer[1:n]); err != nil {
 				t.refused(err)
 			}
 			continue
@@ -167,6 +170,21 @@
 	}
 }
 
+// kind returns what takes in a datagram behind its first byte; nil if it tells of the store.
+func (t *Transport) kind(datagram []byte) func([]byte) error {
+	if len(datagram) == 0 {
+		return nil
+	}
+	switch datagram[0] {
+	case poisonKind:
+		return t.heardPoison
+	case limitsKind:
+		return t.heardLimits
+	default:
+		return nil
+	}
+}
+
 func decodeDatagram(datagram []byte) (*source.Told, error) {
 	told := new(source.Told)
 	if err := json.Unmarshal(datagram, told); err != nil {
--- a/internal/news/poison.go
+++ b/internal/news/poison.go
@@ -12,8 +12,8 @@
 	"github.com/dapplespindle/dapplespindle/pkg/poison"
 )
 
-// poisonKind is the first byte of a datagram that tells of ends of upstreams. All others
-// begin with the brace of a JSON object.
+// poisonKind is the first byte of a datagram that tells of ends of upstreams. Those that
+// tell of the store begin with the brace of a JSON object.
 const poisonKind = 'p'
 
 // DeathsPerMessage is how many ends fit a datagram.
@@ -60,24 +60,24 @@
 				Ended:    now.Sub(d.Ended).Microseconds(),
 			})
 		}
-		t.tellPoison(to, &m)
+		t.tellKind(to, poisonKind, &m)
 	}
 }
 
 // TellAnswered tells each of the hosts that a request under which upstreams ended was
 // answered.
 func (t *Transport) TellAnswered(to []netip.AddrPort, f poison.Fingerprint) {
-	t.tellPoison(to, &poisonMessage{Answered: []fingerprintMessage{encodeFingerprint(f)}})
+	t.tellKind(to, poisonKind, &poisonMessage{Answered: []fingerprintMessage{encodeFingerprint(f)}})
 }
 
-// tellPoison sends a message. One that can't be sent is as one that is lost.
-func (t *Transport) tellPoison(to []netip.AddrPort, m *poisonMessage) {
+// tellKind sends a message of a kind. One that can't be sent is as one that is lost.
+func (t *Transport) tellKind(to []netip.AddrPort, kind byte, m any) {
 	text, err := json.Marshal(m)
 	if err != nil {
 		t.refused(err)
 		return
 	}
-	t.send(to, append([]byte{poisonKind}, text...))
+	t.send(to, append([]byte{kind}, text...))
 }
 
 // heardPoison takes in a datagram behind its first byte.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -3,6 +3,7 @@
 package peer
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -110,3 +111,19 @@
 		delete(p.conns, a)
 	}
 }
+
+// CallAll calls each of the peers beside the caller, for news that are repeated: a call that
+// fails is as a message that is lost.
+func (p *Pool) CallAll(peers []string, timeout time.Duration, call func(context.Context, *grpc.ClientConn) error) {
+	for _, address := range peers {
+		go func() {
+			c, err := p.Conn(address)
+			if err != nil {
+				return
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			_ = call(ctx, c)
+		}()
+	}
+}
--- a/internal/poisonnews/poisonnews.go
+++ b/internal/poisonnews/poisonnews.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -78,20 +79,10 @@
 // tell sends a message to each of the hosts, beside the caller. One that is not reached
 // hears it again.
 func (t *Teller) tell(peers []string, req *poisonv1.TellRequest) {
-	for _, p := range peers {
-		go func() { _ = t.call(p, req) }()
-	}
-}
-
-func (t *Teller) call(address string, req *poisonv1.TellRequest) error {
-	conn, err := t.conf.Pool.Conn(address)
-	if err != nil {
+	t.conf.Pool.CallAll(peers, callTimeout, func(ctx context.Context, c *grpc.ClientConn) error {
+		_, err := poisonv1.NewPoisonClient(c).Tell(ctx, req)
 		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	_, err = poisonv1.NewPoisonClient(conn).Tell(ctx, req)
-	return err
+	})
 }
 
 // Tell implements poisonv1.PoisonServer.
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -60,6 +60,10 @@
 	// Rested receives until when the server at an address rests. It is called on the
 	// probe's goroutine.
 	Rested func(address string, until time.Time)
+	// Limited reports whether the server at an address names how many requests a second it
+	// takes: probes leave them to callers. Nil is never. It is called on the control
+	// goroutine and on Run's.
+	Limited func(address string) bool
 	// Path is the request path of a probe.
 	Path string
 	// Timeout ends a probe; it bounds the slot time that one probe takes.
--- a/internal/prober/scan.go
+++ b/internal/prober/scan.go
@@ -53,8 +53,12 @@
 	p.queue = p.found
 }
 
-// wants reports whether a probe of t is earned, its report is stale and it does not rest.
+// wants reports whether a probe of t is earned, its report is stale, it does not rest and
+// names no limit.
 func (p *Prober) wants(now time.Time, t *target) bool {
 	due, ok := p.budget.Due(t.Address)
-	return ok && !now.Before(due) && t.age(now) > p.conf.FreshFor && t.rest.Left(now) == 0
+	if !ok || now.Before(due) || t.age(now) <= p.conf.FreshFor || t.rest.Left(now) > 0 {
+		return false
+	}
+	return p.conf.Limited == nil || !p.conf.Limited(t.Address)
 }
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -108,10 +109,14 @@
 		}
 		return limit.RetryAfter(0, x.proxy.random())
 	}
-	if left := x.allRest(); left > 0 {
+	g := x.state.group
+	left := x.allShut()
+	if perSecond := x.turns(); !math.IsInf(perSecond, 1) {
+		return g.turns.Next(clock.Now(), left, seconds(1/perSecond))
+	}
+	if left > 0 {
 		return limit.RetryAfterRest(left, x.proxy.random())
 	}
-	g := x.state.group
 	target := x.rule.Config.TargetLatency.Std()
 	if kind == errkind.UpstreamRefused && target > 0 && g.waiting.Load() == 0 {
 		return limit.RetryAfterShed(target, x.proxy.random())
--- a/internal/proxy/ask.go
+++ b/internal/proxy/ask.go
@@ -21,10 +21,10 @@
 
 // ask lets a policy learn what it needs for the choice that comes next.
 func (x *exchange) ask(ctx context.Context, group *routing.Group, info *balancer.PickInfo) {
-	policy, ok := group.Picker.(balancer.Asker)
-	if !ok || x.proxy.asker == nil || group.Config.HealthPath == "" {
+	if !x.asks(group) {
 		return
 	}
+	policy := group.Picker.(balancer.Asker)
 	for round := 0; ctx.Err() == nil; round++ {
 		list := policy.Ask(*info, round)
 		list = list[:x.state.group.questions.take(len(list))]
@@ -36,6 +36,12 @@
 	}
 }
 
+// asks reports whether upstreams of the group are asked for their load before a choice.
+func (x *exchange) asks(group *routing.Group) bool {
+	_, ok := group.Picker.(balancer.Asker)
+	return ok && x.proxy.asker != nil && group.Config.HealthPath != ""
+}
+
 // The bound on questions: upstreams pay for them with slot time.
 const (
 	// questionsPerRequest is what each request adds, on average.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -143,7 +143,7 @@
 	resp, err := x.proxy.sender.Do(ctx, b.upstream.Address, req)
 	x.report(b, resp, err)
 	x.rested(b, resp)
-	x.limited(b, resp)
+	x.limited(b, start, resp)
 	x.examine(ctx, b, start, err)
 	r := x.interpret(b, resp, err)
 	x.answered(r)
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -29,6 +29,8 @@
 	questions questions
 	service   queue.ServiceTime
 	excess    limit.Excess
+	// turns are those promised to callers that were refused for want of one.
+	turns limit.Appointments
 	// waiting mirrors the queue's length, so that the usual case takes no lock.
 	waiting atomic.Int64
 	// ends counts sends that ended, to notice one between a pick and a push.
--- a/internal/proxy/ratelimit.go
+++ b/internal/proxy/ratelimit.go
@@ -1,40 +1,112 @@
 package proxy
 
 import (
+	"math"
+	"time"
+
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
 	"github.com/dapplespindle/dapplespindle/pkg/event"
 	"github.com/dapplespindle/dapplespindle/pkg/ratelimit"
+	"github.com/dapplespindle/dapplespindle/pkg/routing"
 )
 
-// HearLimit takes in what an answer says of its upstream's limit. It returns an event if
-// that is news, or can't be read.
-func (d *Dialect) HearLimit(u *balancer.Upstream, resp *httpwire.Response) (event.Event, bool) {
+// This file keeps to the limits that upstreams in need name. A limit is for all hosts
+// together, and one host's part of the load is below it as a rule: of 18 hosts, each sent
+// an upstream that takes 1.2 requests a second 0.3, and it got five. So no host may go by
+// what it sends itself: each has its turns, and a turn that is not there closes the upstream
+// to every kind of send.
+
+// HearLimit takes in what an answer that came now says of the limit of its upstream; the
+// request, or the probe, was sent at a time. It returns an event if that is news, or can't
+// be read.
+func (d *Dialect) HearLimit(u *balancer.Upstream, now, sent time.Time, resp *httpwire.Response, from ratelimit.Source) (event.Event, bool) {
 	if d.Limit == nil {
 		return event.Event{}, false
 	}
 	word, err := d.Limit(resp.Status, resp.Header)
 	if err != nil {
-		return event.Event{Code: event.LimitUnreadable, Upstream: u.ID, Detail: err.Error()}, true
+		return event.Event{Code: event.LimitUnreadable, Upstream: u.ID, Reason: from.String(), Detail: err.Error()}, true
 	}
-	news := u.Limit.Hear(word)
-	return limitEvent(u, word), news
+	return LimitEvent(u.ID, word, from), u.Limit.Hear(now, sent, word, from)
 }
 
-func limitEvent(u *balancer.Upstream, w ratelimit.Word) event.Event {
+// LimitEvent says what is now known of an upstream's limit.
+func LimitEvent(upstream string, w ratelimit.Word, from ratelimit.Source) event.Event {
+	const perEvent = 1000 // seconds
 	if w.Kind != ratelimit.Limited {
-		return event.Event{Code: event.LimitEnded, Upstream: u.ID}
+		return event.Event{Code: event.LimitEnded, Upstream: upstream, Reason: from.String()}
 	}
-	return event.Event{Code: event.LimitNamed, Upstream: u.ID, Value: int64(w.PerSecond * 1000)}
+	return event.Event{Code: event.LimitNamed, Upstream: upstream, Reason: from.String(), Value: int64(w.PerSecond * perEvent)}
 }
 
 // limited takes in what an answer says of the upstream's limit.
-func (x *exchange) limited(b binding, resp *httpwire.Response) {
+func (x *exchange) limited(b binding, sent time.Time, resp *httpwire.Response) {
 	if resp == nil {
 		return
 	}
-	if e, news := x.proxy.dialect.HearLimit(b.upstream, resp); news {
-		e.Attempt, e.Reason = b.number, "answer"
-		x.emit(e)
+	e, news := x.proxy.dialect.HearLimit(b.upstream, clock.Now(), sent, resp, ratelimit.Answer)
+	if !news {
+		return
+	}
+	e.Attempt = b.number
+	x.emit(e)
+	if x.proxy.upstreams != nil && e.Code != event.LimitUnreadable {
+		x.proxy.upstreams.LimitHeard(b.upstream)
+	}
+}
+
+// confirm chooses an upstream whose limit may be over, for a policy that does not ask
+// upstreams for their load first: such an upstream is chosen as seldom as this host has a
+// turn there when a request comes, and nothing else tells that it takes more again.
+func (x *exchange) confirm(group *routing.Group, info balancer.PickInfo) (balancer.Result, bool) {
+	if info.Extra || info.Last || x.asks(group) {
+		return balancer.Result{}, false
+	}
+	for _, u := range group.Upstreams {
+		if u.Limit.Unconfirmed(info.Now) && !info.Excludes(u) && !u.Cold.Cold(info.Now) && u.Limit.Take(info.Now) && u.Rest.Try(info.Now) {
+			return balancer.Result{Upstream: u, Reason: "limit-unconfirmed"}, true
+		}
+	}
+	return balancer.Result{}, false
+}
+
+// turns returns how many requests a second this host may send to the group's upstreams, if
+// those that do not rest all name a limit; infinite else.
+func (x *exchange) turns() float64 {
+	now := clock.Now()
+	perSecond := 0.0
+	for _, u := range x.state.group.current.Load().Upstreams {
+		if u.Limit.Limited() || u.Rest.Left(now) == 0 {
+			perSecond += u.Limit.Share()
+		}
+	}
+	if perSecond == 0 {
+		return math.Inf(1) // all rest, or there is none
+	}
+	return perSecond
+}
+
+// crowded reports whether too many requests wait before this one for a turn that would
+// still be in time.
+func (x *exchange) crowded() bool {
+	perSecond := x.turns()
+	if math.IsInf(perSecond, 1) {
+		return false
+	}
+	ahead := float64(x.state.group.waiting.Load())
+	wait := x.allShut() + seconds(ahead/perSecond)
+	return wait+x.usual() > clock.Until(x.usefulUntil())
+}
+
+// maxSeconds bounds a time that is worked out from a rate.
+const maxSeconds = 3600
+
+// seconds converts a number of seconds, which may be infinite or not a number.
+func seconds(n float64) time.Duration {
+	if !(n < maxSeconds) {
+		n = maxSeconds
 	}
+	return time.Duration(n * float64(time.Second))
 }
--- a/internal/proxy/rest.go
+++ b/internal/proxy/rest.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -50,23 +51,26 @@
 }
 
 // maxChoices bounds the choices for one send, of which all but the last met an upstream
-// that another request has tried first after its rest.
+// that another request has tried first after its rest, or at which it used the turn.
 const maxChoices = 8
 
-// choose lets the policy choose an upstream that does not rest. The error is
-// balancer.ErrNoSlot where it is worth to wait.
+// choose lets the policy choose an upstream that does not rest, and takes this host's turn
+// at one that names a limit. The error is balancer.ErrNoSlot where it is worth to wait.
 func (x *exchange) choose(group *routing.Group, info balancer.PickInfo) (balancer.Result, error) {
+	if choice, ok := x.confirm(group, info); ok {
+		return choice, nil
+	}
 	for range maxChoices {
 		choice, err := group.Picker.Pick(info)
 		switch {
-		case err == nil && choice.Upstream.Rest.Try(info.Now):
+		case err == nil && choice.Upstream.Limit.Take(info.Now) && choice.Upstream.Rest.Try(info.Now):
 			return choice, nil
 		case err == nil:
 			continue
 		case info.Last && errors.Is(err, balancer.ErrNoUpstream):
 			info.Last = false // none is left but those whose rest has just ended
 			continue
-		case errors.Is(err, balancer.ErrNoUpstream) && x.restsShortly(info):
+		case errors.Is(err, balancer.ErrNoUpstream) && x.opensShortly(info):
 			return choice, balancer.ErrNoSlot
 		}
 		return choice, err
@@ -74,14 +78,14 @@
 	return balancer.Result{}, balancer.ErrNoSlot
 }
 
-// restsShortly reports whether all upstreams rest that were not tried, and one ends its rest
+// opensShortly reports whether all upstreams are shut that were not tried, and one opens
 // soon enough that the request is still answered within its target if it waits here. For a
 // trial after a rest it waits as long as it has time at all. One without a target is told
 // when to come back rather than held up to its deadline.
-func (x *exchange) restsShortly(info balancer.PickInfo) bool {
-	left := x.restsFor(info.Exclude)
+func (x *exchange) opensShortly(info balancer.PickInfo) bool {
+	left := x.shutFor(info.Exclude)
 	switch {
-	case left == 0:
+	case left == 0 || info.Waited == 0 && x.crowded():
 		return false
 	case left <= rest.TrialTime:
 		return left+info.Usual <= info.Left
@@ -91,19 +95,19 @@
 	return left+info.Usual <= info.TargetLeft
 }
 
-// allRest returns how long it takes until the first upstream of the group may be sent a
+// allShut returns how long it takes until the first upstream of the group may be sent a
 // request; 0 if one may be now.
-func (x *exchange) allRest() time.Duration { return x.restsFor(nil) }
+func (x *exchange) allShut() time.Duration { return x.shutFor(nil) }
 
-// restsFor is allRest without some upstreams.
-func (x *exchange) restsFor(without []*balancer.Upstream) time.Duration {
+// shutFor is allShut without some upstreams.
+func (x *exchange) shutFor(without []*balancer.Upstream) time.Duration {
 	now := clock.Now()
 	var first time.Duration
 	for _, u := range x.state.group.current.Load().Upstreams {
 		if slices.Contains(without, u) {
 			continue
 		}
-		left := u.Rest.Left(now)
+		left := u.ShutFor(now)
 		if left == 0 {
 			return 0
 		}
@@ -117,7 +121,11 @@
 // noUpstream says why there is no upstream to send to.
 func (x *exchange) noUpstream(err error) *errkind.Error {
 	kind := errkind.NoUpstream
-	if x.allRest() > 0 {
+	switch {
+	case !math.IsInf(x.turns(), 1):
+		kind = errkind.UpstreamsLimited
+		x.admitted(false)
+	case x.allShut() > 0:
 		kind = errkind.UpstreamsRest
 		x.admitted(false)
 	}
--- a/internal/proxy/turning_test.go
+++ b/internal/proxy/turning_test.go
@@ -139,6 +139,7 @@
 func (n *restNews) Waking() bool                                { return false }
 func (n *restNews) Reported(string, time.Time)                  {}
 func (n *restNews) Leaving(k lifecycle.UpstreamKey, _ uint64)   { n.left = append(n.left, k) }
+func (n *restNews) LimitHeard(*balancer.Upstream)               {}
 func (n *restNews) Rests(u *balancer.Upstream, until time.Time) { n.rests = append(n.rests, u.ID) }
 
 // takesAll is a lifecycle in which the upstreams of service take requests.
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -26,6 +26,9 @@
 	Reached(k lifecycle.UpstreamKey)
 	// Rests takes in that an upstream wants nothing from this host until a time.
 	Rests(u *balancer.Upstream, until time.Time)
+	// LimitHeard takes in that an answer to this host has changed what is known of the limit
+	// of an upstream.
+	LimitHeard(u *balancer.Upstream)
 	// Reported takes in that an answer of the server at an address carried a
 	// load report.
 	Reported(address string, now time.Time)
--- a/internal/proxy/wait.go
+++ b/internal/proxy/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,7 +44,7 @@
 	case err == nil:
 		x.admitted(true)
 		return b, nil
-	case errors.Is(err, balancer.ErrNoUpstream):
+	case errors.Is(err, balancer.ErrNoUpstream), errors.Is(err, errLimit) && x.crowded():
 		return binding{}, x.noUpstream(err)
 	default:
 		return x.wait(ctx, err, ends)
@@ -132,7 +133,11 @@
 func (x *exchange) shed(reason queue.Reason) *errkind.Error {
 	x.admitted(false)
 	x.emit(event.Event{Code: event.RequestShed, Attempt: x.sent + 1, Reason: string(reason), Value: x.state.group.waiting.Load()})
-	return errkind.New(errkind.Overloaded, string(reason))
+	kind := errkind.Overloaded
+	if !math.IsInf(x.turns(), 1) {
+		kind = errkind.UpstreamsLimited
+	}
+	return errkind.New(kind, string(reason))
 }
 
 // admitted records whether a first send found a place.
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -58,16 +58,20 @@
 	Last bool
 }
 
-// Excludes reports whether u must not be chosen: it was already tried, or rests. All
-// policies ask it of each upstream that they would choose, and of each that they would
-// have asked for its load.
+// Excludes reports whether u must not be chosen: it was already tried, rests, or has named a
+// limit and it is not this host's turn. All policies ask it of each upstream that they would
+// choose, and of each that they would have asked for its load. A second send beside one that
+// runs takes no turn: an upstream in need has work enough of its first.
 func (i PickInfo) Excludes(u *Upstream) bool {
 	for _, e := range i.Exclude {
 		if e == u {
 			return true
 		}
 	}
-	return !u.Rest.Open(i.Now, i.Last)
+	if i.Extra && u.Limit.Limited() {
+		return true
+	}
+	return !u.Rest.Open(i.Now, i.Last) || !u.Limit.Open(i.Now)
 }
 
 // Result is a choice and its ground.
--- a/pkg/balancer/probefirst/ask.go
+++ b/pkg/balancer/probefirst/ask.go
@@ -11,6 +11,9 @@
 	if round >= MaxRounds {
 		return nil
 	}
+	if u := p.unseenTurn(info); u != nil {
+		return []*balancer.Upstream{u}
+	}
 	c := p.best(info, p.crowding.learned())
 	if c.upstream != nil && !c.full && c.cost <= p.enough() {
 		return nil
@@ -30,6 +33,20 @@
 	return asked
 }
 
+// unseenTurn returns an upstream that names a limit, at which this host has a turn and
+// whose load it does not know; nil if there is none. Turns are lost when they are not used,
+// and only an answer tells that the limit is over.
+func (p *picker) unseenTurn(info balancer.PickInfo) *balancer.Upstream {
+	for _, members := range [][]*balancer.Upstream{p.near, p.far} {
+		for _, u := range members {
+			if u.HasTurn(info.Now) && !fresh(u, info.Now) && !suspect(u, info.Now) && p.eligible(u, info) {
+				return u
+			}
+		}
+	}
+	return nil
+}
+
 // enough is the cost up to which no other upstream is asked.
 func (p *picker) enough() float64 {
 	if p.idle.worthAsking() {
--- a/pkg/balancer/probefirst/probefirst.go
+++ b/pkg/balancer/probefirst/probefirst.go
@@ -164,15 +164,18 @@
 	upstream *balancer.Upstream // nil is none
 	cost     float64
 	full     bool
+	turn     bool // good, and this host has a turn there that is lost if it isn't used
 }
 
 // better reports whether c is to be chosen before o. Those with room come first.
 func (c candidate) better(o candidate) bool {
-	if o.upstream == nil {
+	switch {
+	case o.upstream == nil:
 		return true
-	}
-	if c.full != o.full {
+	case c.full != o.full:
 		return o.full
+	case c.turn != o.turn:
+		return c.turn
 	}
 	return c.cost < o.cost
 }
@@ -197,6 +200,7 @@
 			continue
 		}
 		c := candidate{upstream: u, cost: cost(u, l, s, info.Now) + extra, full: s.full(l)}
+		c.turn = c.cost <= GoodCost && u.HasTurn(info.Now)
 		if c.better(best) {
 			best = c
 		}
--- a/pkg/balancer/upstream.go
+++ b/pkg/balancer/upstream.go
@@ -46,8 +46,9 @@
 	Cold coldstart.Upstream
 	// Rest is the rest that it asked this host for.
 	Rest rest.State
-	// Limit is how many requests a second it takes from all hosts.
-	Limit ratelimit.State
+	// Limit is the limit that it names for all hosts together, and this host's turns; nil
+	// is none.
+	Limit *ratelimit.State
 	// Added is when it joined the group; zero if it was there at the start.
 	Added time.Time
 
@@ -123,6 +124,15 @@
 	})
 }
 
+// ShutFor returns how much longer u gets nothing from this host: it rests, or this host has
+// its next turn only then. It is 0 if a request may be sent now.
+func (u *Upstream) ShutFor(now time.Time) time.Duration {
+	return max(u.Rest.Left(now), u.Limit.Left(now))
+}
+
+// HasTurn reports whether u names a limit and this host may send it a request now.
+func (u *Upstream) HasTurn(now time.Time) bool { return u.Limit.Limited() && u.Limit.Open(now) }
+
 // Outstanding returns the requests that this entry host has in flight there.
 func (u *Upstream) Outstanding() int64 { return u.outstanding.Load() }
 
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -81,6 +81,9 @@
 	// UpstreamsRest is a request whose upstreams all asked this host for rest, refused
 	// before it was sent.
 	UpstreamsRest
+	// UpstreamsLimited is a request whose upstreams all name how many requests a second they
+	// take, refused since no turn is left that would be in time.
+	UpstreamsLimited
 
 	numKinds
 )
@@ -146,6 +149,7 @@
 	UpstreamFailed:     {"upstream-failed", http.StatusBadGateway, Unknown, false},
 	Quarantined:        {"quarantined", http.StatusServiceUnavailable, NotRun, true},
 	UpstreamsRest:      {"upstreams-rest", http.StatusServiceUnavailable, NotRun, true},
+	UpstreamsLimited:   {"upstreams-limited", http.StatusServiceUnavailable, NotRun, true},
 	UpstreamTLSNotSet:  {"upstream-tls-not-set", http.StatusBadGateway, NotRun, false},
 }
 
--- a/pkg/event/request_events.go
+++ b/pkg/event/request_events.go
@@ -30,7 +30,7 @@
 	UpstreamEnded:   {"upstream-ended", Info, "An upstream ended while it ran a request: the connection ended, and nothing listens there any more. The detail names the request, and what is the same when it comes again.", "time from the send to the end, microseconds"},
 	RestAsked:       {"rest-asked", Info, "An upstream turned a request away and wants nothing more from this entry host for a time.", "milliseconds"},
 	RestUnreadable:  {"rest-unreadable", Warn, "An upstream turned a request away and asked for rest in words that are no number of seconds; it counts as not having asked.", ""},
-	LimitNamed:      {"limit-named", Info, "An upstream names how many requests a second it takes from all entry hosts together, for the first time or another number than before. The reason is what said so: an answer, a probe.", "requests in 1,000 s"},
+	LimitNamed:      {"limit-named", Info, "An upstream names how many requests a second it takes from all entry hosts together, for the first time or another number than before. The reason is what said so: an answer, a probe, a peer.", "requests in 1,000 s"},
 	LimitEnded:      {"limit-ended", Info, "An upstream that had named a limit names none any more; the reason is what said so.", ""},
 	LimitUnreadable: {"limit-unreadable", Warn, "An upstream named a limit that is no number of requests a second; it counts as not having said anything.", ""},
 	RequestUnknown:  {"request-unknown", Warn, "The request may or may not have run; the caller was told so.", "status"},
--- /dev/null
+++ b/pkg/ratelimit/book.go
@@ -0,0 +1,182 @@
+package ratelimit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/dapplespindle/dapplespindle/pkg/turns"
+)
+
+const (
+	// RepeatEndedFor is how long the end of a limit is repeated to other hosts.
+	RepeatEndedFor = 5 * time.Second
+	// keepReleased is how long an upstream without a record is remembered: its entry may be
+	// missing for a while. The store's outages that are known take less.
+	keepReleased = 10 * time.Minute
+)
+
+// Server names one start of an upstream among all hosts.
+type Server struct {
+	// Name is a hash of its id.
+	Name uint64
+	// Born is its start as it says itself; 0 if it does not.
+	Born int64
+}
+
+// NameOf returns the server of an id and a start.
+func NameOf(id string, born int64) Server { return Server{xxhash.Sum64String(id), born} }
+
+// News is what a host knows of the limit of one upstream, as it tells others.
+type News struct {
+	Server Server
+	// PerSecond is the limit in force.
+	PerSecond float64
+	// Ended states that the upstream names no limit any more.
+	Ended bool
+	// Age is how long ago it said so.
+	Age time.Duration
+}
+
+// maxAge bounds the age of news: hosts hear a limit anew with each answer, and an older
+// word than this is of a clock that is wrong.
+const maxAge = 24 * time.Hour
+
+// ErrNews means that news of another host can't be true.
+var ErrNews = errors.New("news of a limit that can't be true")
+
+// Validate checks news of another host.
+func (n *News) Validate() error {
+	if !(n.PerSecond >= 0 && n.PerSecond <= MostPerSecond) || n.Age < 0 || n.Age > maxAge {
+		return errors.Wrapf(ErrNews, "%v a second, %v ago", n.PerSecond, n.Age)
+	}
+	return nil
+}
+
+// Book holds the states of the upstreams that one host has records of. It is safe for
+// concurrent use.
+type Book struct {
+	turns *turns.Turns
+
+	mu   sync.Mutex
+	held map[Server]*holding
+}
+
+type holding struct {
+	state    *State
+	records  int
+	released time.Time // when the last record was given up
+}
+
+// NewBook returns an empty book of a host whose turns are given.
+func NewBook(t *turns.Turns) *Book { return &Book{turns: t, held: make(map[Server]*holding)} }
+
+// Hold returns the state for a record of an upstream, the same for all records of an id and
+// a start.
+func (b *Book) Hold(id string, born int64) *State {
+	server := NameOf(id, born)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.held[server]
+	if h == nil {
+		h = &holding{state: NewState(id, born, b.turns)}
+		b.held[server] = h
+	}
+	h.records++
+	return h.state
+}
+
+// Release states that a record whose state is s is given up.
+func (b *Book) Release(now time.Time, s *State) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h := b.held[s.server]; h != nil && h.state == s {
+		h.records--
+		h.released = now
+	}
+}
+
+// Tick forgets the upstreams that have had no record for a while.
+func (b *Book) Tick(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for server, h := range b.held {
+		if h.records == 0 && now.Sub(h.released) >= keepReleased {
+			delete(b.held, server)
+		}
+	}
+}
+
+// Len returns the number of states held.
+func (b *Book) Len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.held)
+}
+
+// Limited reports whether the upstream with an id, which names no start, names a limit.
+func (b *Book) Limited(id string) bool {
+	b.mu.Lock()
+	h := b.held[NameOf(id, 0)]
+	b.mu.Unlock()
+	return h != nil && h.state.Limited()
+}
+
+// News returns what other hosts should hear: the limits in force, and those that ended
+// lately.
+func (b *Book) News(now time.Time) []News {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []News
+	for _, h := range b.held {
+		if n, ok := h.state.News(now); ok {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// Hear takes in what another host tells, and returns the states that this changes.
+func (b *Book) Hear(now time.Time, news []News) []*State {
+	var changed []*State
+	for _, n := range news {
+		b.mu.Lock()
+		h := b.held[n.Server]
+		b.mu.Unlock()
+		if h != nil && h.state.HearPeer(now, n) {
+			changed = append(changed, h.state)
+		}
+	}
+	return changed
+}
+
+// News returns what other hosts should hear; false if there is nothing to say.
+func (s *State) News(now time.Time) (News, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := s.current.Load(); n != nil {
+		heard := time.Unix(0, n.heard.Load())
+		return News{Server: s.server, PerSecond: n.perSecond, Age: max(now.Sub(heard), 0)}, true
+	}
+	since := now.Sub(s.ended)
+	return News{Server: s.server, Ended: true, Age: since}, !s.ended.IsZero() && since < RepeatEndedFor
+}
+
+// HearPeer takes in what another host tells. It reports whether that changes what is known:
+// the newest word counts.
+func (s *State) HearPeer(now time.Time, news News) bool {
+	said := now.Add(-max(news.Age, 0))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.current.Load()
+	switch {
+	case n != nil && said.UnixNano() <= n.heard.Load(), !said.After(s.ended):
+		return false
+	case !news.Ended:
+		return s.name(now, said, news.PerSecond, Peer)
+	}
+	s.end(said)
+	return n != nil
+}
--- /dev/null
+++ b/pkg/ratelimit/ratelimit_test.go
@@ -0,0 +1,250 @@
+package ratelimit
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/pkg/turns"
+)
+
+func Example() {
+	now := time.Unix(1000, 0)
+	s := NewState("i-1", 0, turns.Alone())
+	word, err := Read("2")
+	if err != nil {
+		return
+	}
+	s.Hear(now, now, word, Answer)
+	fmt.Println(s.Take(now), s.Take(now), s.Left(now))
+	fmt.Println(s.Take(now.Add(500 * time.Millisecond)))
+	// Output:
+	// true false 500ms
+	// true
+}
+
+func named(perSecond float64) Word { return Word{Limited, perSecond} }
+
+var unlimited = Word{Kind: Unlimited}
+
+// alone returns the state of a host without a fleet that has just heard a limit.
+func alone(perSecond float64) *State {
+	s := NewState("i-1", 0, turns.Alone())
+	s.Hear(epoch, epoch, named(perSecond), Answer)
+	return s
+}
+
+func TestNoStateIsNoLimit(t *testing.T) {
+	is := is.New(t)
+	for _, s := range []*State{nil, NewState("i-1", 0, turns.Alone())} {
+		is.True(s.Open(epoch))
+		is.True(s.Take(epoch))
+		is.Equal(s.Left(epoch), time.Duration(0))
+		is.True(!s.Limited())
+		is.True(!s.Unconfirmed(epoch))
+		is.True(math.IsInf(s.Share(), 1))
+		is.True(!s.Hear(epoch, epoch, unlimited, Answer))
+	}
+}
+
+// TestEndOfALimit: an answer to a request that was sent before the limit was known may be
+// older than it, and upstreams may name limits in answers of one kind only.
+func TestEndOfALimit(t *testing.T) {
+	later := epoch.Add(time.Second)
+	for name, test := range map[string]struct {
+		heard []Source
+		sent  time.Time
+		word  Word
+		from  Source
+		ends  bool
+	}{
+		"answer":                           {[]Source{Answer}, epoch, unlimited, Answer, true},
+		"answer to an earlier request":     {[]Source{Answer}, epoch.Add(-1), unlimited, Answer, false},
+		"says nothing":                     {[]Source{Answer}, epoch, Word{}, Answer, false},
+		"probes never named it":            {[]Source{Answer}, epoch, unlimited, Probe, false},
+		"a probe named it too":             {[]Source{Answer, Probe}, epoch, unlimited, Probe, true},
+		"answers never named it":           {[]Source{Probe}, epoch, unlimited, Answer, false},
+		"both named it":                    {[]Source{Probe, Answer}, epoch, unlimited, Answer, true},
+		"a peer told, an answer ends it":   {[]Source{Peer}, epoch, unlimited, Answer, true},
+		"a peer told, a probe says little": {[]Source{Peer}, epoch, unlimited, Probe, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := NewState("i-1", 0, turns.Alone())
+			for _, from := range test.heard {
+				if from == Peer {
+					s.HearPeer(epoch, News{PerSecond: 2})
+					continue
+				}
+				s.Hear(epoch, epoch, named(2), from)
+			}
+			is.True(s.Limited())
+			is.Equal(s.Hear(later, test.sent, test.word, test.from), test.ends)
+			is.Equal(s.Limited(), !test.ends)
+		})
+	}
+}
+
+// TestSourcesOutliveChanges: who named a limit is known after it names another one.
+func TestSourcesOutliveChanges(t *testing.T) {
+	is := is.New(t)
+	s := NewState("i-1", 0, turns.Alone())
+	s.Hear(epoch, epoch, named(2), Probe)
+	is.True(s.Hear(epoch, epoch, named(3), Probe))
+	is.True(!s.Hear(epoch, epoch, unlimited, Answer))
+	is.True(s.Hear(epoch, epoch, unlimited, Probe))
+}
+
+func TestNewestWordCounts(t *testing.T) {
+	is := is.New(t)
+	s := alone(2)
+	is.True(!s.HearPeer(epoch.Add(time.Second), News{Ended: true, Age: 1500 * time.Millisecond})) // older
+	is.True(!s.HearPeer(epoch.Add(time.Second), News{PerSecond: 5, Age: time.Second}))            // as old
+	is.True(s.HearPeer(epoch.Add(time.Second), News{PerSecond: 5, Age: 900 * time.Millisecond}))
+	is.Equal(s.Word(), named(5))
+	is.True(s.HearPeer(epoch.Add(2*time.Second), News{Ended: true}))
+	is.True(!s.HearPeer(epoch.Add(3*time.Second), News{PerSecond: 5, Age: 1500 * time.Millisecond})) // before the end
+	is.True(!s.Limited())
+	is.True(s.HearPeer(epoch.Add(3*time.Second), News{PerSecond: 5, Age: 500 * time.Millisecond}))
+}
+
+func TestNewsAreToldForAWhile(t *testing.T) {
+	is := is.New(t)
+	s := alone(2)
+	news, ok := s.News(epoch.Add(time.Second))
+	is.True(ok)
+	is.Equal(news, News{Server: NameOf("i-1", 0), PerSecond: 2, Age: time.Second})
+	s.Hear(epoch.Add(2*time.Second), epoch.Add(time.Second), unlimited, Answer)
+	news, ok = s.News(epoch.Add(3 * time.Second))
+	is.True(ok)
+	is.Equal(news, News{Server: NameOf("i-1", 0), Ended: true, Age: time.Second})
+	_, ok = s.News(epoch.Add(2*time.Second + RepeatEndedFor))
+	is.True(!ok)
+}
+
+// TestTurnsAreNotSavedUp: a host that was idle for long has the turns of the time that they
+// are kept.
+func TestTurnsAreNotSavedUp(t *testing.T) {
+	is := is.New(t)
+	s := alone(10)
+	at := epoch.Add(time.Minute)
+	n := 0
+	for s.Take(at) {
+		n++
+	}
+	is.True(n == int(10*Keep.Seconds()) || n == int(10*Keep.Seconds())+1)
+	left := s.Left(at)
+	is.True(left > 0 && left <= 100*time.Millisecond)
+	is.True(!s.Open(at.Add(left - time.Microsecond)))
+	is.True(s.Open(at.Add(left + time.Microsecond)))
+}
+
+// TestChangesVoidTurns: another limit numbers the slots anew, and so does another place; what
+// was a host's turn before may have been used by another one.
+func TestChangesVoidTurns(t *testing.T) {
+	is := is.New(t)
+	s := alone(10)
+	at := epoch.Add(time.Minute + 10*time.Millisecond)
+	is.True(s.Open(at))
+	s.Hear(at, at, named(7.5), Answer)
+	is.True(!s.Open(at))
+	is.True(s.Left(at) < time.Second/7)
+
+	s = alone(10)
+	s.turns.Set(at, turns.Place{Self: 1, Hosts: 2})
+	is.True(!s.Open(at))
+	is.True(s.Left(at) <= 2*time.Second/10)
+}
+
+// TestLimitOfNothing: an upstream that takes nothing is tried now and then.
+func TestLimitOfNothing(t *testing.T) {
+	is := is.New(t)
+	s := alone(0)
+	n := 0
+	for at := epoch; at.Before(epoch.Add(time.Minute)); at = at.Add(10 * time.Millisecond) {
+		if s.Take(at) {
+			n++
+		}
+	}
+	is.Equal(n, int(TrialPerSecond*60))
+}
+
+func TestUnconfirmed(t *testing.T) {
+	is := is.New(t)
+	s := alone(2)
+	is.True(!s.Unconfirmed(epoch.Add(ConfirmWithin)))
+	is.True(s.Unconfirmed(epoch.Add(ConfirmWithin + 1)))
+	s.Hear(epoch.Add(ConfirmWithin), epoch, named(2), Answer)
+	is.True(!s.Unconfirmed(epoch.Add(ConfirmWithin + 1)))
+}
+
+// TestConcurrentTakes: of many goroutines that take a turn at the same time, one gets it.
+func TestConcurrentTakes(t *testing.T) {
+	is := is.New(t)
+	s := alone(1)
+	at := epoch.Add(s.Left(epoch))
+	took := make(chan bool)
+	const goroutines = 32
+	for range goroutines {
+		go func() { took <- s.Take(at) }()
+	}
+	n := 0
+	for range goroutines {
+		if <-took {
+			n++
+		}
+	}
+	is.Equal(n, 1)
+}
+
+func TestBook(t *testing.T) {
+	is := is.New(t)
+	b := NewBook(turns.Alone())
+	s := b.Hold("i-1", 0)
+	is.Equal(b.Hold("i-1", 0), s)
+	is.True(b.Hold("i-1", 7) != s) // another start
+	is.True(!b.Limited("i-1"))
+	changed := b.Hear(epoch, []News{{Server: NameOf("i-1", 0), PerSecond: 2}, {Server: NameOf("i-2", 0), PerSecond: 2}})
+	is.Equal(changed, []*State{s})
+	is.True(b.Limited("i-1"))
+	is.Equal(len(b.News(epoch)), 1)
+	b.Release(epoch, s)
+	b.Tick(epoch.Add(keepReleased))
+	is.Equal(b.Len(), 2) // one record is left
+	b.Release(epoch, s)
+	b.Tick(epoch.Add(keepReleased - 1))
+	is.Equal(b.Hold("i-1", 0), s)
+	b.Release(epoch, s)
+	b.Tick(epoch.Add(keepReleased))
+	is.Equal(b.Len(), 1)
+}
+
+func TestValidate(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []News{{PerSecond: -1}, {PerSecond: math.NaN()}, {PerSecond: math.Inf(1)}, {Age: -1}, {Age: maxAge + 1}} {
+		is.True(n.Validate() != nil)
+	}
+	ok := News{PerSecond: 1.2, Age: time.Second}
+	is.NoErr(ok.Validate())
+}
+
+// BenchmarkOpen is what a choice pays for each upstream that it looks at.
+func BenchmarkOpen(b *testing.B) {
+	fleet := turns.New("10.0.0.1")
+	fleet.Set(epoch, turns.Place{Self: 3, Hosts: 18})
+	for name, s := range map[string]*State{"unlimited": NewState("i-1", 0, fleet), "limited": NewState("i-2", 0, fleet)} {
+		b.Run(name, func(b *testing.B) {
+			if name == "limited" {
+				s.Hear(epoch, epoch, named(1.2), Answer)
+			}
+			now := epoch.Add(time.Second)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Open(now)
+			}
+		})
+	}
+}
