Look for turns only where an upstream names a limit

The check that no limit is known is inlined now, and a book counts the limits in force, so that the walk is done only where there are some.

--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -50,11 +50,12 @@
 
 func newGroupStore(host, failureDomain string) *groupStore {
 	mine := turns.New(host)
+	limits := ratelimit.NewBook(mine)
 	return &groupStore{
-		options: balancer.Options{FailureDomain: failureDomain, Turns: mine},
+		options: balancer.Options{FailureDomain: failureDomain, Turns: mine, Limits: limits},
 		groups:  make(map[groupKey]*groupState),
 		rests:   rest.NewBook(),
-		limits:  ratelimit.NewBook(mine),
+		limits:  limits,
 	}
 }
 
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -49,12 +49,13 @@
 
 func newPools(host, failureDomain string) *pools {
 	mine := turns.New(host)
+	limits := ratelimit.NewBook(mine)
 	return &pools{
-		options:   balancer.Options{Host: host, FailureDomain: failureDomain, Turns: mine},
+		options:   balancer.Options{Host: host, FailureDomain: failureDomain, Turns: mine, Limits: limits},
 		lifecycle: new(lifecycle.Snapshot),
 		services:  make(map[string]*pool),
 		rests:     rest.NewBook(),
-		limits:    ratelimit.NewBook(mine),
+		limits:    limits,
 	}
 }
 
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -24,6 +24,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dapplespindle/dapplespindle/pkg/ratelimit"
 	"github.com/dapplespindle/dapplespindle/pkg/turns"
 )
 
@@ -68,10 +69,10 @@
 			return true
 		}
 	}
-	if i.Extra && u.Limit.Limited() {
+	if u.Limit.Limited() && (i.Extra || u.Limit.Left(i.Now) > 0) {
 		return true
 	}
-	return !u.Rest.Open(i.Now, i.Last) || !u.Limit.Open(i.Now)
+	return !u.Rest.Open(i.Now, i.Last)
 }
 
 // Result is a choice and its ground.
@@ -143,6 +144,8 @@
 	FailureDomain string
 	// Turns says when this host may send to cold upstreams; nil is any time.
 	Turns *turns.Turns
+	// Limits are those that upstreams name; nil is none.
+	Limits *ratelimit.Book
 	// SlowStart is the time over which a new upstream's share grows to full; 0 is off.
 	SlowStart time.Duration
 }
--- a/pkg/balancer/probefirst/ask.go
+++ b/pkg/balancer/probefirst/ask.go
@@ -37,6 +37,9 @@
 // whose load it does not know; nil if there is none. Turns are lost when they are not used,
 // and only an answer tells that the limit is over.
 func (p *picker) unseenTurn(info balancer.PickInfo) *balancer.Upstream {
+	if !p.limits.Any() {
+		return nil
+	}
 	for _, members := range [][]*balancer.Upstream{p.near, p.far} {
 		for _, u := range members {
 			if u.HasTurn(info.Now) && !fresh(u, info.Now) && !suspect(u, info.Now) && p.eligible(u, info) {
--- a/pkg/balancer/probefirst/probefirst.go
+++ b/pkg/balancer/probefirst/probefirst.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/dapplespindle/dapplespindle/pkg/balancer"
+	"github.com/dapplespindle/dapplespindle/pkg/ratelimit"
 	"github.com/dapplespindle/dapplespindle/pkg/turns"
 )
 
@@ -56,7 +57,7 @@
 	if mine == nil {
 		mine = turns.New(o.Host)
 	}
-	return &policy{host: o.Host, failureDomain: o.FailureDomain, crowding: new(crowding), idle: new(idleShare), turns: mine}
+	return &policy{host: o.Host, failureDomain: o.FailureDomain, crowding: new(crowding), idle: new(idleShare), turns: mine, limits: o.Limits}
 }
 
 type policy struct {
@@ -65,11 +66,12 @@
 	crowding      *crowding
 	idle          *idleShare
 	turns         *turns.Turns
+	limits        *ratelimit.Book
 }
 
 // Update implements balancer.Policy.
 func (p *policy) Update(members []*balancer.Upstream) balancer.Picker {
-	next := &picker{crowding: p.crowding, idle: p.idle, turns: p.turns}
+	next := &picker{crowding: p.crowding, idle: p.idle, turns: p.turns, limits: p.limits}
 	for _, u := range members {
 		if u.FailureDomain == p.failureDomain {
 			next.near = append(next.near, u)
@@ -88,6 +90,7 @@
 	crowding   *crowding
 	idle       *idleShare
 	turns      *turns.Turns
+	limits     *ratelimit.Book
 }
 
 // eligible reports whether a request may go to u now.
--- a/pkg/balancer/probefirst/turn_test.go
+++ b/pkg/balancer/probefirst/turn_test.go
@@ -11,16 +11,18 @@
 	"github.com/dapplespindle/dapplespindle/pkg/turns"
 )
 
-// limitedMember returns an upstream that names a limit, at which its host, one of some, has
-// the turn that is given.
-func limitedMember(id string, self, hosts int) *balancer.Upstream {
-	u := member(id, "here")
-	mine := turns.New("host")
-	mine.Set(start.Add(-time.Minute), turns.Place{Self: self, Hosts: hosts})
-	u.Limit = ratelimit.NewState(id, 0, mine)
+// limitingHost returns the picker of a host, one of some, and the first of its members, which
+// names a limit.
+func limitingHost(self, hosts int, id string, others ...*balancer.Upstream) (*picker, *balancer.Upstream) {
 	heard := start.Add(-time.Minute)
+	mine := turns.New("host")
+	mine.Set(heard, turns.Place{Self: self, Hosts: hosts})
+	book := ratelimit.NewBook(mine)
+	u := member(id, "here")
+	u.Limit = book.Hold(id, 0)
 	u.Limit.Hear(heard, heard, ratelimit.Word{Kind: ratelimit.Limited, PerSecond: 2}, ratelimit.Answer)
-	return u
+	policy := Builder{}.Build(balancer.Options{FailureDomain: "here", Turns: mine, Limits: book})
+	return policy.Update(append([]*balancer.Upstream{u}, others...)).(*picker), u
 }
 
 // TestTurnsAreUsed: an upstream that names a limit is asked first where the host has a turn,
@@ -29,8 +31,8 @@
 	const hosts = 40
 	for self := range hosts {
 		is := is.New(t)
-		limited, idle := limitedMember("i-limited", self, hosts), member("i-idle", "here")
-		p := hostOf(self, hosts, limited, idle)
+		idle := member("i-idle", "here")
+		p, limited := limitingHost(self, hosts, "i-limited", idle)
 		info := balancer.PickInfo{Now: start, Random: uint64(self)}
 		tell(idle, start, 0, 1)
 		asked := p.Ask(info, 0)
@@ -58,11 +60,10 @@
 	is := is.New(t)
 	both := 0
 	for self := range hosts {
-		u := limitedMember("i-1", self, hosts)
+		p, u := limitingHost(self, hosts, "i-1")
 		u.Cold.Bears(u.ID, 2.5)
 		u.Cold.Told(start, time.Minute)
 		tell(u, start, 0, 1)
-		p := hostOf(self, hosts, u)
 		cold := u.Cold.Open(start, p.turns)
 		_, err := p.Pick(balancer.PickInfo{Now: start})
 		is.Equal(err == nil, cold && u.HasTurn(start))
--- a/pkg/ratelimit/book.go
+++ b/pkg/ratelimit/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -69,8 +70,9 @@
 type Book struct {
 	turns *turns.Turns
 
-	mu   sync.Mutex
-	held map[Server]*holding
+	inForce atomic.Int64 // limits
+	mu      sync.Mutex
+	held    map[Server]*holding
 }
 
 type holding struct {
@@ -91,6 +93,7 @@
 	h := b.held[server]
 	if h == nil {
 		h = &holding{state: NewState(id, born, b.turns)}
+		h.state.inForce = &b.inForce
 		b.held[server] = h
 	}
 	h.records++
@@ -113,11 +116,15 @@
 	defer b.mu.Unlock()
 	for server, h := range b.held {
 		if h.records == 0 && now.Sub(h.released) >= keepReleased {
+			h.state.forget(now)
 			delete(b.held, server)
 		}
 	}
 }
 
+// Any reports whether any upstream names a limit. A nil Book knows of none.
+func (b *Book) Any() bool { return b != nil && b.inForce.Load() > 0 }
+
 // Len returns the number of states held.
 func (b *Book) Len() int {
 	b.mu.Lock()
@@ -170,6 +177,13 @@
 	return changed
 }
 
+// forget ends a limit that nobody needs to know any more.
+func (s *State) forget(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.end(now)
+}
+
 // News returns what other hosts should hear; false if there is nothing to say.
 func (s *State) News(now time.Time) (News, bool) {
 	s.mu.Lock()
--- a/pkg/ratelimit/ratelimit.go
+++ b/pkg/ratelimit/ratelimit.go
@@ -71,6 +71,7 @@
 	turns  *turns.Turns
 
 	current atomic.Pointer[naming] // nil while no limit is known
+	inForce *atomic.Int64          // counts the limits in force of a book; nil outside one
 
 	mu    sync.Mutex // orders the changes of what is known
 	ended time.Time  // when a limit was last known to have ended
@@ -162,13 +163,27 @@
 		next.byProbe.Store(true)
 	case Peer:
 	}
-	s.current.Store(next)
+	s.put(next)
 	return next != known
 }
 
+// put takes a limit into force, or none.
+func (s *State) put(next *naming) {
+	known := s.current.Swap(next)
+	if s.inForce == nil {
+		return
+	}
+	switch {
+	case known == nil && next != nil:
+		s.inForce.Add(1)
+	case known != nil && next == nil:
+		s.inForce.Add(-1)
+	}
+}
+
 // end takes in that a limit has ended at a time.
 func (s *State) end(at time.Time) {
-	s.current.Store(nil)
+	s.put(nil)
 	s.ended = at
 }
 
@@ -176,13 +191,7 @@
 func (s *State) Limited() bool { return s != nil && s.current.Load() != nil }
 
 // Open reports whether this host may send a request now.
-func (s *State) Open(now time.Time) bool {
-	if s == nil {
-		return true
-	}
-	n := s.current.Load()
-	return n == nil || !s.next(now, n).at.After(now)
-}
+func (s *State) Open(now time.Time) bool { return !s.Limited() || s.Left(now) == 0 }
 
 // Take uses a turn of this host for one request. It is false if there is none, or no longer.
 func (s *State) Take(now time.Time) bool {
--- a/pkg/ratelimit/ratelimit_test.go
+++ b/pkg/ratelimit/ratelimit_test.go
@@ -217,9 +217,11 @@
 	b.Release(epoch, s)
 	b.Tick(epoch.Add(keepReleased - 1))
 	is.Equal(b.Hold("i-1", 0), s)
+	is.True(b.Any())
 	b.Release(epoch, s)
 	b.Tick(epoch.Add(keepReleased))
 	is.Equal(b.Len(), 1)
+	is.True(!b.Any())
 }
 
 func TestValidate(t *testing.T) {
