Ask no host for a turn that is held for dead; write the limits of upstreams up

A question to a dead host costs a waiting request 20 ms; those held for dead are left out. The sum of turns ends at the first upstream that is open, and the repeats look at nothing while no limit is in force.

--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -38,12 +38,15 @@
 	return out
 }
 
-// hostsInTurn returns the addresses of all hosts in the order of their turns.
+// hostsInTurn returns the addresses of all hosts in the order of their turns; empty for
+// those held for dead, which lend nothing.
 func (e *Entry) hostsInTurn() []string {
 	s := e.members.Snapshot()
-	out := make([]string, 0, len(s.Members))
+	out := make([]string, len(s.Members))
 	for i := range s.Members {
-		out = append(out, s.Members[i].Address.String())
+		if s.Members[i].State != membership.Dead {
+			out[i] = s.Members[i].Address.String()
+		}
 	}
 	return out
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -39,7 +39,8 @@
 	settled bool // as given to the follower
 	// others are the news addresses of the other hosts that are not known to be dead.
 	others atomic.Pointer[[]netip.AddrPort]
-	// inTurn are the news addresses of all hosts in the order of their turns.
+	// inTurn are the news addresses of all hosts in the order of their turns; zero for those
+	// held for dead, which lend nothing.
 	inTurn atomic.Pointer[[]netip.AddrPort]
 }
 
@@ -133,9 +134,11 @@
 	}
 	f.gateway.shareRetries()
 	self := slices.IndexFunc(s.Members, func(m membership.Member) bool { return m.Address == s.Self.Address })
-	inTurn := make([]netip.AddrPort, 0, len(s.Members))
+	inTurn := make([]netip.AddrPort, len(s.Members))
 	for i := range s.Members {
-		inTurn = append(inTurn, f.newsAddress(s.Members[i].Address))
+		if s.Members[i].State != membership.Dead {
+			inTurn[i] = f.newsAddress(s.Members[i].Address)
+		}
 	}
 	f.inTurn.Store(&inTurn)
 	f.gateway.control.pools.options.Turns.Set(clock.Now(), turns.Place{Self: self, Hosts: len(s.Members)})
--- a/internal/gateway/ratelimit.go
+++ b/internal/gateway/ratelimit.go
@@ -59,5 +59,5 @@
 		return false
 	}
 	inTurn := *f.inTurn.Load()
-	return host < len(inTurn) && f.news.Borrow(ctx, inTurn[host], server)
+	return host < len(inTurn) && inTurn[host].IsValid() && f.news.Borrow(ctx, inTurn[host], server)
 }
--- a/internal/limitnews/limitnews.go
+++ b/internal/limitnews/limitnews.go
@@ -39,8 +39,8 @@
 	Pool *peer.Pool
 	// Peers returns the addresses of the other entry hosts. It runs on any goroutine.
 	Peers func() []string
-	// InTurn returns the addresses of all hosts in the order of their turns. It runs on any
-	// goroutine.
+	// InTurn returns the addresses of all hosts in the order of their turns; empty for one
+	// that is not to be asked. It runs on any goroutine.
 	InTurn func() []string
 	// Book holds what this host knows.
 	Book *ratelimit.Book
@@ -111,7 +111,7 @@
 // Borrow implements proxy.Lenders. A host that does not answer lends nothing.
 func (t *Teller) Borrow(ctx context.Context, host int, server ratelimit.Server) bool {
 	inTurn := t.conf.InTurn()
-	if host >= len(inTurn) {
+	if host >= len(inTurn) || inTurn[host] == "" {
 		return false
 	}
 	conn, err := t.conf.Pool.Conn(inTurn[host])
--- a/internal/limitnews/limitnews_test.go
+++ b/internal/limitnews/limitnews_test.go
@@ -40,7 +40,7 @@
 		Server: server,
 		Pool:   peer.NewPool(nil),
 		Peers:  func() []string { return append([]string(nil), peers...) },
-		InTurn: func() []string { return append([]string{h.address}, peers...) },
+		InTurn: func() []string { return append([]string{h.address, ""}, peers...) },
 		Book:   h.book,
 		Heard:  func(changed []*ratelimit.State) { h.heard <- changed },
 	})
@@ -89,12 +89,13 @@
 	s := a.limit("i-1", 0.5)
 	lent := false
 	for until := time.Now().Add(20 * time.Second); !lent && time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
-		lent = s.Open(time.Now()) && b.Borrow(t.Context(), 1, s.Server())
+		lent = s.Open(time.Now()) && b.Borrow(t.Context(), 2, s.Server())
 	}
 	is.True(lent)
 	is.True(!s.Open(time.Now()))
-	is.True(!b.Borrow(t.Context(), 1, s.Server()))
-	is.True(!b.Borrow(t.Context(), 2, s.Server())) // there is no such host
+	is.True(!b.Borrow(t.Context(), 2, s.Server()))
+	is.True(!b.Borrow(t.Context(), 1, s.Server())) // held for dead
+	is.True(!b.Borrow(t.Context(), 3, s.Server())) // there is no such host
 }
 
 // TestRefusedMessages: what no host tells.
--- a/internal/proxy/ratelimit.go
+++ b/internal/proxy/ratelimit.go
@@ -132,8 +132,11 @@
 	now := clock.Now()
 	perSecond := 0.0
 	for _, u := range x.state.group.current.Load().Upstreams {
-		if u.Limit.Limited() || u.Rest.Left(now) == 0 {
+		switch {
+		case u.Limit.Limited():
 			perSecond += u.Limit.Share()
+		case u.Rest.Left(now) == 0:
+			return math.Inf(1)
 		}
 	}
 	if perSecond == 0 {
--- a/pkg/ratelimit/book.go
+++ b/pkg/ratelimit/book.go
@@ -70,9 +70,15 @@
 type Book struct {
 	turns *turns.Turns
 
+	tally tally
+	mu    sync.Mutex
+	held  map[Server]*holding
+}
+
+// tally tells at a glance whether there is anything to look for.
+type tally struct {
 	inForce atomic.Int64 // limits
-	mu      sync.Mutex
-	held    map[Server]*holding
+	ended   atomic.Int64 // when one ended last, Unix time in ns
 }
 
 type holding struct {
@@ -93,7 +99,7 @@
 	h := b.held[server]
 	if h == nil {
 		h = &holding{state: NewState(id, born, b.turns)}
-		h.state.inForce = &b.inForce
+		h.state.tally = &b.tally
 		b.held[server] = h
 	}
 	h.records++
@@ -123,7 +129,7 @@
 }
 
 // Any reports whether any upstream names a limit. A nil Book knows of none.
-func (b *Book) Any() bool { return b != nil && b.inForce.Load() > 0 }
+func (b *Book) Any() bool { return b != nil && b.tally.inForce.Load() > 0 }
 
 // Len returns the number of states held.
 func (b *Book) Len() int {
@@ -152,6 +158,9 @@
 // News returns what other hosts should hear: the limits in force, and those that ended
 // lately.
 func (b *Book) News(now time.Time) []News {
+	if !b.Any() && now.UnixNano()-b.tally.ended.Load() >= int64(RepeatEndedFor) {
+		return nil
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []News
--- a/pkg/ratelimit/ratelimit.go
+++ b/pkg/ratelimit/ratelimit.go
@@ -71,7 +71,7 @@
 	turns  *turns.Turns
 
 	current atomic.Pointer[naming] // nil while no limit is known
-	inForce *atomic.Int64          // counts the limits in force of a book; nil outside one
+	tally   *tally                 // of a book; nil outside one
 
 	mu    sync.Mutex // orders the changes of what is known
 	ended time.Time  // when a limit was last known to have ended
@@ -170,14 +170,14 @@
 // put takes a limit into force, or none.
 func (s *State) put(next *naming) {
 	known := s.current.Swap(next)
-	if s.inForce == nil {
+	if s.tally == nil {
 		return
 	}
 	switch {
 	case known == nil && next != nil:
-		s.inForce.Add(1)
+		s.tally.inForce.Add(1)
 	case known != nil && next == nil:
-		s.inForce.Add(-1)
+		s.tally.inForce.Add(-1)
 	}
 }
 
@@ -185,6 +185,9 @@
 func (s *State) end(at time.Time) {
 	s.put(nil)
 	s.ended = at
+	if s.tally != nil {
+		s.tally.ended.Store(at.UnixNano())
+	}
 }
 
 // Limited reports whether the upstream names a limit.
--- a/pkg/ratelimit/ratelimit_test.go
+++ b/pkg/ratelimit/ratelimit_test.go
@@ -211,6 +211,10 @@
 	is.Equal(changed, []*State{s})
 	is.True(b.Limited("i-1"))
 	is.Equal(len(b.News(epoch)), 1)
+	s.Hear(epoch.Add(time.Second), epoch, unlimited, Answer)
+	is.Equal(len(b.News(epoch.Add(2*time.Second))), 1) // the end
+	is.Equal(len(b.News(epoch.Add(time.Second+RepeatEndedFor))), 0)
+	s.Hear(epoch.Add(time.Second), epoch, named(2), Answer)
 	b.Release(epoch, s)
 	b.Tick(epoch.Add(keepReleased))
 	is.Equal(b.Len(), 2) // one record is left
