Log when an entry host loses contact with all upstreams

What callers saw: refusals by hosts that were cut off from all upstreams. The hosts' lines name one upstream at a time, so that no line or metric tells a host that is cut off from upstreams that fail.

The upstream client reports changes, the gateway logs upstream-contact-lost (8008) and upstream-contact-regained (8009); each event is counted in the metrics too.

No decision changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,6 +168,7 @@
 		MaxConnections:   connectionsPerUpstream,
 		MaxResponseBytes: maxResponseBytes,
 		Matches:          dialect.Matches,
+		OnContact:        g.contactChanged,
 	})
 	g.proxy = proxy.New(g.conf.Host, strconv.FormatInt(time.Now().UnixNano(), 36), g.client, g.sink,
 		proxy.WithDialect(dialect),
@@ -194,6 +195,15 @@
 	})
 }
 
+// contactChanged reports that contact with all upstreams is lost or regained.
+func (g *Gateway) contactChanged(c upstream.Contact) {
+	if c.Lost {
+		g.emit(event.Event{Code: event.ContactLost})
+		return
+	}
+	g.emit(event.Event{Code: event.ContactRegained, Value: c.LostFor.Milliseconds()})
+}
+
 // Timing of the watch on the store and of the synchronization with peers.
 const (
 	watchWait          = 30 * time.Second // longest wait that the known platforms allow
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -24,6 +24,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire/socket"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
+	"github.com/dapplespindle/dapplespindle/pkg/reachability"
 )
 
 // Default values of Config.
@@ -57,6 +58,9 @@
 	// certificate must be valid for the given name, or for its IP if the name is empty.
 	// It is nil if no CA is configured; requests to upstreams with TLS then fail.
 	TLS func(name string) *tls.Config
+	// OnContact is called when contact with all upstreams is lost or regained; nil is allowed.
+	// It must not block.
+	OnContact func(Contact)
 }
 
 func (c Config) withDefaults() Config {
@@ -73,6 +77,8 @@
 	conf   Config
 	engine socket.Engine
 	stop   chan struct{}
+	// contact records whether any upstream is reached.
+	contact reachability.Tracker
 
 	mu     sync.RWMutex
 	pools  map[string]*pool
@@ -203,8 +209,12 @@
 	d := net.Dialer{Timeout: c.conf.DialTimeout}
 	nc, err := d.DialContext(ctx, "tcp", p.target.address)
 	if err != nil {
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			c.recordUnreached(p.address)
+		}
 		return nil, err
 	}
+	c.recordReached()
 	session, err := c.handshake(ctx, p, nc)
 	if err != nil {
 		_ = nc.Close()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -32,6 +32,7 @@
 // The library's functions are excluded from the race detector. All state here is
 // guarded by mu, except for fields that are atomic, set once, or owned by the pool.
 type conn struct {
+	client *Client
 	pool   *pool
 	nbc    *nbio.Conn
 	tls    *socket.TLS // nil without TLS
@@ -75,6 +76,7 @@
 
 func newConn(c *Client, p *pool, nbc *nbio.Conn) *conn {
 	cn := &conn{
+		client: c,
 		pool:   p,
 		nbc:    nbc,
 		result: make(chan result, 1),
@@ -98,11 +100,13 @@
 	select {
 	case r = <-c.result:
 	case <-ctx.Done():
-		return nil, c.fail(ctx, head, ctx.Err())
+		r.err = ctx.Err()
 	}
 	if r.err != nil {
+		c.client.recordFailure(ctx, c.pool.address, r.err)
 		return nil, c.fail(ctx, head, r.err)
 	}
+	c.client.recordReached()
 	// A response that arrived before the complete request was sent is passed on, but the
 	// connection is not reused: the rest of the request must not be sent on it.
 	complete := c.sent.Load() == c.queued.Load()
--- a/pkg/event/drain_events.go
+++ b/pkg/event/drain_events.go
@@ -9,6 +9,8 @@
 	UpstreamRemoved     Code = 8005
 	UpstreamUnreachable Code = 8006
 	UpstreamLeftInTime  Code = 8007
+	ContactLost         Code = 8008
+	ContactRegained     Code = 8009
 	HostDraining        Code = 8010
 	HostFinishing       Code = 8011
 	HostCut             Code = 8012
@@ -23,6 +25,8 @@
 	UpstreamRemoved:     {"upstream-removed", Info, "An upstream is no longer configured.", "document revision"},
 	UpstreamUnreachable: {"upstream-unreachable", Warn, "Several consecutive connections to an upstream failed; other upstreams are preferred during the retry delay.", "document revision"},
 	UpstreamLeftInTime:  {"upstream-left-in-time", Info, "An upstream began to leave after it was chosen and before the request was sent; another is chosen.", ""},
+	ContactLost:         {"upstream-contact-lost", Warn, "Several different upstreams in a row could not be reached or did not respond, and none did meanwhile: this entry host is probably cut off from all of them.", ""},
+	ContactRegained:     {"upstream-contact-regained", Info, "An upstream was reached again after upstream-contact-lost.", "ms without an upstream"},
 	HostDraining:        {"host-draining", Info, "A graceful shutdown began: the entry host is not ready and still accepts requests during the grace period.", "requests in flight"},
 	HostFinishing:       {"host-finishing", Info, "No new connections or requests are accepted; requests in flight finish.", "requests in flight"},
 	HostCut:             {"host-cut", Warn, "A graceful shutdown ended early and aborted requests in flight.", "requests cut off"},
