Reproduce hosts that serve nobody while cut off from all upstreams

What callers saw: none of 323 and 182 first attempts served at hosts that had lost their links to the upstreams, all served at the others.

The gateway takes a dialer for upstreams as an option, so that a test can cut one host's links.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"os"
 	"strconv"
 	"sync"
@@ -57,7 +58,9 @@
 	quotas    *quotas.Enforcer
 	notes     *callerNotes
 	client    *upstream.Client
-	proxy     *proxy.Proxy
+	// dialUpstream is the option; nil for the default.
+	dialUpstream Dialer
+	proxy        *proxy.Proxy
 	// maxKeyStaleness is the setting, for the goroutines that serve requests.
 	maxKeyStaleness atomic.Int64
 	server          *httpwire.Server
@@ -65,13 +68,25 @@
 	metricsServer   *admin.Server // nil without metrics
 }
 
+// Dialer opens TCP connections, as net.Dialer.DialContext does.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option configures a Gateway.
+type Option func(*Gateway)
+
+// WithUpstreamDialer opens the connections to upstreams with d.
+func WithUpstreamDialer(d Dialer) Option { return func(g *Gateway) { g.dialUpstream = d } }
+
 // New assembles an entry host from validated settings. Logs are written to w.
-func New(conf Settings, store storewatch.Store, dialect *proxy.Dialect, w io.Writer) (*Gateway, error) {
+func New(conf Settings, store storewatch.Store, dialect *proxy.Dialect, w io.Writer, options ...Option) (*Gateway, error) {
 	if err := clock.CheckSupport(); err != nil {
 		return nil, errors.Wrap(err, "boot clock")
 	}
 	g := &Gateway{conf: conf, loop: control.NewLoop()}
 	g.maxKeyStaleness.Store(int64(conf.MaxKeyStaleness))
+	for _, o := range options {
+		o(g)
+	}
 	if err := g.buildEvents(w); err != nil {
 		return nil, err
 	}
@@ -168,6 +183,7 @@
 		MaxConnections:   connectionsPerUpstream,
 		MaxResponseBytes: maxResponseBytes,
 		Matches:          dialect.Matches,
+		Dial:             g.dialUpstream,
 		OnContact:        g.contactChanged,
 	})
 	g.proxy = proxy.New(g.conf.Host, strconv.FormatInt(time.Now().UnixNano(), 36), g.client, g.sink,
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -58,6 +58,9 @@
 	// certificate must be valid for the given name, or for its IP if the name is empty.
 	// It is nil if no CA is configured; requests to upstreams with TLS then fail.
 	TLS func(name string) *tls.Config
+	// Dial opens the TCP connections to upstreams; nil means net.Dialer. Its timeout is that of
+	// the context.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnContact is called when contact with all upstreams is lost or regained; nil is allowed.
 	// It must not block.
 	OnContact func(Contact)
@@ -69,6 +72,9 @@
 	c.IdlePerUpstream = cmp.Or(c.IdlePerUpstream, DefaultIdlePerUpstream)
 	c.MaxConnections = cmp.Or(c.MaxConnections, DefaultMaxConnections)
 	c.MaxHeadBytes = cmp.Or(c.MaxHeadBytes, DefaultMaxHeadBytes)
+	if c.Dial == nil {
+		c.Dial = new(net.Dialer).DialContext
+	}
 	return c
 }
 
@@ -206,8 +212,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, p *pool) (*conn, error) {
-	d := net.Dialer{Timeout: c.conf.DialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", p.target.address)
+	nc, err := c.connect(ctx, p.target.address)
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			c.recordUnreached(p.address)
@@ -239,6 +244,13 @@
 	return cn, nil
 }
 
+// connect opens a TCP connection within Config.DialTimeout.
+func (c *Client) connect(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.conf.DialTimeout)
+	defer cancel()
+	return c.conf.Dial(ctx, "tcp", address)
+}
+
 // sweep closes connections that have been idle for too long.
 func (c *Client) sweep() {
 	ticker := time.NewTicker(c.conf.IdleTimeout / 2)
--- a/internal/upstream/listening.go
+++ b/internal/upstream/listening.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -12,8 +11,7 @@
 // process listens there. It returns false for a timeout and any other failure, because these
 // don't show that.
 func (c *Client) RefusesConnections(ctx context.Context, address string) bool {
-	dialer := net.Dialer{Timeout: c.conf.DialTimeout}
-	nc, err := dialer.DialContext(ctx, "tcp", parseTarget(address).address)
+	nc, err := c.connect(ctx, parseTarget(address).address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
