Connect to upstreams through another host when this host's own links are cut

Cause: a host sent over its own links only, and took each failed connect for a fault of that one upstream. Class: a fault of the observer is ascribed to what it observes.

Now a connect over the host's own links is raced with one through a peer (CONNECT on the port of the peer transport), as in RFC 8305: at once if the last connect to the upstream failed or contact with all upstreams is lost, else after 30 ms; and only while connects to two upstreams or more fail, so that a crash asks no peer. The host that is cut off goes on deciding everything: choice, single execution, budget, quotas, limits and deadlines stay in one place, and a relayed connection is one more connection to the upstream. Bytes from the upstream are framed, so that the end of a peer's process does not look like the end of a response without a length. A peer relays for hosts of the fleet to registered upstreams only, directly, at most 256 connections, and says when it is cut off itself, busy or leaving. While relayed connections are in use, the direct way is tried every half second.

Three upstreams that fail in a row are a suspicion; they, the one that was reached last and two others are tried before contact counts as lost.

Ruled out: being not ready, since whole failure domains may be cut off and open connections stay; the retry budget, since no attempt succeeded.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/members"
 	"github.com/dapplespindle/dapplespindle/internal/peertransport"
+	"github.com/dapplespindle/dapplespindle/internal/relay"
 	"github.com/dapplespindle/dapplespindle/internal/storewatch"
 	"github.com/dapplespindle/dapplespindle/pkg/membership"
 	"github.com/dapplespindle/dapplespindle/pkg/poison"
@@ -34,6 +35,7 @@
 	port      uint16         // of the peer transport, the same on all hosts
 	members   *members.Members
 	transport *peertransport.Transport
+	relays    *relay.Server
 	version   uint64 // of the snapshot given to the watcher
 	joined    time.Time
 	converged bool // as given to the watcher
@@ -70,8 +72,10 @@
 	if err != nil {
 		return nil, err
 	}
+	f.relays = f.newRelayServer()
 	f.transport = peertransport.New(peertransport.Config{
 		Address:   f.transportAddress(address),
+		Relay:     f.relays,
 		OnMessage: func(t *storewatch.PeerMessage) { g.watcher.ApplyPeerMessage(t) },
 		ServeFetch: func(ctx context.Context, after uint64) (*storewatch.PeerMessage, error) {
 			return g.watcher.ServeFetch(ctx, after)
@@ -218,6 +222,7 @@
 
 // leave notifies the peers that this host is leaving.
 func (f *fleet) leave() {
+	f.relays.Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	_ = f.members.Leave(ctx) // on failure, membership probes detect it
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/metrics"
 	"github.com/dapplespindle/dapplespindle/internal/proxy"
 	"github.com/dapplespindle/dapplespindle/internal/quotas"
+	"github.com/dapplespindle/dapplespindle/internal/relay"
 	"github.com/dapplespindle/dapplespindle/internal/shutdown"
 	"github.com/dapplespindle/dapplespindle/internal/storewatch"
 	"github.com/dapplespindle/dapplespindle/internal/upstream"
@@ -60,6 +61,7 @@
 	client    *upstream.Client
 	// dialUpstream is the option; nil for the default.
 	dialUpstream Dialer
+	relayDialer  *relay.Dialer // nil without peers
 	proxy        *proxy.Proxy
 	// maxKeyStaleness is the setting, for the goroutines that serve requests.
 	maxKeyStaleness atomic.Int64
@@ -90,7 +92,9 @@
 	if err := g.buildEvents(w); err != nil {
 		return nil, err
 	}
-	g.buildRequestPath(dialect)
+	if err := g.buildRequestPath(dialect); err != nil {
+		return nil, err
+	}
 	if err := g.buildControl(store); err != nil {
 		return nil, err
 	}
@@ -104,6 +108,7 @@
 		Ready:      g.control.readyCh,
 		SetReady:   g.readyServer.SetReady,
 		OnDraining: g.leave,
+		Relayed:    g.relayedConnections,
 		Emit:       g.emit,
 	})
 	return g, nil
@@ -172,20 +177,17 @@
 	bodyTimeout = 20 * time.Second
 )
 
-func (g *Gateway) buildRequestPath(dialect *proxy.Dialect) {
+func (g *Gateway) buildRequestPath(dialect *proxy.Dialect) error {
+	relays, err := newRelayDialer(&g.conf)
+	if err != nil {
+		return err
+	}
+	g.relayDialer = relays
 	g.control = newController(g)
 	g.quotas = quotas.New(quotaPeers{g})
 	g.notes = newCallerNotes()
 	g.metrics.AddNotes(g.notes.droppedNotes)
-	g.client = upstream.New(upstream.Config{
-		DialTimeout:      dialTimeout,
-		IdleTimeout:      upstreamIdleTimeout,
-		MaxConnections:   connectionsPerUpstream,
-		MaxResponseBytes: maxResponseBytes,
-		Matches:          dialect.Matches,
-		Dial:             g.dialUpstream,
-		OnContact:        g.contactChanged,
-	})
+	g.client = upstream.New(g.clientConfig(dialect))
 	g.proxy = proxy.New(g.conf.Host, strconv.FormatInt(time.Now().UnixNano(), 36), g.client, g.sink,
 		proxy.WithDialect(dialect),
 		proxy.WithLoadQuerier(&loadQuerier{client: g.client, dialect: dialect, events: g.sink, upstreams: g.control, random: rand.Uint64}),
@@ -209,6 +211,23 @@
 		Handler:          g.proxy,
 		Refuse:           g.proxy.RefuseUnread,
 	})
+	return nil
+}
+
+func (g *Gateway) clientConfig(dialect *proxy.Dialect) upstream.Config {
+	conf := upstream.Config{
+		DialTimeout:      dialTimeout,
+		IdleTimeout:      upstreamIdleTimeout,
+		MaxConnections:   connectionsPerUpstream,
+		MaxResponseBytes: maxResponseBytes,
+		Matches:          dialect.Matches,
+		Dial:             g.dialUpstream,
+		OnContact:        g.contactChanged,
+	}
+	if g.relayDialer != nil {
+		conf.Relay = g.relayDialer
+	}
+	return conf
 }
 
 // contactChanged reports that contact with all upstreams is lost or regained.
@@ -394,4 +413,12 @@
 	}
 }
 
+// relayedConnections returns the number of connections that this host relays for others.
+func (g *Gateway) relayedConnections() int64 {
+	if g.fleet == nil {
+		return 0
+	}
+	return g.fleet.relays.Open()
+}
+
 func (g *Gateway) emit(e event.Event) { g.sink.Emit(e) }
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -59,4 +59,5 @@
 	}
 	f.others.Store(&others)
 	f.gateway.notes.setHosts(s, f.port)
+	f.updateRelayPeers(s)
 }
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -53,6 +53,8 @@
 	limits   *ratelimit.Registry
 	// estimates holds the estimates of all services.
 	estimates *serviceEstimates
+	// targets are the target strings of all records.
+	targets *upstreamTargets
 	// nextReport is the service at which the next message with reports starts.
 	nextReport string
 	// hasNewAddresses is true when addresses that had no record have one.
@@ -79,6 +81,7 @@
 		backoffs:  backoff.NewRegistry(),
 		limits:    limits,
 		estimates: newServiceEstimates(failureDomain),
+		targets:   new(upstreamTargets),
 	}
 }
 
@@ -149,6 +152,7 @@
 		u := pl.records[entry.ID]
 		if u == nil || u.Activation != entry.Start || u.Address != upstream.InstanceTarget(entry.ID, entry.Address) {
 			u = newRecord(entry)
+			p.targets.add(u.Address)
 			p.hasNewAddresses = true
 			u.Cold.SetRate(u.ID, pl.coldRate)
 			u.Backoff.Extend(p.backoffs.Until(backoffKey(entry.ID, entry.Start)))
@@ -161,6 +165,7 @@
 	}
 	for id, u := range pl.records {
 		if known[id] != u {
+			p.targets.remove(u.Address)
 			forget(u.Address)
 			p.limits.Release(now, u.Limit)
 		}
--- a/internal/httpwire/message.go
+++ b/internal/httpwire/message.go
@@ -55,4 +55,7 @@
 	Body []byte
 	// ContentLength is the length that a response to HEAD declares, in bytes; -1 if it declares none.
 	ContentLength int64
+	// Via names the connection to another entry host that relayed the request to its upstream;
+	// empty without one. It is not sent.
+	Via string
 }
--- a/internal/peertransport/transport.go
+++ b/internal/peertransport/transport.go
@@ -71,6 +71,8 @@
 	OnAvailability func(from netip.AddrPort, reports []Availability) error
 	// CallerNotes handles messages about callers that were refused; nil refuses them.
 	CallerNotes CallerNotes
+	// Relay serves CONNECT requests; nil rejects them.
+	Relay http.Handler
 	// Events receives an event for each refused message.
 	Events event.Sink
 }
@@ -107,10 +109,21 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, t.serve)
-	t.server = &http.Server{Handler: mux, ReadHeaderTimeout: serveTimeout, WriteTimeout: 2 * serveTimeout}
+	t.server = &http.Server{Handler: withRelay(conf.Relay, mux), ReadHeaderTimeout: serveTimeout, WriteTimeout: 2 * serveTimeout}
 	return t
 }
 
+// withRelay passes CONNECT requests to relay, if there is one, and all others to next.
+func withRelay(relay, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodConnect && relay != nil {
+			relay.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Start opens the sockets and serves in the background.
 func (t *Transport) Start() error {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(t.conf.Address))
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -148,6 +148,7 @@
 	req := x.attemptRequest(b)
 	start := clock.Now()
 	resp, err := x.proxy.sender.Do(ctx, b.upstream.Address, req)
+	x.reportRelay(b, resp)
 	x.reportLifecycle(b, resp, err)
 	x.recordBackoff(b, resp)
 	x.recordLimit(b, start, resp)
@@ -163,6 +164,14 @@
 	return r
 }
 
+// reportRelay reports that another entry host relayed the attempt. The detail of a failure names
+// that host.
+func (x *exchange) reportRelay(b binding, resp *httpwire.Response) {
+	if resp != nil && resp.Via != "" {
+		x.emit(event.Event{Code: event.RequestRelayed, Upstream: b.upstream.ID, Attempt: b.number, Detail: resp.Via})
+	}
+}
+
 // checkBeforeSend runs the checks that can still prevent the attempt.
 // execution.BeforeSend must come last, since a request that it records as sent must
 // then be sent.
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -29,6 +29,9 @@
 	SetReady func(bool)
 	// OnDraining is called when the graceful shutdown begins; nil is allowed.
 	OnDraining func()
+	// Relayed returns the number of connections that are relayed for other hosts, which the
+	// shutdown waits for as for requests; nil is allowed.
+	Relayed func() int64
 	// OnFinished is called before the process exits, with the number of aborted requests;
 	// nil is allowed.
 	OnFinished func(aborted int64)
@@ -90,6 +93,9 @@
 // inFlight returns the number of requests that the shutdown waits for.
 func (s *Stopper) inFlight() int64 {
 	n := s.conf.Server.InFlight()
+	if s.conf.Relayed != nil {
+		n += s.conf.Relayed()
+	}
 	if n == 0 && s.shuttingDown.Load() {
 		return 1
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +24,7 @@
 	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire/socket"
+	"github.com/dapplespindle/dapplespindle/internal/relay"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 	"github.com/dapplespindle/dapplespindle/pkg/reachability"
 )
@@ -61,6 +63,9 @@
 	// Dial opens the TCP connections to upstreams; nil means net.Dialer. Its timeout is that of
 	// the context.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Relay connects to upstreams that this host can't reach itself; nil if there are no other
+	// hosts. It is not used for upstreams with TLS.
+	Relay Relay
 	// OnContact is called when contact with all upstreams is lost or regained; nil is allowed.
 	// It must not block.
 	OnContact func(Contact)
@@ -85,6 +90,12 @@
 	stop   chan struct{}
 	// contact records whether any upstream is reached.
 	contact reachability.Tracker
+	// lastReached is the target of the upstream that was reached last over this host's own links.
+	lastReached atomic.Pointer[string]
+	// verified is when the loss of contact was last checked, in Unix nanoseconds.
+	verified atomic.Int64
+	// dials records the upstreams that can't be connected to over this host's own links.
+	dials reachability.Dials
 
 	mu     sync.RWMutex
 	pools  map[string]*pool
@@ -186,6 +197,9 @@
 	}
 	cn, ok := p.take(once)
 	if cn != nil {
+		if cn.via != nil {
+			c.checkDirect(p)
+		}
 		return cn, nil
 	}
 	if !ok {
@@ -211,26 +225,37 @@
 	return errkind.Wrap(kind, ctx.Err(), address)
 }
 
+// dial opens a connection, which is counted as open already.
 func (c *Client) dial(ctx context.Context, p *pool) (*conn, error) {
-	nc, err := c.connect(ctx, p.target.address)
+	if c.conf.Relay == nil || p.target.tls {
+		return c.dialDirect(ctx, p)
+	}
+	return c.dialRaced(ctx, p)
+}
+
+// dialDirect opens a connection over this host's own links.
+func (c *Client) dialDirect(ctx context.Context, p *pool) (*conn, error) {
+	nc, err := c.Connect(ctx, p.address)
 	if err != nil {
-		if !errors.Is(ctx.Err(), context.Canceled) {
-			c.recordUnreached(p.address)
-		}
 		return nil, err
 	}
-	c.recordReached()
 	session, err := c.handshake(ctx, p, nc)
 	if err != nil {
 		_ = nc.Close()
 		return nil, err
 	}
+	return c.attach(p, nc, session, nil)
+}
+
+// attach puts a connection on the event loop. Via is set for a relayed one. It closes nc on failure.
+func (c *Client) attach(p *pool, nc net.Conn, session *socket.TLS, via *relay.Conn) (*conn, error) {
 	nbc, err := nbio.NBConn(nc)
 	if err != nil {
 		_ = nc.Close()
 		return nil, err
 	}
 	cn := newConn(c, p, nbc)
+	cn.via = via
 	if err := cn.secure(session); err != nil {
 		_ = nbc.Close()
 		return nil, err
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,9 +12,11 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"github.com/dapplespindle/dapplespindle/internal/clock"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire/framing"
 	"github.com/dapplespindle/dapplespindle/internal/httpwire/socket"
+	"github.com/dapplespindle/dapplespindle/internal/relay"
 	"github.com/dapplespindle/dapplespindle/pkg/errkind"
 )
 
@@ -36,6 +38,8 @@
 	pool   *pool
 	nbc    *nbio.Conn
 	tls    *socket.TLS // nil without TLS
+	via    *relay.Conn // nil over this host's own links
+	opened time.Time
 	parser *nbhttp.Parser
 	limits framing.Limits
 	result chan result
@@ -78,6 +82,7 @@
 	cn := &conn{
 		client: c,
 		pool:   p,
+		opened: clock.Now(),
 		nbc:    nbc,
 		result: make(chan result, 1),
 		limits: framing.Limits{HeadBytes: c.conf.MaxHeadBytes, BodyBytes: c.conf.MaxResponseBytes},
@@ -102,15 +107,15 @@
 	case <-ctx.Done():
 		r.err = ctx.Err()
 	}
+	c.client.recordExchange(ctx, c, r.err)
 	if r.err != nil {
-		c.client.recordFailure(ctx, c.pool.address, r.err)
 		return nil, c.fail(ctx, head, r.err)
 	}
-	c.client.recordReached()
 	// A response that arrived before the complete request was sent is passed on, but the
 	// connection is not reused: the rest of the request must not be sent on it.
 	complete := c.sent.Load() == c.queued.Load()
 	c.returnToPool(r.reusable && complete)
+	r.resp.Via = c.viaName()
 	return r.resp, nil
 }
 
@@ -157,6 +162,9 @@
 	case incomplete:
 		kind = errkind.SendFailed
 	}
+	if c.via != nil {
+		return errkind.Wrap(kind, cause, c.pool.address+" through "+c.via.Name())
+	}
 	return errkind.Wrap(kind, cause, c.pool.address)
 }
 
@@ -187,6 +195,9 @@
 // Parse implements nbhttp.ParserCloser; the event loop calls it with the received data,
 // which is only valid during the call. An error closes the connection.
 func (c *conn) Parse(data []byte) error {
+	if c.via != nil {
+		return c.parseRelayed(data)
+	}
 	if c.tls != nil {
 		return c.tls.Feed(data, nil)
 	}
@@ -229,6 +240,9 @@
 		_ = c.failRequest(errors.CombineErrors(errClosed, err))
 	}
 	c.parser.CloseAndClean(err)
+	if c.via != nil {
+		c.via.Release()
+	}
 }
 
 // failRequest fails the request in flight, if any, and returns err.
--- a/internal/upstream/contact.go
+++ b/internal/upstream/contact.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"net"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/dapplespindle/dapplespindle/internal/clock"
+	"github.com/dapplespindle/dapplespindle/pkg/reachability"
 )
 
-// Contact is a change of whether this host reaches any upstream.
+// Contact is a change of whether this host reaches any upstream over its own links.
 type Contact struct {
 	// Lost is true if several upstreams in a row failed, without a success of any other.
 	Lost bool
@@ -17,8 +21,12 @@
 	LostFor time.Duration
 }
 
-// recordReached records that an upstream was reached.
-func (c *Client) recordReached() {
+// ContactLost reports whether this host reaches no upstream over its own links.
+func (c *Client) ContactLost() bool { return c.contact.Lost() }
+
+// recordReached records that the upstream at an address was reached.
+func (c *Client) recordReached(address string) {
+	c.lastReached.Store(&address)
 	regained, lostFor := c.contact.Succeeded(clock.Now())
 	if regained {
 		c.reportContact(Contact{LostFor: lostFor})
@@ -27,9 +35,102 @@
 
 // recordUnreached records that an upstream could not be reached or did not respond.
 func (c *Client) recordUnreached(address string) {
-	if c.contact.Failed(clock.Now(), address, c.poolCount()) {
-		c.reportContact(Contact{Lost: true})
+	if s, suspected := c.contact.Failed(clock.Now(), address, c.poolCount()); suspected {
+		go c.verifyContact(s)
+	}
+}
+
+// recordDial records the outcome of a connect over this host's own links.
+func (c *Client) recordDial(address string, err error) {
+	switch {
+	case err == nil:
+		c.dials.Succeeded(clock.Now(), address)
+		c.recordReached(address)
+	case !errors.Is(err, context.Canceled):
+		c.dials.Failed(clock.Now(), address)
+		c.recordUnreached(address)
+	}
+}
+
+// Connect opens a TCP connection to the upstream with the given target string over this host's own
+// links. The caller owns it.
+func (c *Client) Connect(ctx context.Context, target string) (net.Conn, error) {
+	nc, err := c.connect(ctx, parseTarget(target).address)
+	if ctx.Err() != nil && err != nil {
+		err = ctx.Err() // net's own error for a context that was canceled differs
+	}
+	c.recordDial(target, err)
+	return nc, err
+}
+
+// otherUpstreams is how many upstreams that did not fail are tried before contact is considered
+// lost: those that failed may all be of one service.
+const otherUpstreams = 2
+
+// verifyDelay is how long a suspicion that proved wrong is not checked again.
+const verifyDelay = time.Second
+
+// verifyContact connects to the upstreams that failed and to a few others: a host that was slow
+// itself reaches them. If none is reached, the idle connections are closed, since requests on them
+// would wait in vain.
+func (c *Client) verifyContact(s reachability.Suspicion) {
+	now := clock.Now().UnixNano()
+	last := c.verified.Load()
+	if now-last < int64(verifyDelay) || !c.verified.CompareAndSwap(last, now) {
+		c.contact.Reject(s)
+		return
+	}
+	var tries sync.WaitGroup
+	for _, p := range c.suspects() {
+		tries.Go(func() { c.tryDirect(p) })
 	}
+	tries.Wait()
+	if !c.contact.Confirm(clock.Now(), s) {
+		return
+	}
+	c.reportContact(Contact{Lost: true})
+	for _, p := range c.allPools() {
+		p.closeDirect()
+	}
+}
+
+// suspects returns the pools of the upstreams that failed, of the one that was reached last and of
+// some others.
+func (c *Client) suspects() []*pool {
+	names := c.contact.Failing()
+	if last := c.lastReached.Load(); last != nil && !slices.Contains(names, *last) {
+		names = append(names, *last)
+	}
+	var out []*pool
+	others := 0
+	for _, p := range c.allPools() { // in no particular order
+		switch {
+		case slices.Contains(names, p.address):
+			out = append(out, p)
+		case others < otherUpstreams && !c.connectFails(p):
+			out = append(out, p)
+			others++
+		}
+	}
+	return out
+}
+
+// connectFails reports whether the last connect to the upstream failed.
+func (c *Client) connectFails(p *pool) bool {
+	fails, _ := c.dials.Failing(clock.Now(), p.address, 0)
+	return fails
+}
+
+// tryDirect opens a connection over this host's own links and keeps it for later requests.
+func (c *Client) tryDirect(p *pool) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), c.conf.DialTimeout)
+	defer cancel()
+	cn, err := c.dialDirect(ctx, p)
+	if err != nil {
+		return false
+	}
+	p.adopt(cn)
+	return true
 }
 
 func (c *Client) reportContact(change Contact) {
@@ -38,14 +139,20 @@
 	}
 }
 
-// recordFailure records an exchange that failed with cause, unless the caller ended it or the
-// upstream sent something.
-func (c *Client) recordFailure(ctx context.Context, address string, cause error) {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return
-	}
-	if errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, errClosed) {
-		c.recordUnreached(address)
+// recordExchange records the outcome of an exchange on a connection. A failure counts unless the
+// caller ended the exchange or the upstream sent something.
+func (c *Client) recordExchange(ctx context.Context, cn *conn, cause error) {
+	failed := errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, errClosed)
+	switch {
+	case cause != nil && (!failed || errors.Is(ctx.Err(), context.Canceled)):
+	case cn.via != nil && failed:
+		cn.via.Failed(cn.pool.address)
+	case cn.via != nil:
+		cn.via.Succeeded()
+	case failed:
+		c.recordUnreached(cn.pool.address)
+	default:
+		c.recordReached(cn.pool.address)
 	}
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -23,6 +23,11 @@
 	// open counts the connections, including those that are being established.
 	open  int
 	limit int
+	// relayFailed is when peers last did not reach the upstream.
+	relayFailed time.Time
+	// directChecked is when it was last checked whether a relayed upstream can be reached directly,
+	// and directSince when it was found to be. Relayed connections from before are not used.
+	directChecked, directSince time.Time
 }
 
 // maxOnceIdle is the maximum idle time of a connection for a request that must not be sent
@@ -59,7 +64,7 @@
 func (p *pool) put(cn *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) >= p.maxIdle || p.open > p.limit {
+	if len(p.idle) >= p.maxIdle || p.open > p.limit || cn.via != nil && !p.relayUsable(cn) {
 		cn.close()
 		p.open--
 		return
@@ -90,13 +95,66 @@
 	p.limit = limit
 }
 
+// adopt adds a connection that no request waits for.
+func (p *pool) adopt(cn *conn) {
+	p.mu.Lock()
+	p.open++
+	p.mu.Unlock()
+	p.put(cn)
+}
+
+// relayUsable reports whether a relayed connection may be used for another request. The caller must
+// hold p.mu.
+func (p *pool) relayUsable(cn *conn) bool {
+	return cn.via.Usable() && cn.opened.After(p.directSince)
+}
+
+// setDirect records that the upstream is reached over this host's own links.
+func (p *pool) setDirect(now time.Time) {
+	p.mu.Lock()
+	p.directSince = now
+	p.mu.Unlock()
+	p.closeIdleIf(func(cn *conn) bool { return cn.via != nil })
+}
+
+// closeDirect closes the idle connections over this host's own links.
+func (p *pool) closeDirect() { p.closeIdleIf(func(cn *conn) bool { return cn.via == nil }) }
+
+func (p *pool) setRelayFailed(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.relayFailed = now
+}
+
+func (p *pool) relayFailedSince(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.relayFailed.After(t)
+}
+
+// startDirectCheck reports whether a check is due, and records that it begins.
+func (p *pool) startDirectCheck(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.directChecked) < directCheckInterval {
+		return false
+	}
+	p.directChecked = now
+	return true
+}
+
 // closeIdle closes the connections that have been idle since before.
 func (p *pool) closeIdle(before time.Time) {
+	p.closeIdleIf(func(cn *conn) bool { return !cn.idleSince.After(before) })
+}
+
+// closeIdleIf closes the idle connections for which drop returns true.
+func (p *pool) closeIdleIf(drop func(*conn) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
 	for _, cn := range p.idle {
-		if cn.idleSince.After(before) {
+		if !drop(cn) {
 			kept = append(kept, cn)
 			continue
 		}
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -84,8 +84,12 @@
 }
 
 // EndOfFile implements socket.EOFHandler: it delivers a response that is delimited by the end of
-// the connection.
+// the connection. The end of a relayed connection counts only if its peer has stated that it is
+// that of the upstream's.
 func (c *conn) EndOfFile() {
+	if c.via != nil && !c.via.Decoder.Ended() {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || !c.busy || !c.scanner.PeerClosed() {
@@ -133,6 +137,9 @@
 	c.mu.Lock()
 	closed := c.closed
 	c.mu.Unlock()
+	if c.via != nil && !c.via.Usable() {
+		return false
+	}
 	if closed || (c.idleFor > 0 && now.Sub(c.idleSince) > c.idleFor-keepAliveMargin) {
 		return false
 	}
--- a/pkg/event/drain_events.go
+++ b/pkg/event/drain_events.go
@@ -14,6 +14,9 @@
 	HostDraining        Code = 8010
 	HostFinishing       Code = 8011
 	HostCut             Code = 8012
+	RelayOpened         Code = 8013
+	RelayRejected       Code = 8014
+	RequestRelayed      Code = 8015
 )
 
 // drainEvents describes the codes 8xxx: lifecycle of upstreams, draining and graceful shutdown.
@@ -30,4 +33,7 @@
 	HostDraining:        {"host-draining", Info, "A graceful shutdown began: the entry host is not ready and still accepts requests during the grace period.", "requests in flight"},
 	HostFinishing:       {"host-finishing", Info, "No new connections or requests are accepted; requests in flight finish.", "requests in flight"},
 	HostCut:             {"host-cut", Warn, "A graceful shutdown ended early and aborted requests in flight.", "requests cut off"},
+	RelayOpened:         {"relay-opened", Info, "This entry host relays a connection to an upstream for another one; the detail is the other host's address and port, which that host logs with each request on the connection.", ""},
+	RelayRejected:       {"relay-rejected", Info, "This entry host does not relay a connection to an upstream for the host that the detail names; the reason states why.", ""},
+	RequestRelayed:      {"request-relayed", Debug, "An attempt went to its upstream through another entry host; the detail is the address of that host, and this host's address and port of the connection.", ""},
 }
