Ask other hosts before an upstream counts as crashed under a request

What callers saw: for some seconds after hosts were cut off from all upstreams, all 18 hosts refused three kinds of request as deadly (quarantine-begun 0.2 s after the cut), also those that were not cut off.

Cause: the check whether an upstream crashed connects over the host's own links, and a cut link refuses connections as a closed port does. So each connection that the cut reset counted as a crash under the request on it, and the peers were told. Class: as before, a fault of the observer is ascribed to what it observes.

Now two peers, one of another failure domain, are asked as well: a refusal counts if one of them finds the port closed and none connects.

The test failed before: two hosts of four that were cut off with requests in flight logged 4 and 3 crashes (upstream-ended); and a client whose links are cut called an upstream crashed that its peer reaches.

--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -127,6 +127,49 @@
 	return nil, &Error{Failure: last, Peers: len(tried)}
 }
 
+// Verdict is what peers say about an upstream.
+type Verdict uint8
+
+// The verdicts of Check.
+const (
+	// Unknown means that no peer could tell.
+	Unknown Verdict = iota
+	// Reached means that a peer connected to the upstream.
+	Reached
+	// Refused means that connections to the upstream are refused at a peer, and none reached it.
+	Refused
+)
+
+// checkPeers is the number of peers that Check asks: one near and one in another failure domain, since
+// a cut often affects all hosts of a domain.
+const checkPeers = 2
+
+// Check asks peers whether they can connect to the upstream with the given target string.
+func (d *Dialer) Check(ctx context.Context, target string) Verdict {
+	var asked []netip.AddrPort
+	results := make(chan try, checkPeers)
+	for range checkPeers {
+		peer, ok := d.pick(asked)
+		if !ok {
+			break
+		}
+		asked = append(asked, peer)
+		go func() { results <- d.try(ctx, peer, target) }()
+	}
+	verdict := Unknown
+	for range asked {
+		r := <-results
+		switch {
+		case r.conn != nil:
+			_ = r.conn.Close()
+			verdict = Reached
+		case verdict == Unknown && r.failure == relay.UpstreamRefused:
+			verdict = Refused
+		}
+	}
+	return verdict
+}
+
 // closeOthers closes the connections of tries that come too late.
 func closeOthers(results <-chan try, pending int) {
 	for range pending {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -322,3 +323,39 @@
 	_, failure := d.Dial(testContext(t), upstream)
 	is.Equal(failure.Peers, 0)
 }
+
+// TestCheck guards against calling an upstream crashed that a peer reaches, and against a verdict of
+// peers that can't tell.
+func TestCheck(t *testing.T) {
+	lives := startUpstream(t, echo)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	_ = ln.Close()
+	crashed := ln.Addr().String()
+	cutOff := func(c *ServerConfig) { c.CutOff = func() bool { return true } }
+	for name, test := range map[string]struct {
+		peers  []func(*ServerConfig)
+		target string
+		want   Verdict
+	}{
+		"lives":                       {[]func(*ServerConfig){asIs, asIs}, lives, Reached},
+		"lives, one peer is cut off":  {[]func(*ServerConfig){cutOff, asIs}, lives, Reached},
+		"crashed":                     {[]func(*ServerConfig){asIs, asIs}, crashed, Refused},
+		"crashed, a peer is cut off":  {[]func(*ServerConfig){cutOff, asIs}, crashed, Refused},
+		"crashed, peers are cut off":  {[]func(*ServerConfig){cutOff, cutOff}, crashed, Unknown},
+		"lives, refused at one peer":  {[]func(*ServerConfig){refusing, asIs}, lives, Reached},
+		"crashed, there are no peers": {nil, crashed, Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var addresses []netip.AddrPort
+			for _, change := range test.peers {
+				addresses = append(addresses, startPeer(t, change).address())
+			}
+			is.New(t).Equal(newTestDialer(addresses...).Check(testContext(t), test.target), test.want)
+		})
+	}
+}
+
+func refusing(c *ServerConfig) {
+	c.Connect = func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+}
--- a/internal/upstream/listening_test.go
+++ b/internal/upstream/listening_test.go
@@ -22,3 +22,14 @@
 	is.True(client.RefusesConnections(testContext(t), ln.Addr().String()))
 	is.True(!client.RefusesConnections(testContext(t), "no address"))
 }
+
+// TestCutIsNoCrash guards against taking this host's own cut links for the crash of an upstream.
+func TestCutIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	links := new(cutLinks)
+	client, _ := startCutClient(t, links)
+	lives, crashed := startUpstreams(t, 1, serveOK)[0], refusingAddress(t)
+	links.cut.Store(true)
+	is.True(!client.RefusesConnections(testContext(t), lives))
+	is.True(client.RefusesConnections(testContext(t), crashed)) // the peer says so too
+}
--- a/internal/upstream/relayed.go
+++ b/internal/upstream/relayed.go
@@ -15,6 +15,8 @@
 type Relay interface {
 	// Dial connects to the upstream with the given target string.
 	Dial(ctx context.Context, target string) (*relay.Conn, *relay.Error)
+	// Check asks other hosts whether they reach an upstream.
+	Check(ctx context.Context, target string) relay.Verdict
 }
 
 const (
