Reset connections on which a request is abandoned

Cause: a request whose caller left or whose deadline passed ended with an orderly close. Behind a cut the system keeps what the upstream has not acknowledged and sends it when the cut heals, so that the upstream runs requests that nobody waits for, and attempts that were repeated elsewhere meanwhile.

A failed exchange now resets its connection, which drops those bytes. The guarantee that no byte is sent after the close, on which "has not run" rests, is unchanged: the connection is shut down first.

--- a/internal/httpwire/socket/socket.go
+++ b/internal/httpwire/socket/socket.go
@@ -72,6 +72,19 @@
 // Shutdown shuts down the connection in both directions. No byte is sent afterwards.
 func Shutdown(nc *nbio.Conn) { shutdown(nc, syscall.SHUT_RDWR) }
 
+// Reset shuts down the connection in both directions, and makes the loop's close a reset. What the
+// other side has not acknowledged is dropped: behind a cut, the system would send it when the cut
+// heals.
+func Reset(nc *nbio.Conn) {
+	nc.Lock()
+	defer nc.Unlock()
+	if closed, _ := nc.IsClosed(); closed {
+		return
+	}
+	_ = syscall.SetsockoptLinger(nc.Hash(), syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+	_ = syscall.Shutdown(nc.Hash(), syscall.SHUT_RDWR)
+}
+
 // ShutdownWrite shuts down the sending side; bytes can still be received.
 func ShutdownWrite(nc *nbio.Conn) { shutdown(nc, syscall.SHUT_WR) }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -148,7 +148,7 @@
 // certain that no buffered byte is sent any more. An upstream may act on the head alone, so
 // the outcome is "not run" only if the kernel did not accept the complete head.
 func (c *conn) fail(ctx context.Context, head int, cause error) *errkind.Error {
-	c.close()
+	socket.Reset(c.nbc)
 	c.pool.release()
 	incomplete := c.sent.Load() < int64(head)
 	kind := errkind.UpstreamBroken
