--- a/internal/upstream/contact_test.go
+++ b/internal/upstream/contact_test.go
@@ -9,7 +9,7 @@
 )
 
 // refusingAddress returns an address at which nothing listens.
-func refusingAddress(t *testing.T) string {
+func refusingAddress(t testing.TB) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/upstream/harness_test.go
+++ b/internal/upstream/harness_test.go
@@ -21,7 +21,7 @@
 // closed afterwards.
 type script func(n int, c net.Conn, r *bufio.Reader)
 
-func startUpstream(t *testing.T, s script) string {
+func startUpstream(t testing.TB, s script) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -43,7 +43,7 @@
 	return ln.Addr().String()
 }
 
-func startClient(t *testing.T, conf Config) *Client {
+func startClient(t testing.TB, conf Config) *Client {
 	t.Helper()
 	conf.MaxResponseBytes = testMaxBody
 	c := New(conf)
@@ -58,7 +58,7 @@
 	return &httpwire.Request{Method: method, Target: "/", Host: "a", Header: make(http.Header), Body: body}
 }
 
-func testContext(t *testing.T) context.Context {
+func testContext(t testing.TB) context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), testWait)
 	t.Cleanup(cancel)
 	return ctx
--- a/internal/upstream/relayed_test.go
+++ b/internal/upstream/relayed_test.go
@@ -49,7 +49,7 @@
 }
 
 // startCutClient starts a client with a peer through which it reaches all upstreams.
-func startCutClient(t *testing.T, links *cutLinks) (*Client, *countingRelay) {
+func startCutClient(t testing.TB, links *cutLinks) (*Client, *countingRelay) {
 	server := relay.NewServer(relay.ServerConfig{
 		Known:      func(netip.Addr) bool { return true },
 		Registered: func(string) bool { return true },
@@ -74,7 +74,7 @@
 }
 
 // startUpstreams returns the targets of n upstreams.
-func startUpstreams(t *testing.T, n int, s script) []string {
+func startUpstreams(t testing.TB, n int, s script) []string {
 	var out []string
 	for range n {
 		out = append(out, startUpstream(t, s))
@@ -149,7 +149,7 @@
 }
 
 // cutOff makes the client know that its links are cut.
-func cutOff(t *testing.T, c *Client, links *cutLinks) {
+func cutOff(t testing.TB, c *Client, links *cutLinks) {
 	links.cut.Store(true)
 	for range 3 {
 		_, _ = c.Connect(testContext(t), refusingAddress(t))
@@ -233,3 +233,23 @@
 	is.True(via != "")
 	is.Equal(peers.asked.Load(), asked)
 }
+
+// BenchmarkRelayed measures a request and its response over this host's own links and through a peer
+// in the same process, whose work is included.
+func BenchmarkRelayed(b *testing.B) {
+	for name, cut := range map[string]bool{"direct": false, "relayed": true} {
+		b.Run(name, func(b *testing.B) {
+			links := new(cutLinks)
+			client, _ := startCutClient(b, links)
+			target := startUpstreams(b, 1, serveOK)[0]
+			if cut {
+				cutOff(b, client, links)
+			}
+			for b.Loop() {
+				if _, err := client.Do(context.Background(), target, request("GET", nil)); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
