Let hosts that don't know the fleet use the seeds as quota coordinators

Each chose a customer's coordinator among the hosts that it had found by then. These sets differ and grow, so that several coordinators granted half of the quota at the same time, each from an account with a quarter of the burst.

Until a host knows the fleet it now asks the seeds, which all such hosts have in their settings; a seed that knows the fleet asks the coordinator for them, as before.

Ruled out: granting all of a quota by the seeds.

--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -82,7 +82,7 @@
 // control goroutine.
 func (f *fleet) setQuotaFleet(s *membership.Snapshot, converged bool) {
 	out := quotas.Fleet{Known: len(s.Members), Converged: converged, Leaving: s.Self.Leaving}
-	out.Self = quota.Host{Address: f.transportAddress(f.address), FailureDomain: f.gateway.conf.FailureDomain}
+	out.Self, out.Seeds = f.quotaSelf(), f.quotaSeeds()
 	for _, h := range f.hosts(s) {
 		if h.Address != out.Self.Address && !h.Leaving {
 			out.Others = append(out.Others, quota.Host{Address: h.Address, FailureDomain: h.FailureDomain})
@@ -94,16 +94,30 @@
 // setQuotaSeeds passes the seed hosts of the settings to the quota enforcer, until more
 // are known.
 func (f *fleet) setQuotaSeeds() {
-	out := quotas.Fleet{Self: quota.Host{Address: f.transportAddress(f.address), FailureDomain: f.gateway.conf.FailureDomain}, Known: 1}
-	for _, a := range f.seeds() {
-		if a != f.address {
-			out.Others = append(out.Others, quota.Host{Address: f.transportAddress(a)})
+	out := quotas.Fleet{Self: f.quotaSelf(), Seeds: f.quotaSeeds(), Known: 1}
+	for _, seed := range out.Seeds {
+		if seed.Address != out.Self.Address {
+			out.Others = append(out.Others, seed)
 			out.Known++
 		}
 	}
 	f.gateway.quotas.SetFleet(out)
 }
 
+// quotaSelf describes this host to the quota enforcer.
+func (f *fleet) quotaSelf() quota.Host {
+	return quota.Host{Address: f.transportAddress(f.address), FailureDomain: f.gateway.conf.FailureDomain}
+}
+
+// quotaSeeds returns the seed hosts of the settings, whose failure domains are not known.
+func (f *fleet) quotaSeeds() []quota.Host {
+	var out []quota.Host
+	for _, a := range f.seeds() {
+		out = append(out, quota.Host{Address: f.transportAddress(a)})
+	}
+	return out
+}
+
 // keysCurrent reports whether this host knows all revoked keys as of the staleness limit,
 // or whether no limit is set.
 func (g *Gateway) keysCurrent() bool {
--- a/internal/quotas/enforcer.go
+++ b/internal/quotas/enforcer.go
@@ -64,6 +64,8 @@
 	// Self is this host, and Others are the other hosts that are considered alive.
 	Self   quota.Host
 	Others []quota.Host
+	// Seeds are the hosts in the settings, this one included if it is among them.
+	Seeds []quota.Host
 	// Known is how many hosts there may be, including those that are considered dead; 0 if
 	// that is unknown.
 	Known int
@@ -96,8 +98,13 @@
 }
 
 // candidates returns all hosts that may be coordinators, this host last. A host that does
-// not know most others, or that is leaving, leaves the role to those that it knows.
+// not know most others leaves the role to the seeds, which all such hosts know: if each chose among
+// those that it has found, many would coordinate after a restart of all hosts. A host that is
+// leaving leaves the role to the others.
 func (f *Fleet) candidates() []quota.Host {
+	if !f.Converged && len(f.Seeds) > 0 {
+		return f.Seeds
+	}
 	if (!f.Converged || f.Leaving) && len(f.Others) > 0 {
 		return f.Others
 	}
