Relay connections to upstreams that started anew under their id

Cause: when an upstream starts anew under its id and address, the record of the new start is added to the targets that may be relayed before that of the old start is removed, and both have the same target. The target is now removed only if no record has it.

TestRestartedUpstreamIsRelayed failed before.

--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -165,7 +165,9 @@
 	}
 	for id, u := range pl.records {
 		if known[id] != u {
-			p.targets.remove(u.Address)
+			if next := known[id]; next == nil || next.Address != u.Address {
+				p.targets.remove(u.Address)
+			}
 			forget(u.Address)
 			p.limits.Release(now, u.Limit)
 		}
