Refuse at once when no host reaches an upstream

Cause: with contact lost and links that hang, a request waited for the connect over the host's own links to time out although every peer had said that it is cut off too. The connect goes on beside the refusal, and its connection is kept if it succeeds.

--- a/internal/upstream/relayed.go
+++ b/internal/upstream/relayed.go
@@ -33,7 +33,10 @@
 	directCheckInterval = 500 * time.Millisecond
 )
 
-var errRelayLeaving = errors.New("the relaying host is leaving")
+var (
+	errRelayLeaving = errors.New("the relaying host is leaving")
+	errCutOff       = errors.New("this host is cut off from upstreams, and so are its peers")
+)
 
 // dialRaced connects over this host's own links and, if that fails or takes long while connects
 // to other upstreams failed as well, through a peer.
@@ -59,6 +62,10 @@
 				return cn, nil
 			}
 			r.relayed = nil
+			if c.contact.Lost() { // the connect beside it would only time out
+				r.keepDirect()
+				return nil, errCutOff
+			}
 		case <-ctx.Done():
 			r.abandon(ctx)
 			return nil, ctx.Err()
