Name upstreams by their id in the log of relayed connections

The log of a host that relays named the target string of internal/upstream, by which nobody searches; it names the upstream's id now. The upstream that responded last is kept as a pointer to its pool, which costs no allocation for each response.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/dapplespindle/dapplespindle/internal/relay"
+	"github.com/dapplespindle/dapplespindle/internal/upstream"
 	"github.com/dapplespindle/dapplespindle/pkg/membership"
 	relaychoice "github.com/dapplespindle/dapplespindle/pkg/relay"
 )
@@ -41,6 +42,7 @@
 	return relay.NewServer(relay.ServerConfig{
 		Known:      f.knows,
 		Registered: g.control.pools.targets.has,
+		ID:         upstream.InstanceID,
 		CutOff:     g.client.ContactLost,
 		Connect:    g.client.Connect,
 		Events:     g.sink,
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -55,6 +55,7 @@
 	conf := ServerConfig{
 		Known:      func(netip.Addr) bool { return true },
 		Registered: func(string) bool { return true },
+		ID:         func(target string) string { return target },
 		CutOff:     func() bool { return false },
 		Connect: func(ctx context.Context, target string) (net.Conn, error) {
 			return new(net.Dialer).DialContext(ctx, "tcp", target)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -40,6 +40,8 @@
 	Known func(ip netip.Addr) bool
 	// Registered reports whether there is an upstream with a target string.
 	Registered func(target string) bool
+	// ID returns the ID of the upstream with a target string, for logs.
+	ID func(target string) string
 	// CutOff reports whether this host reaches no upstream itself.
 	CutOff func() bool
 	// Connect connects to the upstream with a target string.
@@ -146,7 +148,7 @@
 }
 
 func (s *Server) reject(w http.ResponseWriter, remote, target string, f relay.Failure) {
-	s.conf.Events.Emit(event.Event{Code: event.RelayRejected, Upstream: target, Reason: f.String(), Detail: remote})
+	s.conf.Events.Emit(event.Event{Code: event.RelayRejected, Upstream: s.conf.ID(target), Reason: f.String(), Detail: remote})
 	w.Header().Set(headerFailure, f.String())
 	w.Header().Set("Connection", "close")
 	status := http.StatusServiceUnavailable
@@ -175,7 +177,7 @@
 	r.touch()
 	s.add(r)
 	defer s.remove(r)
-	s.conf.Events.Emit(event.Event{Code: event.RelayOpened, Upstream: target, Detail: remote})
+	s.conf.Events.Emit(event.Event{Code: event.RelayOpened, Upstream: s.conf.ID(target), Detail: remote})
 	if _, err := down.Write([]byte("HTTP/1.1 200 OK\r\n\r\n")); err != nil {
 		r.close()
 		return
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -90,8 +90,8 @@
 	stop   chan struct{}
 	// contact records whether any upstream is reached.
 	contact reachability.Tracker
-	// lastReached is the target of the upstream that was reached last over this host's own links.
-	lastReached atomic.Pointer[string]
+	// lastReached is the pool of the upstream that responded last over this host's own links.
+	lastReached atomic.Pointer[pool]
 	// verified is when the loss of contact was last checked, in Unix nanoseconds.
 	verified atomic.Int64
 	// dials records the upstreams that can't be connected to over this host's own links.
--- a/internal/upstream/contact.go
+++ b/internal/upstream/contact.go
@@ -24,9 +24,8 @@
 // ContactLost reports whether this host reaches no upstream over its own links.
 func (c *Client) ContactLost() bool { return c.contact.Lost() }
 
-// recordReached records that the upstream at an address was reached.
-func (c *Client) recordReached(address string) {
-	c.lastReached.Store(&address)
+// recordReached records that an upstream was reached.
+func (c *Client) recordReached() {
 	regained, lostFor := c.contact.Succeeded(clock.Now())
 	if regained {
 		c.reportContact(Contact{LostFor: lostFor})
@@ -45,7 +44,7 @@
 	switch {
 	case err == nil:
 		c.dials.Succeeded(clock.Now(), address)
-		c.recordReached(address)
+		c.recordReached()
 	case !errors.Is(err, context.Canceled):
 		c.dials.Failed(clock.Now(), address)
 		c.recordUnreached(address)
@@ -94,18 +93,15 @@
 	}
 }
 
-// suspects returns the pools of the upstreams that failed, of the one that was reached last and of
-// some others.
+// suspects returns the pools of the upstreams that failed, of the one that responded last and of some
+// others.
 func (c *Client) suspects() []*pool {
-	names := c.contact.Failing()
-	if last := c.lastReached.Load(); last != nil && !slices.Contains(names, *last) {
-		names = append(names, *last)
-	}
+	failing, last := c.contact.Failing(), c.lastReached.Load()
 	var out []*pool
 	others := 0
 	for _, p := range c.allPools() { // in no particular order
 		switch {
-		case slices.Contains(names, p.address):
+		case p == last || slices.Contains(failing, p.address):
 			out = append(out, p)
 		case others < otherUpstreams && !c.connectFails(p):
 			out = append(out, p)
@@ -152,7 +148,8 @@
 	case failed:
 		c.recordUnreached(cn.pool.address)
 	default:
-		c.recordReached(cn.pool.address)
+		c.lastReached.Store(cn.pool)
+		c.recordReached()
 	}
 }
 
--- a/internal/upstream/relayed_test.go
+++ b/internal/upstream/relayed_test.go
@@ -53,6 +53,7 @@
 	server := relay.NewServer(relay.ServerConfig{
 		Known:      func(netip.Addr) bool { return true },
 		Registered: func(string) bool { return true },
+		ID:         func(target string) string { return target },
 		CutOff:     func() bool { return false },
 		Connect: func(ctx context.Context, target string) (net.Conn, error) {
 			return new(net.Dialer).DialContext(ctx, "tcp", TargetAddress(target))
--- a/internal/upstream/tls.go
+++ b/internal/upstream/tls.go
@@ -31,6 +31,12 @@
 // connections are never used for another instance at the same address.
 func InstanceTarget(id, address string) string { return idPrefix + id + nameSeparator + address }
 
+// InstanceID returns the ID of the upstream in a target string of InstanceTarget.
+func InstanceID(target string) string {
+	id, _, _ := strings.Cut(strings.TrimPrefix(target, idPrefix), nameSeparator)
+	return id
+}
+
 // Target returns the address argument of Do for an upstream of a group with these TLS
 // settings. Plaintext and TLS connections to one address are pooled separately.
 func Target(address string, t config.TLS) string {
