Let a host without requests regain contact with upstreams

Found by reading the change: contact that is lost is regained by the next connect or response, but a host without callers connects only for other hosts, and relays nothing while it is cut off. It stayed cut off for ever in its own view.

A host that lost contact now tries the upstreams that failed, the one that responded last and two others once a second until one is reached. The check of a suspicion also tries targets that this host has no pool for, so that crashes of upstreams to which it connected for others are not taken for a cut.

--- a/internal/upstream/contact.go
+++ b/internal/upstream/contact.go
@@ -79,11 +79,7 @@
 		c.contact.Reject(s)
 		return
 	}
-	var tries sync.WaitGroup
-	for _, p := range c.suspects() {
-		tries.Go(func() { c.tryDirect(p) })
-	}
-	tries.Wait()
+	c.trySuspects()
 	if !c.contact.Confirm(clock.Now(), s) {
 		return
 	}
@@ -91,20 +87,50 @@
 	for _, p := range c.allPools() {
 		p.closeDirect()
 	}
+	c.scheduleContactCheck()
 }
 
-// suspects returns the pools of the upstreams that failed, of the one that responded last and of some
-// others.
-func (c *Client) suspects() []*pool {
-	failing, last := c.contact.Failing(), c.lastReached.Load()
-	var out []*pool
+// contactCheckInterval is how often a host that lost contact tries to regain it. It may have no
+// requests of its own, and relays none while it is cut off.
+const contactCheckInterval = time.Second
+
+func (c *Client) scheduleContactCheck() { time.AfterFunc(contactCheckInterval, c.checkContact) }
+
+// checkContact tries to regain contact until it succeeds or the client stops.
+func (c *Client) checkContact() {
+	select {
+	case <-c.stop:
+		return
+	default:
+	}
+	if !c.contact.Lost() {
+		return
+	}
+	c.trySuspects()
+	c.scheduleContactCheck()
+}
+
+// trySuspects connects to the upstreams that failed, to the one that responded last and to some
+// others, and waits for the results.
+func (c *Client) trySuspects() {
+	var tries sync.WaitGroup
+	for _, target := range c.suspects() {
+		tries.Go(func() { c.tryDirect(target) })
+	}
+	tries.Wait()
+}
+
+// suspects returns the targets that trySuspects tries.
+func (c *Client) suspects() []string {
+	out, last := c.contact.Failing(), c.lastReached.Load()
 	others := 0
 	for _, p := range c.allPools() { // in no particular order
 		switch {
-		case p == last || slices.Contains(failing, p.address):
-			out = append(out, p)
+		case slices.Contains(out, p.address):
+		case p == last:
+			out = append(out, p.address)
 		case others < otherUpstreams && !c.connectFails(p):
-			out = append(out, p)
+			out = append(out, p.address)
 			others++
 		}
 	}
@@ -117,10 +143,19 @@
 	return fails
 }
 
-// tryDirect opens a connection over this host's own links and keeps it for later requests.
-func (c *Client) tryDirect(p *pool) bool {
+// tryDirect connects to an upstream over this host's own links. If this host sends requests to the
+// upstream, the connection is kept for them.
+func (c *Client) tryDirect(target string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), c.conf.DialTimeout)
 	defer cancel()
+	p := c.existingPool(target)
+	if p == nil {
+		nc, err := c.Connect(ctx, target)
+		if err == nil {
+			_ = nc.Close()
+		}
+		return err == nil
+	}
 	cn, err := c.dialDirect(ctx, p)
 	if err != nil {
 		return false
--- a/internal/upstream/relayed.go
+++ b/internal/upstream/relayed.go
@@ -213,7 +213,7 @@
 		return
 	}
 	go func() {
-		if c.tryDirect(p) {
+		if c.tryDirect(p.address) {
 			p.setDirect(clock.Now())
 		}
 	}()
--- a/internal/upstream/relayed_test.go
+++ b/internal/upstream/relayed_test.go
@@ -155,11 +155,7 @@
 	for range 3 {
 		_, _ = c.Connect(testContext(t), refusingAddress(t))
 	}
-	for end := time.Now().Add(testWait); !c.ContactLost(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the loss of contact is not noticed")
-		}
-	}
+	waitForContact(t, c, true)
 }
 
 // TestResponseThatEndsWithARelayedConnection guards against a response without a length that is
@@ -254,3 +250,43 @@
 		})
 	}
 }
+
+// TestIdleHostRegainsContact guards against a host without requests of its own that says for ever
+// that it is cut off, and relays nothing.
+func TestIdleHostRegainsContact(t *testing.T) {
+	links := new(cutLinks)
+	client, _ := startCutClient(t, links)
+	target := startUpstreams(t, 1, serveOK)[0]
+	links.cut.Store(true)
+	for _, other := range []string{target, refusingAddress(t), refusingAddress(t)} { // for another host
+		_, _ = client.Connect(testContext(t), other)
+	}
+	waitForContact(t, client, true)
+	links.cut.Store(false)
+	waitForContact(t, client, false)
+}
+
+// TestCrashesSeenByIdleHelper guards against a host that takes itself for cut off because upstreams
+// crashed to which it connected for others.
+func TestCrashesSeenByIdleHelper(t *testing.T) {
+	is := is.New(t)
+	client, _ := startCutClient(t, new(cutLinks))
+	target := startUpstreams(t, 1, serveOK)[0]
+	_, kind := do(testContext(t), client, target)
+	is.Equal(kind, errkind.Kind(0))
+	for range 5 {
+		_, _ = client.Connect(testContext(t), refusingAddress(t))
+	}
+	time.Sleep(300 * time.Millisecond) // longer than a check takes
+	is.True(!client.ContactLost())
+}
+
+// waitForContact waits until the client considers contact lost, or regained.
+func waitForContact(t testing.TB, c *Client, lost bool) {
+	t.Helper()
+	for end := time.Now().Add(testWait); c.ContactLost() != lost; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("contact lost: %v, want %v", c.ContactLost(), lost)
+		}
+	}
+}
