Try another upstream when all connections to the chosen one are in use

What callers saw: 503 "overloaded" while other upstreams had room, without a line that says so; 3 of 100 requests in one of 30 runs of TestUpstreamThatSaysInAnswersThatItLeaves at a load average near 40.

Cause, from the log of that run: the host may open four connections to an upstream and all were in use; the upstream client refused the attempt as overloaded, which is not sent again. A load query without a connection counted as a failure of the upstream, which others are then preferred to for a second.

The attempt now fails as connection-limit, a kind of its own: nothing was sent, it may be sent to another upstream, and neither it nor a load query counts against the upstream. The tests failed to compile before for want of the kind; with the old kind the request is refused.

--- a/internal/gateway/loadquerier.go
+++ b/internal/gateway/loadquerier.go
@@ -60,6 +60,9 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		// The caller left or the hedge was not needed; the upstream is not at fault.
 		feedback.Outcome = balancer.Cancelled
+	case err != nil && err.Kind == errkind.ConnectionLimit:
+		// Requests use all connections, so their responses report the load.
+		feedback.Outcome = balancer.Cancelled
 	case err != nil:
 		feedback.Outcome = balancer.Failed
 		q.events.Emit(event.Event{Code: event.ProbeFailed, Service: group.Config.Registered, Upstream: u.ID,
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -241,6 +241,8 @@
 	case r.err.Kind == errkind.UpstreamRefused:
 		f.outcome = limit.Refused
 		f.refused = true
+	case r.err.Kind == errkind.ConnectionLimit: // nothing was sent; the upstream is not at fault
+		f.outcome = limit.Ignored
 	case r.err.Kind == errkind.DeadlineAfterSend:
 		f.outcome = limit.Refused
 	default:
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -203,7 +203,7 @@
 		return cn, nil
 	}
 	if !ok {
-		return nil, errkind.New(errkind.Overloaded, "connection bound of "+p.address)
+		return nil, errkind.New(errkind.ConnectionLimit, p.address)
 	}
 	cn, err := c.dial(ctx, p)
 	if err == nil {
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -327,7 +327,7 @@
 	}()
 	<-started
 	_, err := client.Do(testContext(t), address, request("GET", nil))
-	is.Equal(err.Kind, errkind.Overloaded)
+	is.Equal(err.Kind, errkind.ConnectionLimit)
 	client.SetLimits(nil)
 	close(release)
 	_, err = client.Do(testContext(t), address, request("GET", nil))
--- a/pkg/errkind/errkind.go
+++ b/pkg/errkind/errkind.go
@@ -94,6 +94,9 @@
 	CustomerUnserved
 	// QuotaExceeded is a request that exceeds its customer's quota.
 	QuotaExceeded
+	// ConnectionLimit is an attempt for which this host has no connection to the chosen upstream:
+	// all that it may open are in use.
+	ConnectionLimit
 
 	numKinds
 )
@@ -164,6 +167,7 @@
 	UnknownKey:         {"unknown-key", http.StatusUnauthorized, NotRun, false},
 	CustomerUnserved:   {"customer-unserved", http.StatusServiceUnavailable, NotRun, true},
 	QuotaExceeded:      {"quota-exceeded", http.StatusTooManyRequests, NotRun, true},
+	ConnectionLimit:    {"connection-limit", http.StatusServiceUnavailable, NotRun, true},
 	UpstreamTLSNotSet:  {"upstream-tls-not-set", http.StatusBadGateway, NotRun, false},
 }
 
--- a/pkg/retry/decide.go
+++ b/pkg/retry/decide.go
@@ -121,7 +121,7 @@
 // request may be sent again only after an attempt that is known not to have run.
 func retryable(kind errkind.Kind, repeatable bool) bool {
 	switch kind {
-	case errkind.ConnectFailed, errkind.SendFailed, errkind.UpstreamRefused:
+	case errkind.ConnectFailed, errkind.SendFailed, errkind.UpstreamRefused, errkind.ConnectionLimit:
 		return true
 	case errkind.UpstreamBroken, errkind.UpstreamFailed:
 		return repeatable
