Review, case 2: endpoints that leave answer their health checks with 503

Now the endpoints are of the kind that does not tell its load, some state draining and some leave without a word, and all answer 503 to health checks once they leave.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -14,27 +14,29 @@
 )
 
 const (
-	service   = "fekparancs"
+	service   = "faturas"
 	hosts     = 3
-	endpoints = 7
-	perSecond = 30.0 // at each host
+	endpoints = 20
+	// silent is how many endpoints leave without stating it, and stating how many state it.
+	silent, stating = 3, 2
+	perSecond       = 30.0 // at each host
 
 	drainTimeout = 2 * time.Second
 	contact      = 3 * time.Second
-	// longer is how much longer than drainTimeout the endpoint that leaves keeps serving.
-	longer = 10 * time.Second
+	// longer is how much longer than drainTimeout the endpoints that leave keep serving.
+	longer = 13 * time.Second
 	// held is how late the answer to the restarted host comes: two losses of one packet, which is
 	// sent again after 0.2 s and after another 0.4 s.
 	held = 600 * time.Millisecond
-	// before is the traffic before the disruption, and after that once the endpoint has ended.
+	// before is the traffic before the disruption, and after that once the endpoints have ended.
 	before, after = 5 * time.Second, 3 * time.Second
 )
 
-var zones = []string{"gyor-hall", "moson-hall"}
+var zones = []string{"caruaru", "petrolina"}
 
 var order = kit.Route{
-	Name: "brake-order", Host: "orders.example", Prefix: "/order/", Kind: "unsafe", Service: service,
-	TimeoutMs: 2500, TargetMs: 800, Priority: 1, MaxAttempts: 2,
+	Name: "hammer-post", Host: "sale.example", Prefix: "/post/", Kind: "unsafe", Service: service,
+	TimeoutMs: 2500, TargetMs: 300, Priority: 1, MaxAttempts: 2,
 }
 
 func main() {
@@ -46,35 +48,35 @@
 	})
 }
 
-// work is the time that a request takes: 290 ms at the median.
+// work is the time that a request takes: 120 ms at the median.
 func work() time.Duration {
-	return time.Duration(290 * math.Exp(0.3*rand.NormFloat64()) * float64(time.Millisecond))
+	return time.Duration(120 * math.Exp(0.3*rand.NormFloat64()) * float64(time.Millisecond))
 }
 
 // scene is what a case is played with.
 type scene struct {
-	record    *kit.Record
-	store     *kit.Store
-	ledger    *kit.Ledger
-	fleet     *kit.Fleet
-	links     []*kit.Link // of the hosts to the store
-	leaver    *kit.Endpoint
-	arrivals  arrivals
-	removedAt time.Time // acknowledgement of the removal of the leaver's entry
-	inTouchAt time.Time // from when on the restarted host is in touch
-}
+	record *kit.Record
+	store  *kit.Store
+	ledger *kit.Ledger
+	fleet  *kit.Fleet
+	links  []*kit.Link // of the hosts to the store
+	// leavers are the endpoints that leave, those that don't state it first.
+	leavers []*kit.Endpoint
+
+	mu       sync.Mutex
+	arrivals []arrival
 
-// arrivals are the requests that reached the endpoint that leaves.
-type arrivals struct {
-	mu  sync.Mutex
-	ids []string
-	at  []time.Time
+	// leftAt is when the store had acknowledged that all leavers leave.
+	leftAt time.Time
+	// inTouchAt is from when on the host that was restarted is in touch.
+	inTouchAt time.Time
 }
 
-func (a *arrivals) add(id string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.ids, a.at = append(a.ids, id), append(a.at, time.Now())
+// arrival is a request that reached an endpoint that leaves.
+type arrival struct {
+	endpoint *kit.Endpoint
+	id       string
+	at       time.Time
 }
 
 func play(program, file string, cleanups *[]func()) (int, error) {
@@ -113,10 +115,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
 	for _, h := range s.fleet.Hosts {
-		load := kit.Load{Route: order, Unsafe: true, PerSecond: perSecond, DeadlineMs: 5000, Hosts: []*kit.Host{h}}
+		load := kit.Load{Route: order, Unsafe: true, PerSecond: perSecond, DeadlineMs: 2500, Hosts: []*kit.Host{h}}
 		clients.Go(func() { s.ledger.Send(ctx, s.record, load) })
 	}
-	err = s.leave()
+	err = s.disrupt()
 	cancel()
 	clients.Wait()
 	if err != nil {
@@ -125,45 +127,63 @@
 	return s.judge(), nil
 }
 
+// startEndpoints starts the endpoints. Those that leave are in the zone of the host that is
+// restarted.
 func (s *scene) startEndpoints(cleanups *[]func()) error {
 	for i := range endpoints {
 		e := &kit.Endpoint{
-			ID: fmt.Sprintf("i-%x%09x", 2*i+1, rand.Uint32()), Service: service, Zone: zones[i%len(zones)], Slots: 6, Queue: 12,
-			Work: work, TellsLoad: true, Log: s.record,
+			ID: fmt.Sprintf("i-%x%09x", i%16, rand.Uint32()), Service: service, Zone: zones[i%len(zones)], Slots: 3, Queue: 6,
+			Work: work, ProbeWork: 6 * time.Millisecond, Log: s.record, OnRun: s.ledger.Run,
 		}
-		e.OnRun = s.ledger.Run
-		if i == 0 {
-			s.leaver = e
-			e.OnRun = func(e *kit.Endpoint, id string) {
-				s.ledger.Run(e, id)
-				s.arrivals.add(id)
-			}
+		if e.Zone == zones[(hosts-1)%len(zones)] && len(s.leavers) < silent+stating {
+			s.leavers = append(s.leavers, e)
+			e.OnRun = s.arrived
 		}
 		if err := e.Start(); err != nil {
 			return err
 		}
 		*cleanups = append(*cleanups, e.End)
-		if err := s.store.Put(e.Key(), e.Entry()); err != nil {
+		if err := s.store.Put(e.Key(), e.Entry("ready")); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// leave plays the disruption: an endpoint leaves that never states draining, while a host that was
-// killed starts again and the answer of the store to it is late.
+func (s *scene) arrived(e *kit.Endpoint, id string) {
+	s.ledger.Run(e, id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals = append(s.arrivals, arrival{e, id, time.Now()})
+}
+
+// leave lets the leavers leave. Each call of the store returns with its acknowledgement.
 func (s *scene) leave() error {
+	for i, e := range s.leavers {
+		e.Leave()
+		if i < silent {
+			s.store.Remove(e.Key())
+			s.record.Say("the store has acknowledged that %s is gone", e.ID)
+			continue
+		}
+		if err := s.store.Put(e.Key(), e.Entry("draining")); err != nil {
+			return err
+		}
+		s.record.Say("the store has acknowledged that %s is draining", e.ID)
+	}
+	s.leftAt = time.Now()
+	s.record.Say("all this by %.3f", s.record.At(s.leftAt))
+	return nil
+}
+
+// disrupt plays the disruption: endpoints leave, while a host that was killed starts again and the
+// answer of the store to it is late.
+func (s *scene) disrupt() error {
 	time.Sleep(before)
 	host := s.fleet.Hosts[hosts-1]
-	removed := make(chan struct{})
-	remove := func() {
-		s.store.Remove(s.leaver.Key())
-		s.removedAt = time.Now()
-		s.record.Say("the store acknowledges at %.3f that %s is gone", s.record.At(s.removedAt), s.leaver.ID)
-		close(removed)
-	}
+	left := make(chan error, 1)
 	if kit.Trouble() {
-		s.links[hosts-1].HoldUp("path-prefix=servers%2F&", held, remove)
+		s.links[hosts-1].HoldUp("path-prefix=servers%2F&", held, func() { left <- s.leave() })
 		host.Kill()
 		s.record.Say("%s was killed", host.Name)
 		time.Sleep(500 * time.Millisecond)
@@ -172,59 +192,63 @@
 		}
 		s.record.Say("%s starts at %.3f", host.Name, s.record.At(host.Started()))
 	} else {
-		go remove()
+		left <- s.leave()
 	}
 	select {
-	case <-removed:
+	case err := <-left:
+		if err != nil {
+			return err
+		}
 	case <-time.After(10 * time.Second):
 		return fmt.Errorf("%s did not read the endpoints", host.Name)
 	}
-	s.inTouchAt = s.removedAt
+	s.inTouchAt = s.leftAt
 	if kit.Trouble() {
-		s.inTouchAt = s.removedAt.Add(held + contact)
+		s.inTouchAt = s.leftAt.Add(held + contact)
 	}
 	s.record.Say("%s is in touch from %.3f on", host.Name, s.record.At(s.inTouchAt))
-	time.Sleep(time.Until(s.removedAt.Add(drainTimeout + longer)))
-	s.leaver.End()
-	s.record.Say("%s ends", s.leaver.ID)
+	time.Sleep(time.Until(s.leftAt.Add(drainTimeout + longer)))
+	for i, e := range s.leavers {
+		if i >= silent {
+			s.store.Remove(e.Key())
+		}
+		e.End()
+	}
+	s.record.Say("the endpoints that leave end")
 	time.Sleep(after)
 	return nil
 }
 
 // judge checks DRAIN.
 func (s *scene) judge() int {
-	bound := s.removedAt.Add(drainTimeout)
+	bound := s.leftAt.Add(drainTimeout)
 	late := map[string]int{}
-	total := 0
-	s.arrivals.mu.Lock()
-	defer s.arrivals.mu.Unlock()
-	for i, id := range s.arrivals.ids {
-		a := s.ledger.Attempt(id)
-		if a == nil || !s.arrivals.at[i].After(bound) {
-			continue
-		}
-		if a.Host == s.fleet.Hosts[hosts-1] && s.arrivals.at[i].Before(s.inTouchAt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.arrivals {
+		a := s.ledger.Attempt(r.id)
+		if a == nil || !r.at.After(bound) || a.Host == s.fleet.Hosts[hosts-1] && r.at.Before(s.inTouchAt) {
 			continue
 		}
 		late[a.Host.Name]++
-		if total++; total <= 5 {
-			s.record.Say("DRAIN: %s, sent to %s at %.3f, reached %s at %.3f, %.1f s after it was gone",
-				id, a.Host.Name, s.record.At(a.Sent), s.leaver.ID, s.record.At(s.arrivals.at[i]), s.arrivals.at[i].Sub(s.removedAt).Seconds())
-		}
+		s.record.Say("DRAIN: %s, sent to %s at %.3f, reached %s at %.3f, %.1f s after the acknowledgement",
+			r.id, a.Host.Name, s.record.At(a.Sent), r.endpoint.ID, s.record.At(r.at), r.at.Sub(s.leftAt).Seconds())
 	}
-	sent, served, lost := 0, 0, 0
-	s.ledger.Each(func(a kit.Attempt, runs []string) {
+	sent, served := 0, 0
+	byStatus := map[int]int{}
+	s.ledger.Each(func(a kit.Attempt, _ []string) {
 		sent++
-		switch {
-		case a.Status == 200:
+		byStatus[a.Status]++
+		if a.Status == 200 {
 			served++
-		case len(runs) > 0 && runs[0] == s.leaver.ID:
-			lost++
-			s.record.Add("lost with %s: %s, sent to %s, answered with %d", s.leaver.ID, a.ID, a.Host.Name, a.Status)
 		}
 	})
-	s.record.Say("requests: %d sent, %d served, %d that %s had begun were not answered by it", sent, served, lost, s.leaver.ID)
-	s.record.Say("reached %s later than %s after the acknowledgement, from hosts in touch: %d %v", s.leaver.ID, drainTimeout, total, late)
+	s.record.Say("requests: %d sent, %d served, by status %v", sent, served, byStatus)
+	total := 0
+	for _, n := range late {
+		total += n
+	}
+	s.record.Say("reached endpoints that leave later than %s after the acknowledgement, from hosts in touch: %d %v", drainTimeout, total, late)
 	if served < sent/2 {
 		s.record.Say("too little was served for a judgement")
 		return kit.CouldNotRun
--- a/review/kit/endpoint.go
+++ b/review/kit/endpoint.go
@@ -40,6 +40,7 @@
 	mu      sync.Mutex
 	waiting int
 	conns   map[net.Conn]bool
+	leaving bool
 	ended   bool
 }
 
@@ -70,6 +71,25 @@
 	return nil
 }
 
+// Leave makes the endpoint leave: it serves as before, and its health checks are answered with 503.
+func (e *Endpoint) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// health returns the answer to a health check.
+func (e *Endpoint) health() []byte {
+	e.mu.Lock()
+	leaving := e.leaving
+	e.mu.Unlock()
+	status := http.StatusOK
+	if leaving {
+		status = http.StatusServiceUnavailable
+	}
+	return response(status, "Dapplespindle-Instance-Id: "+e.ID+"\r\n"+e.load(), "")
+}
+
 // End ends the endpoint: it closes its listener and its connections.
 func (e *Endpoint) End() {
 	e.mu.Lock()
@@ -84,10 +104,10 @@
 	}
 }
 
-// Entry returns its entry in the store.
-func (e *Endpoint) Entry() map[string]any {
+// Entry returns its entry in the store with a state, ready or draining.
+func (e *Endpoint) Entry(state string) map[string]any {
 	return map[string]any{
-		"s": e.Service, "address": e.listener.Addr().String(), "zone": e.Zone, "ver": "v1", "n": e.Slots, "st": "ready", "w": 0, "q": 1,
+		"s": e.Service, "address": e.listener.Addr().String(), "zone": e.Zone, "ver": "v1", "n": e.Slots, "st": state, "w": 0, "q": 1,
 	}
 }
 
@@ -154,7 +174,7 @@
 		return response(421, echo+"Dapplespindle-Instance-Id: "+e.ID+"\r\n", ""), "misdirected request"
 	}
 	if probe && e.TellsLoad {
-		return response(200, "Dapplespindle-Instance-Id: "+e.ID+"\r\n"+e.load(), ""), "health check"
+		return e.health(), "health check"
 	}
 	if !e.enter(deadline(req)) {
 		if probe {
@@ -166,7 +186,7 @@
 	defer func() { <-e.slots }()
 	if probe {
 		time.Sleep(e.ProbeWork)
-		return response(200, "Dapplespindle-Instance-Id: "+e.ID+"\r\n", ""), "health check"
+		return e.health(), "health check"
 	}
 	e.log("begins to work on %s", what)
 	if e.OnRun != nil {
