--- a/review/fleet/routes.go
+++ b/review/fleet/routes.go
@@ -12,8 +12,12 @@
 	service  = "solver-desk"
 )
 
-// startHosts starts hosts and waits until they are ready and know one another. It returns nil if they can't start.
+// startTime is how long after the machines' start traffic begins. The site has 10 s.
+const startTime = 20 * time.Second
+
+// startHosts starts hosts and waits until they are ready and startTime has passed. It returns nil if they can't start.
 func startHosts(w *world, s *store, n, firstIP int) []*host {
+	from := time.Now()
 	hosts := newHosts(n, s.address, w.dir, firstIP)
 	for _, h := range hosts {
 		h.start()
@@ -25,7 +29,7 @@
 		}
 		return nil
 	}
-	time.Sleep(6 * time.Second)
+	time.Sleep(time.Until(from.Add(startTime)))
 	return hosts
 }
 
