Keep routes and customers that can't be read known

A customer named "Bituin Media" got 401 for its key.

Cause: the adapter left out a route or customer that a check refused where its stand-in of the same name, which was to refuse its requests, failed the same check. Names of routes were checked by the rule for service documents, fields were decoded up to the first that can't be read, and customers without a name that a header may hold were dropped with their keys. What belonged to the item then matched the next shorter prefix, or was unknown. Ruled out: the retry decision itself.

Why this works: a name no longer keeps an item from being served, every field that can be read is read, and what can't be served refuses all requests that may belong to it (503, not run). Two customers of one name and limits that can't be read no longer make the whole configuration unreadable.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -276,7 +276,7 @@
 func (c *controller) applyConfiguration() {
 	table := routing.Compile(c.config.Version, c.config.Services, c.pools)
 	if c.config.Keyed {
-		table.Customers = customers.Compile(c.config.Customers)
+		table.Customers = customers.Compile(c.config.Customers, c.config.UnreadKeys)
 	}
 	c.gateway.proxy.SetTable(table)
 	if l := c.config.Callers; l != nil {
@@ -307,6 +307,9 @@
 	if t.Customers == nil {
 		return
 	}
+	if c.config.UnreadKeys != "" {
+		c.gateway.emit(event.Event{Code: event.CustomerUnserved, Detail: c.config.UnreadKeys, Value: version})
+	}
 	if n := t.Customers.Ambiguous(); n > 0 {
 		c.gateway.emit(event.Event{Code: event.CustomerUnserved, Detail: strconv.Itoa(n) + " keys stand with several customers", Value: version})
 	}
--- a/internal/proxy/customer.go
+++ b/internal/proxy/customer.go
@@ -94,8 +94,14 @@
 	if t.Revision == x.version || t.Customers == nil {
 		return nil
 	}
-	if now := t.Customers.ByKey(x.caller.key); now == nil || now.Name != c.Name {
+	now := t.Customers.ByKey(x.caller.key)
+	switch {
+	case now == nil:
 		return errkind.New(errkind.UnknownKey, "the key was revoked")
+	case now.Unserved != "":
+		return errkind.New(errkind.CustomerUnserved, now.Unserved)
+	case now.Name != c.Name:
+		return errkind.New(errkind.UnknownKey, "the key was reassigned")
 	}
 	return nil
 }
--- a/internal/proxy/customer_test.go
+++ b/internal/proxy/customer_test.go
@@ -25,7 +25,7 @@
 	for _, name := range names {
 		list = append(list, config.Customer{Name: name, RatePerSecond: 1, Keys: []config.KeyDigest{config.DigestKey(name)}})
 	}
-	t.Customers = customers.Compile(list)
+	t.Customers = customers.Compile(list, "")
 	return t
 }
 
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -101,7 +101,8 @@
 
 // Service is one published document.
 type Service struct {
-	// Name identifies the service. It consists of lower-case letters, digits and dashes.
+	// Name identifies the service, in 1 to MaxNameBytes bytes of printable text. In a service
+	// document it consists of lower-case letters, digits and dashes.
 	Name string `json:"name"`
 	// Match selects the requests of this service.
 	Match Match `json:"match"`
@@ -123,6 +124,10 @@
 	Host string `json:"host,omitempty"`
 	// PathPrefix is the path prefix. The longest match over all services wins.
 	PathPrefix string `json:"path_prefix"`
+	// PathUnknown is set on an unserved service whose path prefix can't be read. It matches
+	// every path of its host, before all other services: any request to the host may be one
+	// of its own. Default: false.
+	PathUnknown bool `json:"path_unknown,omitempty"`
 }
 
 // Group is a set of equivalent upstreams.
--- a/pkg/config/configuration.go
+++ b/pkg/config/configuration.go
@@ -15,6 +15,10 @@
 	Keyed bool
 	// Customers are the customers whose keys are accepted.
 	Customers []Customer
+	// UnreadKeys is the reason why some keys could not be read; empty if all were. Any key
+	// that no customer has may then be one of these, and is refused without being called
+	// unknown.
+	UnreadKeys string `json:",omitempty"`
 }
 
 // CallerLimits limits what one caller may send.
@@ -48,10 +52,11 @@
 	if c.Callers == nil {
 		return nil
 	}
-	return c.Callers.validate()
+	return c.Callers.Validate()
 }
 
-func (l *CallerLimits) validate() error {
+// Validate reports the first field that is out of range, as a *FieldError.
+func (l *CallerLimits) Validate() error {
 	switch {
 	case l.HeadBytes < 1:
 		return &FieldError{"callers.head_bytes", "is not positive", "write a number of bytes"}
--- a/pkg/config/customer.go
+++ b/pkg/config/customer.go
@@ -4,13 +4,14 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
 
 // Customer is a customer whose callers the entry hosts serve.
 type Customer struct {
-	// Name identifies the customer to upstreams.
+	// Name identifies the customer to upstreams. That of an unserved customer may be any text.
 	Name string `json:"name"`
 	// Keys are the digests of the keys that its callers send.
 	Keys []KeyDigest `json:"keys"`
@@ -44,20 +45,24 @@
 	return errors.Wrap(err, "digest of a key")
 }
 
+// MaxCustomerNameBytes is the maximum length of a customer's name, in bytes. Upstreams receive
+// it in a header, and entry hosts exchange it in datagrams.
+const MaxCustomerNameBytes = 1024
+
 const (
-	maxCustomerName = 128       // bytes
-	maxRate         = 1_000_000 // requests a second
-	maxBurst        = 10 * maxRate
+	maxRate  = 1_000_000 // requests a second
+	maxBurst = 10 * maxRate
 )
 
 // Validate reports the first field that is out of range, as a *FieldError.
 func (c *Customer) Validate() error {
-	if !validCustomerName(c.Name) {
-		return &FieldError{"name", strconv.Quote(c.Name) + " is not a valid name", "use 1 to 128 visible ASCII characters"}
-	}
 	if c.Unserved != "" {
 		return nil
 	}
+	if !validCustomerName(c.Name) {
+		return &FieldError{"name", strconv.Quote(c.Name) + " is not a valid name",
+			"use 1 to 1024 bytes without control characters and without blanks at the ends"}
+	}
 	if !(c.RatePerSecond >= 0 && c.RatePerSecond <= maxRate) {
 		return &FieldError{"rate_per_second", "is outside 0 to 1000000", "write requests a second over all entry hosts, or 0 for no bound"}
 	}
@@ -71,21 +76,25 @@
 	return &FieldError{"priority", "is " + strconv.Quote(string(c.Priority)), "write \"high\", \"normal\" or \"low\", or leave it out"}
 }
 
-// validCustomerName reports whether name is a valid header value without escaping.
+// validCustomerName reports whether name arrives unchanged as a header value: RFC 9110, 5.5,
+// allows blanks inside and bytes beyond ASCII, and recipients remove blanks at the ends.
 func validCustomerName(name string) bool {
-	if name == "" || len(name) > maxCustomerName {
+	if name == "" || len(name) > MaxCustomerNameBytes || name != strings.Trim(name, " \t") {
 		return false
 	}
 	for _, c := range []byte(name) {
-		if c <= ' ' || c > '~' {
+		if c < ' ' || c == deleteChar {
 			return false
 		}
 	}
 	return true
 }
 
+// deleteChar is the ASCII control character above the printable ones.
+const deleteChar = 0x7f
+
 func (c *Configuration) validateCustomers() error {
-	if len(c.Customers) > 0 && !c.Keyed {
+	if !c.Keyed && (len(c.Customers) > 0 || c.UnreadKeys != "") {
 		return &FieldError{"customers", "are named, but their callers send no keys", "set keyed or leave them out"}
 	}
 	names := make(map[string]bool, len(c.Customers))
@@ -94,6 +103,9 @@
 		if err := c.Customers[i].Validate(); err != nil {
 			return errors.Wrap(err, field)
 		}
+		if c.Customers[i].Unserved != "" {
+			continue
+		}
 		if names[c.Customers[i].Name] {
 			return &FieldError{field + ".name", "stands twice", "give each customer its own name"}
 		}
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -41,7 +41,6 @@
 )
 
 var (
-	namePattern       = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 	serverNamePattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9-]{0,62}\.)*[A-Za-z0-9-]{1,63}$`)
 	methodPattern     = regexp.MustCompile(`^[A-Z][A-Z-]{0,31}$`)
 )
@@ -80,6 +79,9 @@
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
+	if err := s.checkDocumentNames(); err != nil {
+		return nil, err
+	}
 	return s, nil
 }
 
@@ -142,6 +144,9 @@
 	if s.Unserved != "" {
 		return s.validateUnserved()
 	}
+	if s.Match.PathUnknown {
+		return &FieldError{"match.path_unknown", "is set on a service that is served", "remove it"}
+	}
 	groups := make(map[string]bool, len(s.Groups))
 	for i := range s.Groups {
 		field := elementPath("groups", i)
@@ -255,13 +260,13 @@
 }
 
 func (u *Upstream) validate(field string) error {
-	if err := checkName(field+".id", u.ID); err != nil {
+	if err := checkDocumentName(field+".id", u.ID); err != nil {
 		return err
 	}
 	if ap, err := netip.ParseAddrPort(u.Address); err != nil || ap.Port() == 0 || ap.Addr().IsUnspecified() {
 		return &FieldError{field + ".address", "is not IP:port", "write for example \"10.0.0.7:8080\""}
 	}
-	if err := checkName(field+".failure_domain", u.FailureDomain); err != nil {
+	if err := checkDocumentName(field+".failure_domain", u.FailureDomain); err != nil {
 		return err
 	}
 	if u.Slots < 1 || u.Slots > maxSlots {
@@ -373,13 +378,6 @@
 	}
 }
 
-func checkName(field, name string) error {
-	if namePattern.MatchString(name) {
-		return nil
-	}
-	return &FieldError{field, strconv.Quote(name) + " is not a valid name", "use lower-case letters, digits and dashes, 63 at most"}
-}
-
 func elementPath(field string, i int) string {
 	return field + "[" + strconv.Itoa(i) + "]"
 }
--- a/pkg/customers/customers_test.go
+++ b/pkg/customers/customers_test.go
@@ -22,7 +22,7 @@
 
 func TestFind(t *testing.T) {
 	is := is.New(t)
-	table := customers.Compile([]config.Customer{customer("a", "k1", "k2", "k1"), customer("b", "k3", "k2")})
+	table := customers.Compile([]config.Customer{customer("a", "k1", "k2", "k1"), customer("b", "k3", "k2")}, "")
 	is.Equal(table.ByKey(config.DigestKey("k1")).Name, "a")
 	is.Equal(table.ByKey(config.DigestKey("k3")).Name, "b")
 	is.Equal(table.ByKey(config.DigestKey("k4")), nil)
@@ -72,7 +72,7 @@
 	for i := range 100_000 {
 		list = append(list, customer("c"+strconv.Itoa(i), "key-of-twenty-bytes-"+strconv.Itoa(i)))
 	}
-	table := customers.Compile(list)
+	table := customers.Compile(list, "")
 	b.ReportAllocs()
 	for b.Loop() {
 		if table.ByKey(config.DigestKey("key-of-twenty-bytes-77777")) == nil {
--- a/pkg/routing/index.go
+++ b/pkg/routing/index.go
@@ -11,6 +11,8 @@
 type index struct {
 	lengths  []int // distinct lengths of the path prefixes, longest first
 	byPrefix map[string]*prefixMatch
+	// unknown holds the services whose path is unknown; nil if there are none.
+	unknown *prefixMatch
 }
 
 // prefixMatch holds the services with the same path prefix.
@@ -24,10 +26,17 @@
 func newIndex(services []*Service) index {
 	x := index{byPrefix: make(map[string]*prefixMatch)}
 	for _, s := range services {
+		if s.Config.Match.PathUnknown {
+			if x.unknown == nil {
+				x.unknown = newPrefixMatch()
+			}
+			x.unknown.add(s)
+			continue
+		}
 		prefix := s.Config.Match.PathPrefix
 		m := x.byPrefix[prefix]
 		if m == nil {
-			m = &prefixMatch{byHost: make(map[string]*Service), ascii: true}
+			m = newPrefixMatch()
 			x.byPrefix[prefix] = m
 			if n := len(x.lengths); n == 0 || x.lengths[n-1] != len(prefix) {
 				x.lengths = append(x.lengths, len(prefix))
@@ -38,6 +47,10 @@
 	return x
 }
 
+func newPrefixMatch() *prefixMatch {
+	return &prefixMatch{byHost: make(map[string]*Service), ascii: true}
+}
+
 func (m *prefixMatch) add(s *Service) {
 	m.services = append(m.services, s)
 	m.ascii = m.ascii && isASCII(s.Config.Match.Host)
@@ -49,6 +62,11 @@
 
 // find returns the first service that matches, or nil.
 func (x *index) find(host, path string) *Service {
+	if x.unknown != nil {
+		if s := x.unknown.find(host); s != nil {
+			return s
+		}
+	}
 	for _, n := range x.lengths {
 		if n > len(path) {
 			continue
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -71,7 +71,8 @@
 }
 
 // Compile builds a table. If two services have the same match, the one whose name
-// sorts first wins, so that all entry hosts route alike.
+// sorts first wins, so that all entry hosts route alike. An unserved service whose path is
+// unknown precedes all others.
 func Compile(revision uint64, services []*config.Service, groups Groups) *Table {
 	t := &Table{Revision: revision}
 	for _, s := range services {
