Refuse the requests of a service document without a valid version

What callers saw, by a test: on a host that knows only invalid versions of a service document, as after a start, its requests matched another service, or got 404.

Cause: the current documents are the newest valid ones, so that a document without one is like none.

Why this works: such a document is an unserved service (route-unserved, 503, not run) that matches what its match says, as far as that can be read; a valid version or a deletion replaces it. A document that has a valid version keeps it, as before.

Evidence: TestInvalidDocumentIsKnown, nine invalid documents; State.InForce returned no document for any of them before. The tests of pkg/configsync, internal/configfeed, internal/entry and internal/operator pass.

--- a/pkg/configsync/receive.go
+++ b/pkg/configsync/receive.go
@@ -159,7 +159,7 @@
 		if result.Changed {
 			changed = append(changed, v.Key)
 		}
-		n.out.InForce = n.out.InForce || result.InForce
+		n.out.InForce = n.out.InForce || result.InForce || result.Unread
 	}
 	return changed
 }
--- a/pkg/configsync/state.go
+++ b/pkg/configsync/state.go
@@ -36,6 +36,9 @@
 	service  *config.Service
 	previous *Version // the current version before inForce; a base for deltas
 	rejected ID       // the last invalid version
+	// unread replaces service while the newest version is invalid and no version is current:
+	// a document that can't be read must not look like none.
+	unread *config.Service
 }
 
 // State is the merge of all versions that a host has seen.
@@ -56,6 +59,9 @@
 	Changed bool
 	// InForce is true when the current version of the key changed.
 	InForce bool
+	// Unread is true when an invalid document was added to, or replaced, the current ones as
+	// an unserved service.
+	Unread bool
 	// Conflict is true when the newest known version has the same revision with
 	// other content.
 	Conflict bool
@@ -94,6 +100,10 @@
 		out.Regressed = !e.setInForce(&v, service)
 		out.InForce = !out.Regressed
 	}
+	if newer {
+		e.unread = unreadService(v, err)
+		out.Unread = e.unread != nil && e.service == nil
+	}
 	s.entries[v.Key] = e
 	s.buckets[bucketOf(v.Key)] ^= before ^ e.hash(v.Key)
 	return out
@@ -136,6 +146,16 @@
 	return service, nil
 }
 
+// unreadService returns the unserved service for a version that is invalid because of err; nil
+// if it is valid or no service document.
+func unreadService(v Version, err error) *config.Service {
+	name, ok := strings.CutPrefix(v.Key, KeyPrefix)
+	if !ok || err == nil {
+		return nil
+	}
+	return config.Unread(name, v.Value, err)
+}
+
 // Frontier returns the revision up to which the state has every change.
 func (s *State) Frontier() uint64 { return s.frontier }
 
@@ -157,12 +177,16 @@
 	return d
 }
 
-// InForce returns the current documents, ordered by name.
+// InForce returns the current documents, ordered by name. A document of which only invalid
+// versions are known is an unserved service.
 func (s *State) InForce() []Document {
 	out := make([]Document, 0, len(s.entries))
 	for _, e := range s.entries {
-		if e.service != nil {
+		switch {
+		case e.service != nil:
 			out = append(out, Document{e.service, e.inForce.ID.Revision, e.inForce.ID.Digest})
+		case e.unread != nil:
+			out = append(out, Document{e.unread, e.newest.ID.Revision, e.newest.ID.Digest})
 		}
 	}
 	slices.SortFunc(out, func(a, b Document) int { return cmp.Compare(a.Name, b.Name) })
--- a/pkg/configsync/state_test.go
+++ b/pkg/configsync/state_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/dapplespindle/dapplespindle/pkg/config"
 )
 
 func TestMergeIsOrderIndependent(t *testing.T) {
@@ -127,3 +129,41 @@
 	n.Receive(later, "b", Summary{Ready: true})
 	is.True(!n.CatchingUp())
 }
+
+// TestInvalidDocumentIsKnown guards against a document of which a host knows only invalid versions
+// and that looks like none: its requests were taken by another service, or refused as unknown.
+func TestInvalidDocumentIsKnown(t *testing.T) {
+	is := is.New(t)
+	bad := func(revision uint64, text string) Version {
+		return NewVersion("services/a", revision, false, []byte(text))
+	}
+	for text, want := range map[string]config.Match{
+		`{"name":"a_b","match":{"host":"x.example","path_prefix":"/a/"}}`: {Host: "x.example", PathPrefix: "/a/"},
+		`{"name":"a","match":{"path_prefix":"/a/"},"rules":[]}`:           {PathPrefix: "/a/"},
+		`{"name":"a","match":{"host":"x.example","path_prefix":"a/"}}`:    {Host: "x.example", PathPrefix: "/a/"},
+		`{"name":"a","match":{"host":["x.example"],"path_prefix":"/a/"}}`: {PathPrefix: "/a/"},
+		`{"name":"a","match":{"host":"x.example","path_prefix":["/a/"]}}`: {Host: "x.example", PathPrefix: "/", PathUnknown: true},
+		`{"name":"a","match":{"host":"x.example"}}`:                       {Host: "x.example", PathPrefix: "/", PathUnknown: true},
+		`{"name":"a","match":"/a/"}`:                                      {PathPrefix: "/", PathUnknown: true},
+		`{"name":"a"`:                                                     {PathPrefix: "/", PathUnknown: true},
+		``:                                                                {PathPrefix: "/", PathUnknown: true},
+	} {
+		s := NewState()
+		is.True(s.Merge(bad(1, text)).Unread)
+		got := s.InForce()
+		is.Equal(len(got), 1)
+		is.Equal(got[0].Match, want)
+		is.True(got[0].Unserved != "")
+		is.NoErr(got[0].Validate())
+		is.True(s.Merge(NewVersion("services/a", 2, false, document("a", 2))).InForce) // a valid one replaces it
+		is.Equal(s.InForce()[0].Unserved, "")
+		is.True(!s.Merge(bad(3, text)).Unread) // and stays
+		is.Equal(s.InForce()[0].Revision, uint64(2))
+		is.True(s.Merge(NewVersion("services/a", 4, true, nil)).InForce)
+		is.Equal(len(s.InForce()), 0) // a deletion takes it away
+		is.True(s.Merge(bad(5, text)).Unread)
+		is.Equal(len(s.InForce()), 1)
+		is.True(s.Merge(NewVersion("services/a", 6, true, nil)).InForce)
+		is.Equal(len(s.InForce()), 0)
+	}
+}
