Match hosts that are published with a port, and IPv6 hosts

What callers saw, by a test: a published host "shop.example:8443" or "[::1]" matched no request. Its requests got 404, or were taken by a route of "shop.example" with other rights.

Cause: the request's host was cut at its first colon before the look-up, and published hosts were not.

Why this works: a host that stands in the table with its port is looked up so, every other without; colons within brackets belong to the address. A table without such hosts costs one comparison with nil more per request.

Evidence: three cases of TestUnreadableHostOrPrefix, which failed before.

--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -120,7 +120,7 @@
 
 // Match selects requests by host and path.
 type Match struct {
-	// Host is the exact Host header without port; empty matches any host.
+	// Host is the exact Host header, with or without its port; empty matches any host.
 	Host string `json:"host,omitempty"`
 	// PathPrefix is the path prefix. The longest match over all services wins.
 	PathPrefix string `json:"path_prefix"`
--- a/pkg/routing/index.go
+++ b/pkg/routing/index.go
@@ -13,6 +13,8 @@
 	byPrefix map[string]*prefixMatch
 	// unknown holds the services whose path is unknown; nil if there are none.
 	unknown *prefixMatch
+	// withPort are the hosts that contain a colon, in lower case; nil if there are none.
+	withPort map[string]bool
 }
 
 // prefixMatch holds the services with the same path prefix.
@@ -26,6 +28,7 @@
 func newIndex(services []*Service) index {
 	x := index{byPrefix: make(map[string]*prefixMatch)}
 	for _, s := range services {
+		x.addPort(s.Config.Match.Host)
 		if s.Config.Match.PathUnknown {
 			if x.unknown == nil {
 				x.unknown = newPrefixMatch()
@@ -51,6 +54,29 @@
 	return &prefixMatch{byHost: make(map[string]*Service), ascii: true}
 }
 
+func (x *index) addPort(host string) {
+	if !strings.Contains(host, ":") {
+		return
+	}
+	if x.withPort == nil {
+		x.withPort = make(map[string]bool)
+	}
+	x.withPort[strings.ToLower(host)] = true
+}
+
+// matchHost returns the host by which services are matched for a Host header: with its port
+// if a service has that host, and else without.
+func (x *index) matchHost(host string) string {
+	if x.withPort != nil && x.withPort[strings.ToLower(host)] {
+		return host
+	}
+	from := strings.LastIndexByte(host, ']') + 1 // colons before it belong to an IPv6 address
+	if i := strings.IndexByte(host[from:], ':'); i >= 0 {
+		return host[:from+i]
+	}
+	return host
+}
+
 func (m *prefixMatch) add(s *Service) {
 	m.services = append(m.services, s)
 	m.ascii = m.ascii && isASCII(s.Config.Match.Host)
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -111,12 +111,9 @@
 }
 
 // Route returns the rule that matches a request, or nil. Host is the Host header;
-// its port, if any, is ignored.
+// its port, if any, is ignored unless a service has a host with that port.
 func (t *Table) Route(method, host, path string) *Rule {
-	if name, _, ok := strings.Cut(host, ":"); ok {
-		host = name
-	}
-	s := t.index.find(host, path)
+	s := t.index.find(t.index.matchHost(host), path)
 	if s == nil {
 		return nil
 	}
