Refuse a response as soon as its bytes can't be one

What callers would see: an upstream that sends bytes that are no answer, and goes on, holds its request up to the limit of a head (64 KiB) or, a byte at a time, to the deadline. The request could be retried at once instead.

Cause: a line was checked only when it was complete.

Why this works: of a line that is still incomplete, the bytes that have come are checked: those of the status line against its form, a header or trailer name, the size of a chunk, and control characters anywhere. Requests of callers are checked as before.

--- a/internal/httpwire/framing/chars.go
+++ b/internal/httpwire/framing/chars.go
@@ -30,6 +30,7 @@
 
 var (
 	digitChars = charsetOf(digits)
+	hexChars   = charsetOf(digits + "abcdefABCDEF")
 	// tokenChars are allowed in a header name.
 	tokenChars = charsetOf(digits + letters + "!#$%&'*+-.^_`|~")
 	// hostChars are allowed in a Host header: names, IP literals and a port.
--- a/internal/httpwire/framing/scanner.go
+++ b/internal/httpwire/framing/scanner.go
@@ -125,8 +125,9 @@
 	from := max(start, s.searched)
 	i := bytes.IndexByte(buf[from:], '\n')
 	if i < 0 {
+		err := s.checkPartial(buf)
 		s.searched = len(buf)
-		return nil, false, nil
+		return nil, false, err
 	}
 	end := from + i
 	if end == start || buf[end-1] != '\r' {
