Bound the memory for answers that are being received

What callers would see: eight upstreams of a service that send bodies without end to 200 callers made a host with the memory of the smallest one (136 MB) use 379 MB; there the process ends, and all requests with it.

Cause: each answer could take 16 MB while it was received, and nothing bounded them together. Growing buffers left several times their size to the garbage collector. Answers to load queries, whose body nobody uses, had the same limits: up to 16.8 MB of one were read.

Why this works: all incomplete answers above 16 KB, with the bodies that are held otherwise, take a quarter of the memory at most. Beyond it the largest answer of the upstream whose answers take the most is given up, so that an upstream without end costs its own requests only. Answers to load queries have 32 KiB, and dropped answers the bytes of one.

Ruled out: the soft limit alone.

TestAnswerCutAtEveryByte and TestCutAnswersReachNoCaller show that a head that breaks off is no answer; they held before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,10 +170,13 @@
 	connectionHosts = 40
 	// upstreamIdleTimeout closes a connection that carried no request for that long.
 	upstreamIdleTimeout = 20 * time.Second
-	// bufferedBytesDivisor divides the memory into the part that buffered bodies may use.
-	// Upstreams' responses take as much again while they are received, and the garbage
-	// collector lets the total double.
+	// bufferedBytesDivisor divides the memory into the part that buffered bodies may use
+	// before further requests are refused.
 	bufferedBytesDivisor = 6
+	// allBytesDivisor divides the memory into the part that bodies may use together with
+	// upstreams' responses that are being received. The garbage collector lets the total
+	// double, and a buffer that grows exists twice for a moment.
+	allBytesDivisor = 4
 	// bodyTimeout bounds receiving a request body.
 	bodyTimeout = 20 * time.Second
 )
@@ -223,9 +226,12 @@
 		MaxConnections:   connectionsPerUpstream,
 		MaxResponseBytes: maxResponseBytes,
 		Attribute:        dialect.Attribute,
-		Dial:             g.dialUpstream,
-		OnLost:           func(target string) { g.proxy.UpstreamLost(target) },
-		OnContact:        g.contactChanged,
+
+		MaxReceivingBytes: g.conf.MemoryBytes / allBytesDivisor,
+		HeldBytes:         func() int64 { return g.server.BufferedBytes() },
+		Dial:              g.dialUpstream,
+		OnLost:            func(target string) { g.proxy.UpstreamLost(target) },
+		OnContact:         g.contactChanged,
 	}
 	if g.relayDialer != nil {
 		conf.Relay = g.relayDialer
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -57,6 +57,11 @@
 	MaxHeadBytes int
 	// MaxResponseBytes limits the size of a response body.
 	MaxResponseBytes int
+	// MaxReceivingBytes limits the bytes of all responses that are being received, in bytes; 0 is
+	// no limit. Beyond it, those of the upstream that takes the most are aborted.
+	MaxReceivingBytes int64
+	// HeldBytes returns the bytes held elsewhere that count towards MaxReceivingBytes; nil for none.
+	HeldBytes func() int64
 	// TLS returns the configuration of one handshake with an upstream whose
 	// certificate must be valid for the given name, or for its IP if the name is empty.
 	// It is nil if no CA is configured; requests to upstreams with TLS then fail.
@@ -99,6 +104,8 @@
 	lastReached atomic.Pointer[pool]
 	// verified is when the loss of contact was last checked, in Unix nanoseconds.
 	verified atomic.Int64
+	// receiving bounds the memory for incomplete responses.
+	receiving receiveBudget
 	// dials records the upstreams that can't be connected to over this host's own links.
 	dials reachability.Dials
 
@@ -111,6 +118,7 @@
 func New(conf Config) *Client {
 	conf = conf.withDefaults()
 	c := &Client{conf: conf, stop: make(chan struct{}), pools: make(map[string]*pool)}
+	c.receiving.limit, c.receiving.held = conf.MaxReceivingBytes, conf.HeldBytes
 	c.engine.Engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:            "upstreams",
 		MaxHTTPBodySize: conf.MaxResponseBytes,
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -42,7 +42,6 @@
 	via    *relay.Conn // nil over this host's own links
 	opened time.Time
 	parser *nbhttp.Parser
-	limits framing.Limits
 	result chan result
 
 	// reused and idleSince are owned by the goroutine that holds the connection, or by
@@ -68,6 +67,10 @@
 	busy    bool
 	closed  bool
 	interim int
+	// dropped counts the bytes of interim and late responses to the current request.
+	dropped int
+	// accounted is set while buf counts towards the client's bound for incomplete responses.
+	accounted bool
 	// request is the one in flight. late is set if a response to an earlier request
 	// arrived before its own.
 	request *httpwire.Request
@@ -75,6 +78,7 @@
 	// early is set if the current response began to arrive before any byte of the request was sent.
 	early   bool
 	scanner framing.Scanner
+	limits  framing.Limits // of the response to request
 	buf     []byte
 	// builder collects the response that is being parsed.
 	builder responseBuilder
@@ -93,7 +97,6 @@
 		opened: clock.Now(),
 		nbc:    nbc,
 		result: make(chan result, 1),
-		limits: framing.Limits{HeadBytes: c.conf.MaxHeadBytes, BodyBytes: c.conf.MaxResponseBytes},
 	}
 	cn.parser = nbhttp.NewParser(nbc, c.engine.Engine, &cn.builder, true, nil)
 	return cn
@@ -137,13 +140,24 @@
 	}
 	c.busy = true
 	c.interim = 0
+	c.dropped = 0
 	c.request = req
 	c.late = false
 	c.early = false
+	c.limits = c.client.responseLimits(req)
 	c.scanner.ResetResponse(req.Method, c.limits)
 	return true
 }
 
+// responseLimits returns the limits of the response to req.
+func (c *Client) responseLimits(req *httpwire.Request) framing.Limits {
+	limits := framing.Limits{HeadBytes: c.conf.MaxHeadBytes, BodyBytes: c.conf.MaxResponseBytes}
+	if req.LoadQuery {
+		limits.BodyBytes = min(limits.BodyBytes, maxQueryBody)
+	}
+	return limits
+}
+
 func (c *conn) returnToPool(reusable bool) {
 	if reusable {
 		c.pool.put(c)
@@ -273,6 +287,7 @@
 
 // deliver passes r to the request in flight.
 func (c *conn) deliver(r result) {
+	c.releaseBuffer()
 	if !c.busy {
 		return
 	}
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -15,7 +15,11 @@
 
 const (
 	firstFinalStatus = 200
-	maxInterim       = 16
+	// maxInterim bounds the dropped responses before the one to a request. Together they may also have
+	// no more bytes than the largest response.
+	maxInterim = 16
+	// maxQueryBody bounds the body of the response to a load query, in bytes. Nobody uses the body.
+	maxQueryBody = 32 << 10
 	// keepAliveMargin is how long before its announced timeout an idle connection is no
 	// longer used: the upstream could close it while a request is in transit.
 	keepAliveMargin = 700 * time.Millisecond
@@ -26,7 +30,7 @@
 func (c *conn) receive(data []byte, early bool) error {
 	owned := len(c.buf) > 0
 	if owned {
-		c.buf = append(c.buf, data...)
+		c.buf = append(c.reserve(len(data)), data...)
 		data = c.buf
 	}
 	for len(data) > 0 {
@@ -46,7 +50,8 @@
 			c.early = early
 		}
 		data = data[end:]
-		if c.interim++; c.interim > maxInterim {
+		c.dropped += end
+		if c.interim++; c.interim > maxInterim || c.dropped > c.limits.MaxMessageBytes() {
 			return errTooManyInterim
 		}
 		c.scanner.Restart()
@@ -55,7 +60,22 @@
 	if !owned {
 		c.buf = bytes.Clone(data)
 	}
-	return nil
+	return c.accountBuffer()
+}
+
+// reserve returns the buffered bytes with room for n more. A full buffer doubles, but not beyond the
+// end of the response where that is known: smaller steps would copy a large body many times and
+// leave several times its size to the garbage collector.
+func (c *conn) reserve(n int) []byte {
+	need := len(c.buf) + n
+	if need <= cap(c.buf) {
+		return c.buf
+	}
+	size := 2 * cap(c.buf)
+	if head := c.scanner.Head(); c.scanner.HeadDone() && head.ContentLength > 0 {
+		size = min(size, head.Bytes+int(head.ContentLength))
+	}
+	return append(make([]byte, 0, max(size, need)), c.buf...)
 }
 
 // complete delivers the complete response. It returns false if the response is a late one
