Keep callers from removing headers that entry hosts set

Cause: the headers that Connection names were removed after the entry host had set its own, and any name counted. Ruled out: the key, which was found.

Why this works: one table holds the headers that an entry host sets or trusts; Connection removes none of them. What an upstream says about having run a request is read before its headers are removed.

--- a/internal/httpwire/header.go
+++ b/internal/httpwire/header.go
@@ -11,12 +11,14 @@
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// RemoveHopByHop deletes the hop-by-hop headers, including those that the
-// Connection header names.
-func RemoveHopByHop(h http.Header) {
+// RemoveHopByHop deletes the hop-by-hop headers, and those that the Connection header names
+// unless endToEnd returns true for their canonical name.
+func RemoveHopByHop(h http.Header, endToEnd func(name string) bool) {
 	for _, v := range h["Connection"] {
 		for name := range strings.SplitSeq(v, ",") {
-			h.Del(strings.TrimSpace(name))
+			if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); !endToEnd(name) {
+				delete(h, name)
+			}
 		}
 	}
 	for _, name := range hopByHop {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -215,10 +215,11 @@
 	if err != nil {
 		return result{binding: b, err: err}
 	}
-	httpwire.RemoveHopByHop(resp.Header)
 	d := x.proxy.dialect
+	notRun := d.NotRun(resp.Status, resp.Header)
+	x.proxy.connection.remove(resp.Header)
 	r := result{binding: b, noRetry: resp.Header.Get(HeaderNoRetry) != ""}
-	if d.NotRun(resp.Status, resp.Header) {
+	if notRun {
 		r.err = errkind.New(errkind.UpstreamRefused, b.upstream.ID)
 		if resp.Doubtful && !x.repeatable() {
 			r.err = errkind.New(errkind.UpstreamBroken, "a refusal that may be of an earlier load query")
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -69,7 +69,7 @@
 // end-to-end headers, such as traceparent, are forwarded unchanged. The proxy owns the
 // request, so its header map is modified in place.
 func (x *exchange) prepareHeader() {
-	httpwire.RemoveHopByHop(x.req.Header)
+	x.proxy.connection.remove(x.req.Header)
 	if !x.proxy.dialect.SendsOwnHeaders {
 		return
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -43,6 +43,7 @@
 	executor      Executor
 	events        event.Sink
 	dialect       *Dialect
+	connection    connectionHeaders
 	loadQuerier   LoadQuerier
 	slotBorrower  SlotBorrower
 	retryBorrower RetryBorrower
@@ -137,6 +138,7 @@
 	for _, o := range options {
 		o(p)
 	}
+	p.connection = newConnectionHeaders(p.dialect)
 	return p
 }
 
