Test: bound what is read of endless answers tightly

Ruled out: the fault itself; the bounds of the product were in place and are unchanged.

Only tests change.

--- a/internal/httpget/httpget_test.go
+++ b/internal/httpget/httpget_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,9 +19,11 @@
 // no more than allowed of another body, and the call ends at its deadline when the bytes come one at a time.
 func TestEndlessResponses(t *testing.T) {
 	const (
-		maxBytes = 256 << 10
-		// kernelBytes is what both kernels may hold.
-		kernelBytes = 16 << 20
+		maxBytes = 2 << 20
+		// kernelBytes is what both kernels may hold, which double the sizes that are set, and what net/http
+		// and the writer hold.
+		socketBytes = 16 << 10
+		kernelBytes = 4*socketBytes + 256<<10
 		never       = 1 << 30
 	)
 	for name, test := range map[string]struct {
@@ -51,6 +54,7 @@
 					return
 				}
 				defer func() { _ = c.Close() }()
+				_ = c.(*net.TCPConn).SetWriteBuffer(socketBytes)
 				_, err = c.Write([]byte(test.begin))
 				for err == nil && written.Load() < never {
 					var n int
@@ -67,7 +71,12 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), timeout)
 			defer cancel()
-			transport := &http.Transport{MaxResponseHeaderBytes: MaxHeadBytes}
+			dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+				return raw.Control(func(fd uintptr) {
+					_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBytes)
+				})
+			}}
+			transport := &http.Transport{MaxResponseHeaderBytes: MaxHeadBytes, DialContext: dialer.DialContext}
 			body, err := Get(ctx, &http.Client{Transport: transport}, "http://"+ln.Addr().String(), maxBytes)
 			is.True(err != nil)
 			is.True(body == nil)
